Add base package, seams between parts, build and checks

Cause: parts are to be written side by side, so what they share and where they meet has to stand first.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,140 @@
+# Commands a newcomer needs: make demo, make check.  "make help" lists all.
+
+# VARIANT names the kind of build: rel, or san with AddressSanitizer and
+# UBSan.  Each has its own folder, so that they don't disturb one another.
+VARIANT ?= rel
+BUILD := build/$(VARIANT)
+
+CC := gcc
+CXX := g++
+CLANG := clang
+PKGS := libh2o libuv libtirpc jansson libxxhash argtable2 libcrypto libssl
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lm
+
+DEFS := -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Isrc -Iinclude -Itest -I.
+WARN := -Wall -Wextra -Werror -Wno-unused-parameter -Wno-missing-field-initializers
+OPT.rel := -O2 -g
+OPT.san := -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all \
+	-fno-omit-frame-pointer
+OPT := $(OPT.$(VARIANT))
+CFLAGS := -std=gnu11 $(OPT) $(WARN) $(DEFS) $(PKG_CFLAGS)
+CXXFLAGS := -std=c++17 $(OPT) $(WARN) $(DEFS) $(PKG_CFLAGS)
+LDFLAGS := $(OPT)
+
+LIB_SRC := $(sort $(filter-out src/cmd/%,$(wildcard src/*/*.c)))
+LIB := $(BUILD)/libbrf.a
+PROGRAMS := bulrushfordd bulrushctl
+STANDINS := $(notdir $(patsubst %/,%,$(wildcard standin/*/)))
+TEST_SRC := $(sort $(wildcard test/*.cc))
+E2E_SRC := $(sort $(wildcard test/e2e/*.cc))
+FUZZ_SRC := $(sort $(wildcard fuzz/*.c))
+GENERATED := src/wire/proto.h src/wire/proto_xdr.c
+C_FILES := $(filter-out $(GENERATED),$(sort $(wildcard src/*/*.[ch] \
+	include/*.h standin/*/*.[ch] fuzz/*.[ch] bench/*.[ch])))
+CC_FILES := $(sort $(wildcard test/*.cc test/*.h test/e2e/*.cc test/e2e/*.h))
+
+objs = $(patsubst %,$(BUILD)/%.o,$(1))
+bins = $(addprefix $(BUILD)/bin/,$(1))
+
+all: $(call bins,$(PROGRAMS) $(STANDINS))
+
+help:
+	@echo "make demo     install what is missing, build, show a fleet at work"
+	@echo "make check    build and run all tests"
+	@echo "make bench    measure; SCENARIO=name for one scenario"
+	@echo "make fuzz     longer fuzzing; SEED=n SECONDS=n"
+	@echo "make fuzz-smoke  bounded, seeded fuzzing as in CI"
+	@echo "make format   rewrite sources in house style"
+	@echo "make lint     formatter and linter, without changing anything"
+	@echo "make proto    generate the inner protocol's codec again"
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+$(BUILD)/src/wire/proto_xdr.c.o: CFLAGS += -Wno-unused-variable
+
+$(BUILD)/%.c.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(BUILD)/%.cc.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(call objs,$(LIB_SRC))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(call bins,$(PROGRAMS)): $(BUILD)/bin/%: $(BUILD)/src/cmd/%.c.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
+
+define standin_rule
+$$(BUILD)/bin/$(1): $$(call objs,$$(wildcard standin/$(1)/*.c)) $$(LIB)
+	@mkdir -p $$(@D)
+	$$(CC) $$(LDFLAGS) $$^ $$(PKG_LIBS) -o $$@
+endef
+$(foreach s,$(STANDINS),$(eval $(call standin_rule,$(s))))
+
+$(BUILD)/bin/brf_test: $(call objs,$(TEST_SRC)) $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(LDFLAGS) $^ $(PKG_LIBS) -lrapidcheck -lgtest -lgtest_main \
+	    -lpthread -o $@
+
+$(BUILD)/bin/brf_e2e: $(call objs,$(E2E_SRC)) $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(LDFLAGS) $^ $(PKG_LIBS) -lgtest -lgtest_main -lpthread -o $@
+
+tests: all $(BUILD)/bin/brf_test $(if $(E2E_SRC),$(BUILD)/bin/brf_e2e)
+
+# RapidCheck reads its seed from RC_PARAMS.
+check:
+	tools/packages
+	$(MAKE) -j$$(nproc) tests
+	VARIANT=$(VARIANT) tools/check
+
+# Sources are compiled again by clang for coverage-guided fuzzing.
+build/fuzz/%: fuzz/%.c $(LIB_SRC)
+	@mkdir -p $(@D)
+	$(CLANG) -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
+	    -fno-sanitize-recover=undefined -Wno-unused-variable $(DEFS) \
+	    $(PKG_CFLAGS) $< $(LIB_SRC) $(PKG_LIBS) -o $@
+
+FUZZERS := $(patsubst fuzz/%.c,build/fuzz/%,$(FUZZ_SRC))
+SEED ?= 1
+SECONDS ?= 60
+
+fuzzers: $(FUZZERS)
+
+fuzz-smoke: fuzzers
+	tools/fuzz smoke $(SEED)
+
+fuzz: fuzzers $(BUILD)/bin/brf_test
+	tools/fuzz long $(SEED) $(SECONDS)
+
+proto:
+	cd src/wire && rm -f proto.h proto_xdr.c && rpcgen -C -h -o proto.h \
+	    proto.x && rpcgen -C -c -o proto_xdr.c proto.x && \
+	    sed -i 's/#include "proto.h"/#include "wire\/proto.h"/' proto_xdr.c
+
+format:
+	clang-format -i $(C_FILES) $(CC_FILES)
+
+lint:
+	tools/lint $(C_FILES) $(CC_FILES)
+
+demo:
+	tools/packages
+	$(MAKE) -j$$(nproc) all
+	tools/demo
+
+bench:
+	$(MAKE) -j$$(nproc) all
+	tools/bench $(SCENARIO)
+
+clean:
+	rm -rf build
+
+.PHONY: all help tests check fuzzers fuzz-smoke fuzz proto format lint demo \
+	bench clean
+.DEFAULT_GOAL := all
--- /dev/null
+++ b/src/cmd/bulrushfordd.c
@@ -0,0 +1,6 @@
+#include "bulrushford.h"
+int
+main(void)
+{
+	return (BRF_EXIT_FAILED);
+}
--- /dev/null
+++ b/src/wire/proto.x
@@ -0,0 +1,117 @@
+/*
+ * Protocol between nodes: ONC RPC version 2 (RFC 5531) over TCP with record
+ * marking.  Both ends may call on one connection.  Lengths are bounded here,
+ * so that a decoder never allocates more than a message may hold.
+ */
+
+const BRF_XDR_NAME = 63;
+const BRF_XDR_TOKEN = 191;
+const BRF_XDR_PATH = 2048;
+const BRF_XDR_METHOD = 15;
+const BRF_XDR_FIELD = 16384;
+const BRF_XDR_FIELDS = 64;
+const BRF_XDR_BODY = 1048576;
+const BRF_XDR_MAC = 32;
+const BRF_XDR_NONCE = 16;
+
+struct brf_xdr_id {
+	unsigned hyper hi;
+	unsigned hyper lo;
+};
+
+struct brf_xdr_header {
+	string name<BRF_XDR_FIELD>;
+	string value<BRF_XDR_FIELD>;
+};
+
+struct brf_xdr_message {
+	string method<BRF_XDR_METHOD>;
+	string path<BRF_XDR_PATH>;
+	unsigned int status;
+	brf_xdr_header headers<BRF_XDR_FIELDS>;
+	opaque body<BRF_XDR_BODY>;
+	unsigned hyper checksum;	/* brf_message_checksum() */
+};
+
+struct brf_xdr_attempt {
+	brf_xdr_id root;
+	brf_xdr_id id;
+	unsigned hyper timeout_us;
+	unsigned int depth;
+	unsigned int cls;
+	unsigned int retries;
+	bool resend;
+	string service<BRF_XDR_NAME>;
+	string workspace<BRF_XDR_NAME>;
+	string token<BRF_XDR_TOKEN>;
+	brf_xdr_message request;
+};
+
+struct brf_xdr_level {
+	unsigned int cut;
+	unsigned int in_flight;
+	unsigned int waiting;
+	unsigned int limit;
+};
+
+struct brf_xdr_reply {
+	brf_xdr_id id;			/* the attempt's; a reply that names */
+	unsigned int outcome;		/* another one is refused */
+	unsigned int reason;
+	unsigned int retry_after_ms;
+	unsigned int retries;
+	brf_xdr_level *level;
+	unsigned hyper wasted_us;
+	brf_xdr_message *answer;
+};
+
+/* Proof of the fleet key: HMAC-SHA256 over both nonces and the sender's id. */
+struct brf_xdr_hello {
+	brf_xdr_id node;
+	unsigned hyper incarnation;
+	opaque nonce[BRF_XDR_NONCE];
+};
+
+struct brf_xdr_challenge {
+	brf_xdr_id node;
+	unsigned hyper incarnation;
+	opaque nonce[BRF_XDR_NONCE];
+	opaque mac[BRF_XDR_MAC];
+};
+
+struct brf_xdr_proof {
+	opaque mac[BRF_XDR_MAC];
+};
+
+/* A document as it stands in the store; see config/docs.h. */
+struct brf_xdr_document {
+	string service<BRF_XDR_NAME>;
+	unsigned hyper revision;
+	opaque text<BRF_XDR_BODY>;
+};
+
+struct brf_xdr_revision {
+	string service<BRF_XDR_NAME>;
+	unsigned hyper revision;
+};
+
+struct brf_xdr_revisions {
+	brf_xdr_revision known<1024>;
+};
+
+struct brf_xdr_documents {
+	brf_xdr_document newer<64>;
+};
+
+program BRF_PEER_PROGRAM {
+	version BRF_PEER_VERSION {
+		void BRF_PEER_NULL(void) = 0;
+		brf_xdr_challenge BRF_PEER_HELLO(brf_xdr_hello) = 1;
+		void BRF_PEER_PROVE(brf_xdr_proof) = 2;
+		brf_xdr_reply BRF_PEER_CALL(brf_xdr_attempt) = 3;
+		/* Always answered; the call's own reply says how it ended. */
+		void BRF_PEER_CANCEL(brf_xdr_id) = 4;
+		/* Sends what is known, gets the documents that are newer. */
+		brf_xdr_documents BRF_PEER_DOCUMENTS(brf_xdr_revisions) = 5;
+	} = 1;
+} = 0x20b1d001;
