--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -4,6 +4,9 @@
 #include "base/clock.h"
 #include "base/exchange.h"
 
+#define BRF_RETRY_DELAY_US (4 * BRF_US_PER_MS)	     /* before the first */
+#define BRF_RETRY_DELAY_MAX_US (500 * BRF_US_PER_MS) /* before any */
+
 /**
  * DOC: How often a request may be tried again.
  *
@@ -64,6 +67,12 @@
 
 BRF_BEGIN_DECLS
 
+/**
+ * brf_allotment_init() - start with what an attempt brought.
+ * @claimed: as the sender says; more than BRF_RETRY_BOUND is not accepted
+ */
+void brf_allotment_init(struct brf_allotment *a, uint32_t claimed);
+
 /**
  * brf_allotment_split() - take a share of @from for an attempt that goes down.
  *
@@ -75,6 +84,9 @@
 /**
  * brf_allotment_return() - take back what came with a reply.
  * @given: what went down with that attempt; more is not accepted
+ *
+ * Call it once at most for each split: a reply that comes a second time, or
+ * after its attempt was written off, brings nothing back.
  */
 void brf_allotment_return(
     struct brf_allotment *to, uint32_t given, uint32_t returned);
--- /dev/null
+++ b/src/policy/shed.c
@@ -0,0 +1,36 @@
+#include "policy/shed.h"
+
+void
+brf_shed_update(struct brf_shed *s, const struct brf_level *level, uint64_t now)
+{
+	if (s->known && now < s->seen)
+		return;
+	s->cut = level->cut < BRF_RANK_END ? level->cut : BRF_RANK_END;
+	s->seen = now;
+	s->known = true;
+}
+
+uint32_t
+brf_shed_cut(const struct brf_shed *s, uint64_t now)
+{
+	uint64_t age;
+
+	if (!s->known)
+		return (BRF_RANK_END);
+	age = now > s->seen ? now - s->seen : 0;
+	if (age >= BRF_SHED_AGE_US)
+		return (BRF_RANK_END);
+	return (s->cut +
+		(uint32_t)((BRF_RANK_END - s->cut) * age / BRF_SHED_AGE_US));
+}
+
+enum brf_shed_result
+brf_shed_check(struct brf_shed *s, uint32_t rank, uint64_t now)
+{
+	if (rank < brf_shed_cut(s, now))
+		return (BRF_SHED_ADMIT);
+	if (++s->held < BRF_SHED_PROBE)
+		return (BRF_SHED_REFUSE);
+	s->held = 0;
+	return (BRF_SHED_PROBE_ADMIT);
+}
