Add admission controller: limit, wait queue, level

Cause: the node needs to decide what runs at its own target. Refusals of waiting tickets come from a timer, never from inside submit. Additive to the header: outside_us, age, noted and reason in the ticket, observe in the config, stats getter. Not yet tested.

--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -19,9 +19,12 @@
  * @cls: 0 is the most important
  * @rank: brf_rank() of the attempt
  * @workspace: whose share it counts against
- * @deadline: clock time after which it must not begin
+ * @deadline: clock time after which it must not begin; UINT64_MAX for none
  * @grant: called once when it may run; not from brf_admission_submit()
- * @refuse: called once when it may not after all, with the reason
+ * @refuse: called once when it may not after all, with the reason; not from
+ *	brf_admission_submit() either
+ * @outside_us: filled by the gate before brf_admission_finish(): how much of
+ *	its time the target waited for its own outgoing calls; 0 when not known
  *
  * The other members are the controller's.
  */
@@ -32,10 +35,14 @@
 	uint64_t deadline;
 	void (*grant)(struct brf_ticket *ticket);
 	void (*refuse)(struct brf_ticket *ticket, enum brf_reason reason);
+	uint64_t outside_us;
 	struct brf_list link;
+	struct brf_list age;
 	struct brf_flow *flow;
 	uint64_t since; /* clock time of submission, then of the grant */
 	int state;
+	bool noted; /* counted as a refusal that observe mode would make */
+	enum brf_reason reason;
 };
 
 enum brf_admission_result {
@@ -49,11 +56,39 @@
  * @slots: most attempts that the target runs at once
  * @queue: most attempts that wait, over all classes
  * @warmup_us: time over which a cold target's limit rises to @slots; 0: none
+ * @observe: count what would be refused, and let it run or wait all the same;
+ *	@slots, the tickets' own deadlines and BRF_OBSERVE_QUEUE still bound
  */
 struct brf_admission_config {
 	uint32_t slots;
 	uint32_t queue;
 	uint64_t warmup_us;
+	bool observe;
+};
+
+#define BRF_OBSERVE_QUEUE 16384u /* most that wait in observe mode */
+
+/**
+ * struct brf_admission_stats - counts since the start.
+ * @submitted: tickets that came, by class
+ * @granted: tickets that were let run, by class
+ * @refused: tickets that were not, by class
+ * @withdrawn: tickets whose sender went while they waited
+ * @reasons: refusals by reason
+ * @would_refuse: in observe mode: refusals that were not made, by reason; a
+ *	ticket counts once
+ * @useful_us: slot time of attempts that were answered in time
+ * @wasted_us: slot time of all others
+ */
+struct brf_admission_stats {
+	uint64_t submitted[BRF_CLASSES];
+	uint64_t granted[BRF_CLASSES];
+	uint64_t refused[BRF_CLASSES];
+	uint64_t withdrawn;
+	uint64_t reasons[BRF_REASON_COUNT];
+	uint64_t would_refuse[BRF_REASON_COUNT];
+	uint64_t useful_us;
+	uint64_t wasted_us;
 };
 
 struct brf_admission;
@@ -80,6 +115,7 @@
 
 /**
  * brf_admission_set_weight() - share of a workspace; 1 where none was set.
+ * @weight: 0 takes a share back that was set
  */
 void brf_admission_set_weight(
     struct brf_admission *a, const char *workspace, uint32_t weight);
@@ -105,12 +141,19 @@
 void brf_admission_finish(
     struct brf_admission *a, struct brf_ticket *ticket, bool useful);
 
-/* Refuse all that wait, and all that come, with @reason. */
+/**
+ * brf_admission_drain() - refuse all that wait, and all that come, with
+ * @reason; BRF_R_NONE admits again.
+ */
 void brf_admission_drain(struct brf_admission *a, enum brf_reason reason);
 
 void brf_admission_level(
     const struct brf_admission *a, struct brf_level *level);
 
+/* Valid as long as @a; read it when metrics are written. */
+const struct brf_admission_stats *brf_admission_stats(
+    const struct brf_admission *a);
+
 /* When asking again makes sense, milliseconds, without jitter. */
 uint32_t brf_admission_retry_after_ms(const struct brf_admission *a);
 
--- /dev/null
+++ b/src/policy/cut.c
@@ -0,0 +1,106 @@
+#include "policy/cut.h"
+
+#define STEP_RANKS (BRF_RANK_END / BRF_CUT_STEPS)
+
+/* Arrivals let through for each one served, so that the queue stays filled. */
+#define FILL 1.1
+/* Rise of the cut in a period without refusals. */
+#define RISE (2 * STEP_RANKS)
+/* Periods after which a level that nothing renewed is void. */
+#define STALE_PERIODS 3u
+
+static uint32_t
+step_of(uint32_t rank)
+{
+	return (rank < BRF_RANK_END ? rank / STEP_RANKS : BRF_CUT_STEPS - 1);
+}
+
+void
+brf_cut_arrival(struct brf_cut *c, uint32_t rank)
+{
+	c->arrivals[step_of(rank)]++;
+	c->arrived++;
+}
+
+void
+brf_cut_served(struct brf_cut *c)
+{
+	c->served++;
+}
+
+void
+brf_cut_shed(struct brf_cut *c)
+{
+	c->shed++;
+}
+
+/* It may have come in an earlier period, which is over. */
+void
+brf_cut_discount(struct brf_cut *c, uint32_t rank)
+{
+	uint32_t step = step_of(rank);
+
+	if (c->arrivals[step] > 0)
+		c->arrivals[step]--;
+}
+
+void
+brf_cut_slack(struct brf_cut *c)
+{
+	c->slack = true;
+	c->active = false;
+}
+
+/* The lowest step always passes: some work must show how fast the target is. */
+static uint32_t
+fitting(const struct brf_cut *c)
+{
+	double room = c->served * FILL;
+	uint64_t below = 0;
+	uint32_t step;
+
+	for (step = 0; step < BRF_CUT_STEPS; step++) {
+		below += c->arrivals[step];
+		if ((double)below > room)
+			break;
+	}
+	return ((step > 0 ? step : 1) * STEP_RANKS);
+}
+
+static void
+move_cut(struct brf_cut *c)
+{
+	uint32_t raised = c->active ? c->cut + RISE : BRF_RANK_END;
+	uint32_t fits = c->shed > 0 ? fitting(c) : BRF_RANK_END;
+
+	c->cut = fits < raised ? fits : raised;
+	c->active = !c->slack && c->cut < BRF_RANK_END;
+}
+
+bool
+brf_cut_turn(struct brf_cut *c, uint64_t now)
+{
+	uint32_t served = c->served > 0 ? c->served : 1;
+
+	if (now < c->started + BRF_CUT_PERIOD_US)
+		return (false);
+	move_cut(c);
+	c->ratio = (double)c->arrived / served;
+	if (c->ratio < 1)
+		c->ratio = 1;
+	memset(c->arrivals, 0, sizeof(c->arrivals));
+	c->arrived = 0;
+	c->served = 0;
+	c->shed = 0;
+	c->slack = false;
+	c->started = now;
+	return (true);
+}
+
+uint32_t
+brf_cut_get(const struct brf_cut *c, uint64_t now)
+{
+	if (!c->active || now > c->started + STALE_PERIODS * BRF_CUT_PERIOD_US)
+		return (BRF_RANK_END);
+	return (c->cut);
+}
--- /dev/null
+++ b/src/policy/cut.h
@@ -0,0 +1,66 @@
+#ifndef BRF_CUT_H
+#define BRF_CUT_H
+
+#include "base/exchange.h"
+
+/**
+ * DOC: Which ranks a target can serve, for the level on its replies.
+ *
+ * After DAGOR (SoCC 2018): in each period arrivals are counted by rank, and
+ * when some were shed the cut goes where the arrivals below it fill what was
+ * served.  Unlike there the cut is not raised step by step when pressure ends:
+ * one moment with a free slot and nothing waiting ends it.
+ *
+ * A refusal of a workspace above its share doesn't move the cut, which would
+ * shed all workspaces of the class alike.
+ */
+
+#define BRF_CUT_PERIOD_US (100 * BRF_US_PER_MS)
+#define BRF_CUT_STEPS 64u /* over all ranks */
+
+/**
+ * struct brf_cut - counts of the current period; start zeroed.
+ * @ratio: arrivals per served attempt of the last period, at least 1
+ */
+struct brf_cut {
+	uint64_t started;
+	uint32_t arrivals[BRF_CUT_STEPS];
+	uint32_t arrived;
+	uint32_t served;
+	uint32_t shed;
+	bool slack;
+	bool active;
+	uint32_t cut;
+	double ratio;
+};
+
+BRF_BEGIN_DECLS
+
+void brf_cut_arrival(struct brf_cut *c, uint32_t rank);
+void brf_cut_served(struct brf_cut *c);
+
+/* A refusal for lack of capacity. */
+void brf_cut_shed(struct brf_cut *c);
+
+/* A refusal of what is above its share. */
+void brf_cut_discount(struct brf_cut *c, uint32_t rank);
+
+/* A slot is free and nothing waits. */
+void brf_cut_slack(struct brf_cut *c);
+
+/**
+ * brf_cut_turn() - begin a new period when it is time.
+ *
+ * Return: whether one began.
+ */
+bool brf_cut_turn(struct brf_cut *c, uint64_t now);
+
+/**
+ * brf_cut_get() - ranks at or above it are not served; BRF_RANK_END when all
+ * are, or when nothing was counted lately.
+ */
+uint32_t brf_cut_get(const struct brf_cut *c, uint64_t now);
+
+BRF_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/policy/limiter.h
@@ -0,0 +1,83 @@
+#ifndef BRF_LIMITER_H
+#define BRF_LIMITER_H
+
+#include "base/base.h"
+
+/**
+ * DOC: Concurrency limit that adapts to measured latency.
+ *
+ * The limit stands at the announced slots and goes down only on evidence that
+ * the target queues inside itself.  Latency is the geometric mean of a window,
+ * which long tails hardly move.  When it is over twice the lowest known, the
+ * limiter tries a lower limit for one window:
+ *
+ * - latency falls along: the attempts had been waiting for one another; the
+ *   lower limit stays, and is tried lower again while latency is high;
+ * - latency stays: something else made the target slow, such as its own
+ *   outgoing calls; the former limit returns, and this latency counts as
+ *   normal until a lower one is seen.
+ *
+ * Whenever latency is under the bound the limit grows in each window, so that
+ * it is back at the slots some windows after the cause has gone.  Related:
+ * TCP Vegas (SIGCOMM 1994), whose single comparison can't tell the two apart.
+ *
+ * A cold target's limit is capped by a ramp from BRF_LIMITER_COLD of the slots
+ * to all of them.
+ */
+
+#define BRF_LIMITER_COLD 0.1 /* share of the slots at the start of a ramp */
+
+/**
+ * struct brf_limiter - state of the limit; start with brf_limiter_init().
+ * @limit: attempts allowed at once, before the ramp
+ * @lowest: natural logarithm of the lowest known latency, microseconds
+ * @former: limit to return to when a trial shows no effect
+ * @before: mean of the logarithms before the trial
+ */
+struct brf_limiter {
+	uint32_t slots;
+	uint64_t warmup_us;
+	uint64_t started;
+	double limit;
+	bool known;
+	double lowest;
+	bool trial;
+	double former;
+	double before;
+	uint64_t trial_end;
+	uint64_t window_start;
+	uint32_t count;
+	double sum;
+};
+
+BRF_BEGIN_DECLS
+
+/**
+ * brf_limiter_init() - a limit for a target that starts at @now.
+ * @slots: upper bound
+ * @warmup_us: length of the ramp; 0 for none
+ */
+void brf_limiter_init(
+    struct brf_limiter *l, uint32_t slots, uint64_t warmup_us, uint64_t now);
+
+/* New bounds; the ramp is not begun again. */
+void brf_limiter_configure(
+    struct brf_limiter *l, uint32_t slots, uint64_t warmup_us);
+
+/**
+ * brf_limiter_get() - attempts that may run at once at @now.
+ *
+ * Return: at least 1, or 0 where there are no slots.
+ */
+uint32_t brf_limiter_get(const struct brf_limiter *l, uint64_t now);
+
+/**
+ * brf_limiter_sample() - an attempt was answered after @took_us.
+ * @saturated: others wait, so that the limit is in effect
+ */
+void brf_limiter_sample(
+    struct brf_limiter *l, uint64_t took_us, bool saturated, uint64_t now);
+
+BRF_END_DECLS
+
+#endif
