Add operators' documents: schema, checks and the set in force

Change: document.c reads JSON by tables and lists all problems with place, type and remedy; docs.c keeps the highest revision for each service. A path with dot, empty or encoded segments gets only the built-in rule, since a target may read it as another path. docs.h gains BRF_DOCS_DIFFERS for a store that has gone back and given out a revision twice. Conclusion: the examples of both users and a table of bad documents pass.

--- a/src/config/docs.h
+++ b/src/config/docs.h
@@ -16,11 +16,15 @@
  */
 enum brf_docs_result {
 	BRF_DOCS_APPLIED,
-	BRF_DOCS_SAME,	 /* this revision is in force already */
-	BRF_DOCS_OLDER,	 /* a higher revision is in force */
-	BRF_DOCS_INVALID /* it breaks a rule; what was in force stays */
+	BRF_DOCS_SAME,	  /* this revision is in force already */
+	BRF_DOCS_OLDER,	  /* a higher revision is in force */
+	BRF_DOCS_DIFFERS, /* this revision is in force with another text, which
+			   * stays: the store has gone back in time */
+	BRF_DOCS_INVALID  /* it breaks a rule; what was in force stays */
 };
 
+#define BRF_DOCS_MAX 1024u /* services; further ones are BRF_DOCS_INVALID */
+
 struct brf_docs_watcher {
 	void (*changed)(struct brf_docs_watcher *w, const char *service);
 	struct brf_list link;
@@ -43,12 +47,13 @@
 /**
  * brf_docs_get() - the document in force for @service, or its defaults.
  *
- * Return: owned by @docs; reference it to judge a request by one revision
- * from start to end.
+ * Return: owned by @docs and valid until the next call of any function here;
+ * reference it to judge a request by one revision from start to end.
  */
 struct brf_document *brf_docs_get(struct brf_docs *docs, const char *service);
 
-/* Over all services and revisions; equal digests mean equal documents. */
+/* Over all services, revisions and texts, in any order of arrival; equal
+ * digests mean equal documents. */
 uint64_t brf_docs_digest(const struct brf_docs *docs);
 
 /**
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -12,10 +12,12 @@
  * docs/document.md and in the table of document.c.
  */
 
+#define BRF_DOCUMENT_BYTES_MAX 262144u /* bytes of one text */
+
 /**
  * struct brf_route_rule - requests of one kind.
  * @method: "*" for any
- * @path: prefix of the path; the longest that fits decides
+ * @path: prefix of the path, of whole segments; the longest that fits decides
  * @cls: 0 is the most important
  * @idempotent: running it twice does no harm
  * @timeout_us: most time it may take, microseconds
