--- a/include/bulrushford.h
+++ b/include/bulrushford.h
@@ -29,6 +29,7 @@
 #define BRF_H_OUTCOME "brf-outcome"   /* answered, not_run or unknown */
 #define BRF_H_REASON "brf-reason"     /* see brf_reason_name() */
 #define BRF_H_ID "brf-request-id"     /* root request, 32 hex digits */
+#define BRF_H_RETRY_MS "brf-retry-after-ms" /* when to ask again */
 #define BRF_H_ATTEMPTS "brf-attempts" /* attempts sent for this request */
 
 /* Fixed bounds; no document and no setting raises them. */
--- a/src/base/message.c
+++ b/src/base/message.c
@@ -113,6 +113,23 @@
 	return (true);
 }
 
+void
+brf_message_strip(struct brf_message *m, const char *prefix)
+{
+	size_t i, kept = 0, len = strlen(prefix);
+
+	for (i = 0; i < m->header_count; i++) {
+		if (strncmp(m->headers[i].name, prefix, len) != 0) {
+			m->headers[kept++] = m->headers[i];
+			continue;
+		}
+		m->header_bytes -= strlen(m->headers[i].name) +
+		    strlen(m->headers[i].value);
+		free((char *)m->headers[i].name);
+	}
+	m->header_count = kept;
+}
+
 const char *
 brf_message_header(const struct brf_message *m, const char *name)
 {
--- a/src/base/message.h
+++ b/src/base/message.h
@@ -65,6 +65,11 @@
     size_t name_len, const char *value, size_t value_len,
     struct brf_error *err);
 
+/**
+ * brf_message_strip() - remove all fields whose name begins with @prefix.
+ */
+void brf_message_strip(struct brf_message *m, const char *prefix);
+
 /**
  * brf_message_header() - value of the first field @name (lower case), or NULL.
  */
--- /dev/null
+++ b/src/node/call.h
@@ -0,0 +1,99 @@
+#ifndef BRF_CALL_H
+#define BRF_CALL_H
+
+#include "base/metrics.h"
+#include "config/docs.h"
+#include "node/gate.h"
+#include "policy/retry.h"
+#include "route/router.h"
+#include "wire/peer.h"
+
+/**
+ * DOC: One request from its caller's side, over as many attempts as it takes.
+ *
+ * A call picks a node, sends an attempt, and decides when that has ended
+ * whether to try another node.  It ends in exactly one outcome: BRF_NOT_RUN
+ * only when that is proved of every attempt it sent.
+ */
+
+/**
+ * struct brf_caller - what the calls of one node share; all outlive them.
+ * @self: id of this node; its own gate is reached without a hop
+ */
+struct brf_caller {
+	struct brf_timers *timers;
+	struct brf_random *random;
+	struct brf_metrics *metrics;
+	struct brf_docs *docs;
+	struct brf_router *router;
+	struct brf_peers *peers;
+	struct brf_gate *gate;
+	struct brf_id self;
+	size_t open;
+	struct brf_list budgets;
+};
+
+/**
+ * struct brf_call_end - how a call ended.
+ * @root: id of the root request
+ * @attempts: attempts that were sent
+ * @retry_after_ms: when to ask again, with jitter; 0 with BRF_ANSWERED
+ * @answer: with BRF_ANSWERED; valid during the callback unless referenced
+ */
+struct brf_call_end {
+	enum brf_outcome outcome;
+	enum brf_reason reason;
+	struct brf_id root;
+	uint32_t attempts;
+	uint32_t retry_after_ms;
+	struct brf_message *answer;
+};
+
+/**
+ * struct brf_call_request - what brf_call_start() needs; copied.
+ * @inbound: the attempt whose target makes this call; NULL for a caller's own
+ *	request
+ * @tied: the call belongs to a known request; else it gets no extra attempts
+ * @request: content; the call takes a reference
+ * @done: called exactly once unless the call is abandoned, possibly from
+ *	within brf_call_start()
+ */
+struct brf_call_request {
+	const char *service;
+	const char *workspace;
+	uint32_t cls;
+	uint64_t timeout_us;
+	struct brf_inbound *inbound;
+	bool tied;
+	struct brf_message *request;
+	void (*done)(void *arg, const struct brf_call_end *end);
+	void *arg;
+};
+
+struct brf_call;
+
+BRF_BEGIN_DECLS
+
+void brf_caller_init(struct brf_caller *caller);
+void brf_caller_finish(struct brf_caller *caller);
+
+/**
+ * brf_call_start() - begin; the call frees itself when it has ended.
+ *
+ * Return: NULL when it has ended already.
+ */
+struct brf_call *brf_call_start(struct brf_caller *caller,
+    const struct brf_call_request *request);
+
+/**
+ * brf_call_abandon() - its caller has gone: cancel what is open.  @done is
+ * not called any more.
+ */
+void brf_call_abandon(struct brf_call *call);
+
+/* For brf_gate_on_abandon(). */
+void brf_call_abandon_link(struct brf_list *link);
+
+BRF_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,385 @@
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "config/keys.h"
+#include "member/udp.h"
+#include "node/node.h"
+
+#define DRAIN_POLL_US (20 * BRF_US_PER_MS)
+#define PROBE_PERIOD_US BRF_US_PER_S
+#define PEER_IDLE_US (60 * BRF_US_PER_S)
+#define PEER_CONNECT_US (1 * BRF_US_PER_S)
+
+static uint64_t
+now(const struct brf_node *node)
+{
+	return (brf_now(brf_timers_clock(node->timers)));
+}
+
+static void
+tick(uv_timer_t *timer)
+{
+	struct brf_node *node = timer->data;
+
+	brf_timers_run(node->timers);
+	brf_node_arm(node);
+}
+
+/* libuv counts in milliseconds; a timer that is due sooner waits for less
+ * than one, since the poll also ends with each packet. */
+void
+brf_node_arm(struct brf_node *node)
+{
+	uint64_t at = brf_timers_next(node->timers), t = now(node);
+	uint64_t ms;
+
+	if (at == BRF_TIMER_NONE) {
+		uv_timer_stop(&node->tick);
+		return;
+	}
+	ms = at > t ? (at - t + BRF_US_PER_MS - 1) / BRF_US_PER_MS : 0;
+	uv_update_time(&node->loop);
+	uv_timer_start(&node->tick, tick, ms, 0);
+}
+
+static void
+timers_changed(void *arg)
+{
+	brf_node_arm(arg);
+}
+
+static void
+signalled(uv_signal_t *signal, int number)
+{
+	(void)number;
+	brf_node_drain(signal->data);
+}
+
+static struct sockaddr_in
+endpoint(struct in_addr address, uint16_t port)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_addr = address, .sin_port = htons(port) };
+
+	return (sin);
+}
+
+static void
+make_loop(struct brf_node *node)
+{
+	uv_loop_init(&node->loop);
+	uv_timer_init(&node->loop, &node->tick);
+	uv_signal_init(&node->loop, &node->sigterm);
+	uv_signal_init(&node->loop, &node->sigint);
+	node->tick.data = node;
+	node->sigterm.data = node;
+	node->sigint.data = node;
+	uv_signal_start(&node->sigterm, signalled, SIGTERM);
+	uv_signal_start(&node->sigint, signalled, SIGINT);
+	node->timers = brf_timers_new(brf_clock_system());
+	brf_timers_on_change(node->timers, timers_changed, node);
+	node->random = brf_random_system();
+	node->metrics = brf_metrics_new();
+	node->started = now(node);
+}
+
+static void
+make_gate(struct brf_node *node)
+{
+	struct brf_gate_config config = { .timers = node->timers,
+		.metrics = node->metrics };
+
+	node->docs = brf_docs_new();
+	config.docs = node->docs;
+	node->gate = brf_gate_new(&config);
+	brf_gate_on_abandon(node->gate, brf_call_abandon_link);
+	node->http = brf_http_loop_new(&node->loop, node->timers,
+	    node->metrics);
+}
+
+static bool
+make_peers(struct brf_node *node, struct brf_member *self,
+    struct brf_error *err)
+{
+	const struct brf_settings *set = &node->settings;
+	struct sockaddr_in addr = endpoint(set->address, set->peer_port);
+	struct brf_peers_config config = { .loop = &node->loop,
+		.timers = node->timers,
+		.random = node->random,
+		.metrics = node->metrics,
+		.gate = brf_gate_backend(node->gate),
+		.self = { .node = self->node },
+		.key_len = set->fleet_key_len,
+		.idle_us = PEER_IDLE_US,
+		.connect_us = PEER_CONNECT_US };
+
+	memcpy(config.key, set->fleet_key, set->fleet_key_len);
+	node->peers = brf_peers_new(&config);
+	return (brf_peers_listen(node->peers, (struct sockaddr *)&addr,
+	    &self->rpc_port, err));
+}
+
+static bool
+make_listeners(struct brf_node *node, struct brf_member *self,
+    uint16_t *local_port, struct brf_error *err)
+{
+	const struct brf_settings *set = &node->settings;
+	struct in_addr loopback = { .s_addr = htonl(INADDR_LOOPBACK) };
+	struct sockaddr_in entry = endpoint(set->address, set->entry_port);
+	struct sockaddr_in local = endpoint(loopback, set->local_port);
+	struct sockaddr_in admin = endpoint(set->address, set->admin_port);
+
+	brf_entry_init(node);
+	brf_local_init(node);
+	brf_admin_init(node);
+	node->entry = brf_http_server_new(node->http, "entry",
+	    (struct sockaddr *)&entry, &node->entry_handler,
+	    &self->entry_port, err);
+	if (node->entry == NULL)
+		return (false);
+	node->local = brf_http_server_new(node->http, "local",
+	    (struct sockaddr *)&local, &node->local_handler, local_port, err);
+	if (node->local == NULL)
+		return (false);
+	node->admin = brf_http_server_new(node->http, "admin",
+	    (struct sockaddr *)&admin, &node->admin_handler,
+	    &self->admin_port, err);
+	return (node->admin != NULL);
+}
+
+static bool
+make_members(struct brf_node *node, struct brf_member *self,
+    struct brf_error *err)
+{
+	const struct brf_settings *set = &node->settings;
+	struct sockaddr_in addr = endpoint(set->address, set->gossip_port);
+	struct brf_members_config config = { .timers = node->timers,
+		.random = node->random,
+		.metrics = node->metrics,
+		.seed_count = set->seed_count,
+		.key_len = set->fleet_key_len,
+		.period_us = PROBE_PERIOD_US };
+
+	node->udp = brf_udp_new(&node->loop, &addr, node->metrics, err);
+	if (node->udp == NULL)
+		return (false);
+	self->addr = endpoint(set->address, brf_udp_port(node->udp));
+	config.datagrams = brf_udp_datagrams(node->udp);
+	config.self = *self;
+	memcpy(config.seeds, set->seeds, sizeof(config.seeds));
+	memcpy(config.key, set->fleet_key, set->fleet_key_len);
+	node->members = brf_members_new(&config);
+	brf_udp_receive(node->udp, node->members);
+	node->router = brf_router_new(node->members, node->timers,
+	    node->random, node->metrics);
+	return (true);
+}
+
+static void
+make_caller(struct brf_node *node)
+{
+	node->caller = (struct brf_caller){ .timers = node->timers,
+		.random = node->random,
+		.metrics = node->metrics,
+		.docs = node->docs,
+		.router = node->router,
+		.peers = node->peers,
+		.gate = node->gate,
+		.self = brf_members_self(node->members)->node };
+	brf_caller_init(&node->caller);
+}
+
+static bool
+make_keys(struct brf_node *node, struct brf_error *err)
+{
+	if (node->settings.workspace_keys[0] == '\0')
+		return (true);
+	node->workspace_keys =
+	    brf_keyring_parse(node->settings.workspace_keys, err);
+	return (node->workspace_keys != NULL);
+}
+
+static bool
+write_ports(const struct brf_node *node, const struct brf_member *self,
+    uint16_t local_port, struct brf_error *err)
+{
+	const char *path = node->settings.ports_file;
+	FILE *f;
+
+	brf_log(BRF_LOG_INFO, "listening", BRF_LU("entry", self->entry_port),
+	    BRF_LU("peer", self->rpc_port),
+	    BRF_LU("gossip", ntohs(self->addr.sin_port)),
+	    BRF_LU("local", local_port), BRF_LU("admin", self->admin_port));
+	if (path[0] == '\0')
+		return (true);
+	f = fopen(path, "w");
+	if (f == NULL)
+		return (brf_error_set(err, BRF_E_SETTING_INVALID, 0,
+		    "--ports-file (BRF_PORTS_FILE): can't write"));
+	fprintf(f,
+	    "{\"entry\":%u,\"peer\":%u,\"gossip\":%u,\"local\":%u,"
+	    "\"admin\":%u}\n",
+	    self->entry_port, self->rpc_port, ntohs(self->addr.sin_port),
+	    local_port, self->admin_port);
+	fclose(f);
+	return (true);
+}
+
+static bool
+make_parts(struct brf_node *node, struct brf_error *err)
+{
+	const struct brf_settings *set = &node->settings;
+	struct brf_member self = { .node = brf_id_new(node->random),
+		.state = BRF_MEMBER_STARTING };
+	uint16_t local_port = 0;
+
+	brf_copy_name(self.zone, sizeof(self.zone), set->zone);
+	brf_copy_name(self.region, sizeof(self.region), set->region);
+	make_gate(node);
+	if (!make_keys(node, err) || !make_peers(node, &self, err) ||
+	    !make_listeners(node, &self, &local_port, err) ||
+	    !make_members(node, &self, err))
+		return (false);
+	make_caller(node);
+	brf_settings_wipe(&node->settings);
+	brf_members_start(node->members);
+	return (write_ports(node, &self, local_port, err));
+}
+
+struct brf_node *
+brf_node_start(const struct brf_settings *settings, struct brf_error *err)
+{
+	struct brf_node *node = brf_calloc(1, sizeof(*node));
+
+	node->settings = *settings;
+	make_loop(node);
+	if (make_parts(node, err))
+		return (node);
+	/* The process ends now; what was made ends with it. */
+	return (NULL);
+}
+
+void
+brf_node_publish(struct brf_node *node)
+{
+	struct brf_member self = *brf_members_self(node->members);
+
+	if (node->phase != BRF_PHASE_SERVING || node->target_draining)
+		self.state = BRF_MEMBER_DRAINING;
+	else if (node->announced)
+		self.state = BRF_MEMBER_READY;
+	else
+		self.state = BRF_MEMBER_STARTING;
+	brf_copy_name(self.service, sizeof(self.service),
+	    node->announced ? node->upstream.service : "");
+	self.slots = node->announced ? node->upstream.slots : 0;
+	self.docs_digest = brf_docs_digest(node->docs);
+	brf_members_update_self(node->members, &self);
+}
+
+static void
+one_closed(void *arg)
+{
+	struct brf_node *node = arg;
+
+	if (--node->closing == 0)
+		uv_stop(&node->loop);
+}
+
+static void
+close_all(struct brf_node *node)
+{
+	node->phase = BRF_PHASE_CLOSED;
+	node->closing = 4;
+	brf_members_leave(node->members);
+	brf_http_server_close(node->entry, one_closed, node);
+	brf_http_server_close(node->local, one_closed, node);
+	brf_http_server_close(node->admin, one_closed, node);
+	brf_peers_close(node->peers, one_closed, node);
+}
+
+static size_t
+left(const struct brf_node *node)
+{
+	return (node->caller.open + brf_gate_open(node->gate) +
+	    brf_peers_open_calls(node->peers));
+}
+
+static bool
+limit_passed(const struct brf_node *node)
+{
+	uint64_t limit = node->settings.drain_limit_us;
+
+	return (limit != 0 && now(node) - node->phase_since >= limit);
+}
+
+/* Follow the stop through its phases. */
+static void
+poll_drain(struct brf_timer *timer, void *arg)
+{
+	struct brf_node *node = arg;
+
+	(void)timer;
+	brf_timer_start(node->timers, &node->poll, DRAIN_POLL_US);
+	if (node->phase == BRF_PHASE_DRAINING && left(node) == 0) {
+		node->phase = BRF_PHASE_LINGERING;
+		node->phase_since = now(node);
+	} else if (node->phase == BRF_PHASE_DRAINING && limit_passed(node)) {
+		node->unfinished = true;
+		brf_log(BRF_LOG_WARN, "drain_limit_passed",
+		    BRF_LU("left", left(node)));
+		close_all(node);
+	} else if (node->phase == BRF_PHASE_LINGERING && left(node) == 0 &&
+	    now(node) - node->phase_since >= node->settings.linger_us) {
+		brf_log(BRF_LOG_INFO, "drained");
+		close_all(node);
+	}
+	if (node->phase == BRF_PHASE_CLOSED)
+		brf_timer_stop(node->timers, &node->poll);
+}
+
+void
+brf_node_drain(struct brf_node *node)
+{
+	if (node->phase != BRF_PHASE_SERVING)
+		return;
+	brf_log(BRF_LOG_INFO, "draining", BRF_LU("left", left(node)));
+	node->phase = BRF_PHASE_DRAINING;
+	node->phase_since = now(node);
+	brf_gate_refuse(node->gate, true);
+	brf_http_server_stop(node->entry);
+	brf_node_publish(node);
+	node->poll.fire = poll_drain;
+	node->poll.arg = node;
+	brf_timer_start(node->timers, &node->poll, DRAIN_POLL_US);
+}
+
+int
+brf_node_run(struct brf_node *node)
+{
+	brf_node_arm(node);
+	uv_run(&node->loop, UV_RUN_DEFAULT);
+	return (node->unfinished ? BRF_EXIT_UNFINISHED : BRF_EXIT_OK);
+}
+
+void
+brf_node_free(struct brf_node *node)
+{
+	brf_http_server_free(node->entry);
+	brf_http_server_free(node->local);
+	brf_http_server_free(node->admin);
+	brf_peers_free(node->peers);
+	brf_caller_finish(&node->caller);
+	brf_router_free(node->router);
+	brf_members_free(node->members);
+	brf_udp_free(node->udp);
+	brf_gate_free(node->gate);
+	brf_http_loop_free(node->http);
+	brf_docs_free(node->docs);
+	brf_keyring_free(node->workspace_keys);
+	brf_metrics_free(node->metrics);
+	brf_timers_free(node->timers);
+	free(node);
+}
