--- /dev/null
+++ b/src/wire/conn.c
@@ -0,0 +1,254 @@
+#include <netinet/tcp.h>
+
+#include "wire/conn.h"
+#include "wire/peers.h"
+
+#define OUT_KEPT ((size_t)256 * 1024)	     /* bytes of memory kept */
+#define OUT_HIGH ((size_t)4 * 1024 * 1024)   /* stop reading above */
+#define KEEPALIVE_S 10			     /* seconds of silence */
+#define UNACKED_MS 5000u		     /* milliseconds until given up */
+
+void
+brf_conn_init(struct brf_conn *conn, const struct brf_conn_vt *vt,
+    struct brf_peers *peers)
+{
+	conn->vt = vt;
+	conn->peers = peers;
+	uv_tcp_init(peers->config.loop, &conn->tcp);
+	conn->tcp.data = conn;
+	conn->write.data = conn;
+	brf_list_init(&conn->dirty);
+	brf_list_init(&conn->link);
+	brf_list_append(&peers->conns, &conn->link);
+	peers->connections->value++;
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+	struct brf_conn *conn = handle->data;
+
+	brf_list_remove(&conn->link);
+	conn->peers->connections->value--;
+	brf_buf_free(&conn->out);
+	brf_buf_free(&conn->writing);
+	brf_record_reader_free(&conn->reader);
+	conn->vt->release(conn);
+}
+
+static int
+try_write(struct brf_conn *conn)
+{
+	uv_buf_t buf =
+	    uv_buf_init(conn->out.data, (unsigned int)conn->out.len);
+	int n = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
+
+	if (n > 0)
+		conn->accepted += (uint64_t)n;
+	return (n == UV_EAGAIN ? 0 : n);
+}
+
+/* What uv_write() has under way is only known from what it has left. */
+static void
+settle_accepted(struct brf_conn *conn)
+{
+	if (!conn->busy)
+		return;
+	conn->accepted = conn->flushed -
+	    uv_stream_get_write_queue_size((uv_stream_t *)&conn->tcp);
+}
+
+void
+brf_conn_close(struct brf_conn *conn, const struct brf_error *err)
+{
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	if (conn->out.len != 0 && !conn->busy)
+		try_write(conn);
+	settle_accepted(conn);
+	brf_list_remove(&conn->dirty);
+	if (err->code != BRF_E_CLOSED)
+		brf_peers_fault(conn->peers, err);
+	uv_close((uv_handle_t *)&conn->tcp, on_closed);
+	conn->vt->lost(conn, err);
+}
+
+void
+brf_conn_touch(struct brf_conn *conn)
+{
+	if (conn->closing || !brf_list_empty(&conn->dirty))
+		return;
+	brf_list_append(&conn->peers->dirty, &conn->dirty);
+}
+
+static void
+fail_system(struct brf_conn *conn, int status, const char *what)
+{
+	struct brf_error err;
+
+	brf_error_set(&err, BRF_E_CLOSED, status, "%s", what);
+	brf_conn_close(conn, &err);
+}
+
+static void
+on_written(uv_write_t *req, int status)
+{
+	struct brf_conn *conn = req->data;
+
+	if (conn->closing)
+		return;
+	if (status < 0) {
+		fail_system(conn, status, "write");
+		return;
+	}
+	conn->busy = false;
+	conn->accepted = conn->flushed;
+	brf_buf_clear(&conn->writing);
+	if (conn->writing.cap > OUT_KEPT)
+		brf_buf_free(&conn->writing);
+	brf_conn_touch(conn);
+}
+
+/* The kernel took @done bytes of @out; have libuv wait for the rest. */
+static void
+write_rest(struct brf_conn *conn, size_t done)
+{
+	struct brf_buf empty = conn->writing;
+	uv_buf_t buf;
+	int rc;
+
+	conn->writing = conn->out;
+	conn->out = empty;
+	conn->flushed += conn->writing.len;
+	conn->busy = true;
+	buf = uv_buf_init(conn->writing.data + done,
+	    (unsigned int)(conn->writing.len - done));
+	rc = uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
+	    on_written);
+	if (rc < 0)
+		fail_system(conn, rc, "write");
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	struct brf_conn *conn = handle->data;
+	size_t size;
+
+	(void)suggested;
+	buf->base = brf_record_space(&conn->reader, &size);
+	buf->len = size;
+}
+
+static void
+deliver(struct brf_conn *conn)
+{
+	enum brf_record_result result = BRF_RECORD_MORE;
+	struct brf_error err = { .code = BRF_OK };
+	struct brf_record record;
+
+	while (!conn->closing) {
+		result = brf_record_next(&conn->reader, &record, &err);
+		if (result != BRF_RECORD_WHOLE)
+			break;
+		if (!conn->vt->message(conn, &record, &err))
+			result = BRF_RECORD_BROKEN;
+		if (result == BRF_RECORD_BROKEN)
+			break;
+	}
+	if (result == BRF_RECORD_BROKEN)
+		brf_conn_close(conn, &err);
+}
+
+static void
+on_end(struct brf_conn *conn, int status)
+{
+	struct brf_error err;
+
+	if (brf_record_finish(&conn->reader, &err))
+		brf_error_set(&err, BRF_E_CLOSED,
+		    status == UV_EOF ? 0 : status, "read");
+	brf_conn_close(conn, &err);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct brf_conn *conn = stream->data;
+
+	(void)buf;
+	if (conn->closing || n == 0)
+		return;
+	if (n < 0) {
+		on_end(conn, (int)n);
+		return;
+	}
+	conn->received += (uint64_t)n;
+	brf_record_added(&conn->reader, (size_t)n);
+	deliver(conn);
+}
+
+static void
+set_paused(struct brf_conn *conn)
+{
+	bool pause = conn->busy && conn->out.len > OUT_HIGH;
+
+	if (pause == conn->paused)
+		return;
+	conn->paused = pause;
+	if (pause)
+		uv_read_stop((uv_stream_t *)&conn->tcp);
+	else
+		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+void
+brf_conn_flush(struct brf_conn *conn)
+{
+	int n;
+
+	while (!conn->closing && !conn->busy) {
+		conn->vt->fill(conn);
+		if (conn->out.len == 0)
+			break;
+		n = try_write(conn);
+		if (n < 0) {
+			brf_buf_clear(&conn->out);
+			fail_system(conn, n, "write");
+			return;
+		}
+		if ((size_t)n < conn->out.len) {
+			write_rest(conn, (size_t)n);
+			break;
+		}
+		conn->flushed += conn->out.len;
+		brf_buf_clear(&conn->out);
+		if (conn->out.cap > OUT_KEPT)
+			brf_buf_free(&conn->out);
+	}
+	if (!conn->closing)
+		set_paused(conn);
+}
+
+/* A node that is cut off without a word is noticed by what it leaves
+ * unacknowledged (RFC 5482), one that is only paused is not. */
+static void
+set_options(struct brf_conn *conn)
+{
+	unsigned int unacked = UNACKED_MS;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_tcp_keepalive(&conn->tcp, 1, KEEPALIVE_S);
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
+		    sizeof(unacked));
+}
+
+void
+brf_conn_start(struct brf_conn *conn)
+{
+	set_options(conn);
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
--- /dev/null
+++ b/src/wire/conn.h
@@ -0,0 +1,89 @@
+#ifndef BRF_CONN_H
+#define BRF_CONN_H
+
+#include <uv.h>
+
+#include "base/list.h"
+#include "wire/peer.h"
+#include "wire/rpc.h"
+
+/**
+ * DOC: One TCP connection between nodes.
+ *
+ * Joins the record reader to a socket, and gathers what is sent in one turn of
+ * the loop into one write.  At most one write waits for the kernel; until it
+ * is through, further calls stay with their sender and can still be withdrawn.
+ */
+
+struct brf_conn;
+
+/**
+ * struct brf_conn_vt - what the two kinds of connection do.
+ * @message: a whole message came; false closes the connection with @err
+ * @fill: add to @out what waits to be sent; called before each write
+ * @lost: the connection ends; called once.  It is sent and read no more.
+ * @release: the socket is closed, memory may be freed
+ */
+struct brf_conn_vt {
+	bool (*message)(struct brf_conn *conn, const struct brf_record *record,
+	    struct brf_error *err);
+	void (*fill)(struct brf_conn *conn);
+	void (*lost)(struct brf_conn *conn, const struct brf_error *err);
+	void (*release)(struct brf_conn *conn);
+};
+
+/**
+ * struct brf_conn - first member of both kinds of connection.
+ * @out: messages for the next write
+ * @writing: messages of which the kernel took only a part yet
+ * @flushed: bytes of all writes that are through
+ * @accepted: bytes that the kernel took; exact once @lost is called
+ * @received: bytes read
+ * @busy: @writing is under way
+ * @paused: not read, since the other end does not read either
+ */
+struct brf_conn {
+	const struct brf_conn_vt *vt;
+	struct brf_peers *peers;
+	uv_tcp_t tcp;
+	uv_write_t write;
+	struct brf_record_reader reader;
+	struct brf_buf out;
+	struct brf_buf writing;
+	struct brf_list link;
+	struct brf_list dirty;
+	uint64_t flushed;
+	uint64_t accepted;
+	uint64_t received;
+	bool busy;
+	bool paused;
+	bool closing;
+};
+
+/**
+ * brf_conn_init() - give @conn a socket; brf_conn_close() is needed from here.
+ */
+void brf_conn_init(struct brf_conn *conn, const struct brf_conn_vt *vt,
+    struct brf_peers *peers);
+
+/**
+ * brf_conn_start() - connected: set options and read.
+ */
+void brf_conn_start(struct brf_conn *conn);
+
+/**
+ * brf_conn_touch() - something waits to be sent; it goes out before the loop
+ * sleeps.
+ */
+void brf_conn_touch(struct brf_conn *conn);
+
+/**
+ * brf_conn_close() - end the connection; what is in @out gets one last chance.
+ * @err: why; not of a type that counts as fault when BRF_E_CLOSED
+ */
+void brf_conn_close(struct brf_conn *conn, const struct brf_error *err);
+
+/* Write what waits; for the owner of all connections. */
+void brf_conn_flush(struct brf_conn *conn);
+
+#endif
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -20,8 +20,21 @@
  * What ends an open attempt when a connection is lost: BRF_NOT_RUN with
  * BRF_R_NOT_SENT while no byte of the call was given to the kernel, BRF_UNKNOWN
  * with BRF_R_CONNECTION_LOST after that.
+ *
+ * An attempt whose time is up is cancelled at the other gate.  When no word
+ * comes within BRF_PEER_GRACE_US it ends with BRF_UNKNOWN and BRF_R_TIMEOUT.
+ * One that was not written yet ends with BRF_NOT_RUN and BRF_R_EXPIRED.
+ *
+ * A reply that says that the callee did not take the call ends it with
+ * BRF_NOT_RUN (BRF_R_MALFORMED when it could not be decoded there, else
+ * BRF_R_NOT_SENT); a reply that can't be decoded here, with BRF_UNKNOWN and
+ * BRF_R_BROKEN_ANSWER.
  */
 
+#define BRF_PEER_GRACE_US (50 * BRF_US_PER_MS)
+#define BRF_PEER_CANCEL_US (1000 * BRF_US_PER_MS) /* wait after brf_cancel() */
+#define BRF_PEER_DOCUMENTS_US (5 * BRF_US_PER_S)
+
 #define BRF_FLEET_KEY_MAX 64u
 
 /**
@@ -34,6 +47,57 @@
 	uint64_t incarnation;
 };
 
+/**
+ * struct brf_document_news - a document as it goes from node to node.
+ * @text: JSON of @len bytes; NULL with @len 0 for a deletion
+ */
+struct brf_document_news {
+	const char *service;
+	uint64_t revision;
+	const char *text;
+	size_t len;
+};
+
+/**
+ * struct brf_known_revision - what a node has of one service.
+ */
+struct brf_known_revision {
+	const char *service;
+	uint64_t revision;
+};
+
+struct brf_document_source;
+
+/**
+ * struct brf_document_source_vt - where BRF_PEER_DOCUMENTS gets its answer.
+ * @newer: call @emit for each document that is newer than what @known says
+ *	or not in it, until it returns false: the answer is full, and the rest
+ *	goes with the next one
+ */
+struct brf_document_source_vt {
+	void (*newer)(struct brf_document_source *source,
+	    const struct brf_known_revision *known, size_t count,
+	    bool (*emit)(const struct brf_document_news *news, void *arg),
+	    void *arg);
+};
+
+struct brf_document_source {
+	const struct brf_document_source_vt *vt;
+};
+
+/**
+ * brf_documents_fn - end of brf_peers_fetch_documents().
+ * @news: @count documents, valid during the call; empty when none is newer
+ * @err: NULL, or why there is no answer
+ */
+typedef void (*brf_documents_fn)(void *arg,
+    const struct brf_document_news *news, size_t count,
+    const struct brf_error *err);
+
+/* Most revisions in a question and documents in an answer. */
+#define BRF_KNOWN_MAX 1024u
+#define BRF_NEWS_MAX 64u
+
 /**
  * struct brf_peers_config - what brf_peers_new() needs.
  * @loop: the process's loop
@@ -92,6 +156,18 @@
  */
 void brf_peers_forget(struct brf_peers *peers, struct brf_backend *backend);
 
+/**
+ * brf_peers_fetch_documents() - ask the node behind @backend for documents.
+ * @known: what this node has, @count items of at most BRF_KNOWN_MAX; only
+ *	used during the call
+ * @done: called exactly once, possibly before this returns
+ *
+ * The answer holds what fits into one record; ask again when it holds any.
+ */
+void brf_peers_fetch_documents(struct brf_peers *peers,
+    struct brf_backend *backend, const struct brf_known_revision *known,
+    size_t count, brf_documents_fn done, void *arg);
+
 /**
  * brf_peers_bytes() - bytes sent and received by a backend's connection,
  * for the budget of the link between regions.
--- /dev/null
+++ b/src/wire/peers.h
@@ -0,0 +1,53 @@
+#ifndef BRF_PEERS_H
+#define BRF_PEERS_H
+
+#include "wire/conn.h"
+#include "wire/handshake.h"
+
+/**
+ * DOC: What the files of this package share behind peer.h.
+ */
+
+/**
+ * struct brf_peers - see peer.h.
+ * @dirty: connections that have something to send
+ * @conns: all connections whose socket is not closed yet
+ * @backends: all struct brf_peer_backend, forgotten ones included
+ * @unproved: connections accepted whose caller has not proved the key
+ * @open_calls: calls received and not yet answered
+ * @handles: sockets and others of the loop that are open, but for @conns
+ */
+struct brf_peers {
+	struct brf_peers_config config;
+	uv_tcp_t listener;
+	uv_prepare_t prepare;
+	struct brf_list dirty;
+	struct brf_list conns;
+	struct brf_list backends;
+	size_t unproved;
+	size_t open_calls;
+	size_t handles;
+	bool listening;
+	bool closing;
+	void (*closed)(void *arg);
+	void *closed_arg;
+	struct brf_metric *connections;
+	struct brf_metric *calls_sent;
+	struct brf_metric *calls_received;
+};
+
+/**
+ * brf_peers_fault() - count and log a failure that the other end caused.
+ */
+void brf_peers_fault(struct brf_peers *peers, const struct brf_error *err);
+
+/* Call the closed callback when nothing is left. */
+void brf_peers_check_closed(struct brf_peers *peers);
+
+/* An accepted connection; server.c. */
+void brf_server_accept(struct brf_peers *peers, uv_stream_t *listener);
+
+/* Free all backends; client.c. */
+void brf_client_free(struct brf_peers *peers);
+
+#endif
--- a/src/wire/proto.h
+++ b/src/wire/proto.h
@@ -30,14 +30,26 @@
 typedef struct brf_xdr_id brf_xdr_id;
 
 struct brf_xdr_header {
-	char *name;
-	char *value;
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
 };
 typedef struct brf_xdr_header brf_xdr_header;
 
 struct brf_xdr_message {
-	char *method;
-	char *path;
+	struct {
+		u_int method_len;
+		char *method_val;
+	} method;
+	struct {
+		u_int path_len;
+		char *path_val;
+	} path;
 	u_int status;
 	struct {
 		u_int headers_len;
@@ -59,9 +71,18 @@
 	u_int cls;
 	u_int retries;
 	bool_t resend;
-	char *service;
-	char *workspace;
-	char *token;
+	struct {
+		u_int service_len;
+		char *service_val;
+	} service;
+	struct {
+		u_int workspace_len;
+		char *workspace_val;
+	} workspace;
+	struct {
+		u_int token_len;
+		char *token_val;
+	} token;
 	brf_xdr_message request;
 };
 typedef struct brf_xdr_attempt brf_xdr_attempt;
@@ -107,7 +128,10 @@
 typedef struct brf_xdr_proof brf_xdr_proof;
 
 struct brf_xdr_document {
-	char *service;
+	struct {
+		u_int service_len;
+		char *service_val;
+	} service;
 	u_quad_t revision;
 	struct {
 		u_int text_len;
@@ -117,7 +141,10 @@
 typedef struct brf_xdr_document brf_xdr_document;
 
 struct brf_xdr_revision {
-	char *service;
+	struct {
+		u_int service_len;
+		char *service_val;
+	} service;
 	u_quad_t revision;
 };
 typedef struct brf_xdr_revision brf_xdr_revision;
--- a/src/wire/proto.x
+++ b/src/wire/proto.x
@@ -1,7 +1,9 @@
 /*
  * Protocol between nodes: ONC RPC version 2 (RFC 5531) over TCP with record
- * marking.  Both ends may call on one connection.  Lengths are bounded here,
- * so that a decoder never allocates more than a message may hold.
+ * marking.  The end that opened a connection calls, the other one answers.
+ * Lengths are bounded here, so that a decoder never allocates more than a
+ * message may hold.  Text is opaque, which is the same on the wire as string,
+ * so that a decoder is told its length and can refuse a NUL inside.
  */
 
 const BRF_XDR_NAME = 63;
@@ -20,13 +22,13 @@
 };
 
 struct brf_xdr_header {
-	string name<BRF_XDR_FIELD>;
-	string value<BRF_XDR_FIELD>;
+	opaque name<BRF_XDR_FIELD>;
+	opaque value<BRF_XDR_FIELD>;
 };
 
 struct brf_xdr_message {
-	string method<BRF_XDR_METHOD>;
-	string path<BRF_XDR_PATH>;
+	opaque method<BRF_XDR_METHOD>;
+	opaque path<BRF_XDR_PATH>;
 	unsigned int status;
 	brf_xdr_header headers<BRF_XDR_FIELDS>;
 	opaque body<BRF_XDR_BODY>;
@@ -41,9 +43,9 @@
 	unsigned int cls;
 	unsigned int retries;
 	bool resend;
-	string service<BRF_XDR_NAME>;
-	string workspace<BRF_XDR_NAME>;
-	string token<BRF_XDR_TOKEN>;
+	opaque service<BRF_XDR_NAME>;
+	opaque workspace<BRF_XDR_NAME>;
+	opaque token<BRF_XDR_TOKEN>;
 	brf_xdr_message request;
 };
 
@@ -65,7 +67,7 @@
 	brf_xdr_message *answer;
 };
 
-/* Proof of the fleet key: HMAC-SHA256 over both nonces and the sender's id. */
+/* Proof of the fleet key; what the MAC covers is told in handshake.h. */
 struct brf_xdr_hello {
 	brf_xdr_id node;
 	unsigned hyper incarnation;
@@ -85,13 +87,13 @@
 
 /* A document as it stands in the store; see config/docs.h. */
 struct brf_xdr_document {
-	string service<BRF_XDR_NAME>;
+	opaque service<BRF_XDR_NAME>;
 	unsigned hyper revision;
 	opaque text<BRF_XDR_BODY>;
 };
 
 struct brf_xdr_revision {
-	string service<BRF_XDR_NAME>;
+	opaque service<BRF_XDR_NAME>;
 	unsigned hyper revision;
 };
 
--- a/src/wire/proto_xdr.c
+++ b/src/wire/proto_xdr.c
@@ -22,9 +22,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->name, BRF_XDR_FIELD))
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, BRF_XDR_FIELD))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->value, BRF_XDR_FIELD))
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, BRF_XDR_FIELD))
 		 return FALSE;
 	return TRUE;
 }
@@ -34,9 +34,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->method, BRF_XDR_METHOD))
+	 if (!xdr_bytes (xdrs, (char **)&objp->method.method_val, (u_int *) &objp->method.method_len, BRF_XDR_METHOD))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->path, BRF_XDR_PATH))
+	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, BRF_XDR_PATH))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->status))
 		 return FALSE;
@@ -80,11 +80,11 @@
 		IXDR_PUT_U_LONG(buf, objp->retries);
 		IXDR_PUT_BOOL(buf, objp->resend);
 		}
-		 if (!xdr_string (xdrs, &objp->service, BRF_XDR_NAME))
+		 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, BRF_XDR_NAME))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->workspace, BRF_XDR_NAME))
+		 if (!xdr_bytes (xdrs, (char **)&objp->workspace.workspace_val, (u_int *) &objp->workspace.workspace_len, BRF_XDR_NAME))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->token, BRF_XDR_TOKEN))
+		 if (!xdr_bytes (xdrs, (char **)&objp->token.token_val, (u_int *) &objp->token.token_len, BRF_XDR_TOKEN))
 			 return FALSE;
 		 if (!xdr_brf_xdr_message (xdrs, &objp->request))
 			 return FALSE;
@@ -113,11 +113,11 @@
 		objp->retries = IXDR_GET_U_LONG(buf);
 		objp->resend = IXDR_GET_BOOL(buf);
 		}
-		 if (!xdr_string (xdrs, &objp->service, BRF_XDR_NAME))
+		 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, BRF_XDR_NAME))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->workspace, BRF_XDR_NAME))
+		 if (!xdr_bytes (xdrs, (char **)&objp->workspace.workspace_val, (u_int *) &objp->workspace.workspace_len, BRF_XDR_NAME))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->token, BRF_XDR_TOKEN))
+		 if (!xdr_bytes (xdrs, (char **)&objp->token.token_val, (u_int *) &objp->token.token_len, BRF_XDR_TOKEN))
 			 return FALSE;
 		 if (!xdr_brf_xdr_message (xdrs, &objp->request))
 			 return FALSE;
@@ -138,11 +138,11 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->resend))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->service, BRF_XDR_NAME))
+	 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, BRF_XDR_NAME))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->workspace, BRF_XDR_NAME))
+	 if (!xdr_bytes (xdrs, (char **)&objp->workspace.workspace_val, (u_int *) &objp->workspace.workspace_len, BRF_XDR_NAME))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->token, BRF_XDR_TOKEN))
+	 if (!xdr_bytes (xdrs, (char **)&objp->token.token_val, (u_int *) &objp->token.token_len, BRF_XDR_TOKEN))
 		 return FALSE;
 	 if (!xdr_brf_xdr_message (xdrs, &objp->request))
 		 return FALSE;
@@ -333,7 +333,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->service, BRF_XDR_NAME))
+	 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, BRF_XDR_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
@@ -347,7 +347,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->service, BRF_XDR_NAME))
+	 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, BRF_XDR_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
--- /dev/null
+++ b/src/wire/record.c
@@ -0,0 +1,160 @@
+#include <arpa/inet.h>
+
+#include "wire/record.h"
+
+#define LAST_FRAGMENT 0x80000000u
+#define READ_SIZE ((size_t)64 * 1024)	/* bytes asked for at once */
+#define KEPT_SIZE ((size_t)256 * 1024)	/* bytes kept while idle */
+#define FRAGMENTS_MAX 4096u
+
+void
+brf_record_reader_free(struct brf_record_reader *r)
+{
+	brf_buf_free(&r->in);
+	brf_buf_free(&r->joined);
+	memset(r, 0, sizeof(*r));
+}
+
+static void
+drop_used(struct brf_record_reader *r)
+{
+	if (r->pos == 0)
+		return;
+	brf_buf_consume(&r->in, r->pos);
+	r->pos = 0;
+	if (r->in.len == 0 && r->in.cap > KEPT_SIZE)
+		brf_buf_free(&r->in);
+}
+
+char *
+brf_record_space(struct brf_record_reader *r, size_t *size)
+{
+	drop_used(r);
+	if (r->in.cap < r->in.len + READ_SIZE / 4)
+		brf_buf_reserve(&r->in, READ_SIZE - 1);
+	*size = r->in.cap - r->in.len - 1;
+	return (r->in.data + r->in.len);
+}
+
+void
+brf_record_added(struct brf_record_reader *r, size_t len)
+{
+	r->in.len += len;
+	r->in.data[r->in.len] = '\0';
+}
+
+void
+brf_record_feed(struct brf_record_reader *r, const void *data, size_t len)
+{
+	drop_used(r);
+	brf_buf_add(&r->in, data, len);
+}
+
+static uint32_t
+read_mark(const char *data)
+{
+	uint32_t word;
+
+	memcpy(&word, data, sizeof(word));
+	return (ntohl(word));
+}
+
+static bool
+check_fragment(const struct brf_record_reader *r, size_t len, bool last,
+    struct brf_error *err)
+{
+	size_t most = r->most != 0 ? r->most : BRF_RECORD_MAX;
+
+	if (r->joined.len > most || len > most - r->joined.len)
+		return (brf_error_set(err, BRF_E_TOO_LARGE, 0,
+		    "record of %zu bytes or more", r->joined.len + len));
+	if (len == 0 && !last)
+		return (brf_error_set(
+		    err, BRF_E_RPC_RECORD, 0, "empty fragment"));
+	if (r->fragments == FRAGMENTS_MAX)
+		return (brf_error_set(err, BRF_E_RPC_RECORD, 0,
+		    "more than %u fragments", FRAGMENTS_MAX));
+	return (true);
+}
+
+static void
+take_joined(struct brf_record_reader *r, struct brf_record *record)
+{
+	record->data = r->joined.data;
+	record->len = r->joined.len;
+	r->taken = true;
+}
+
+static void
+empty_joined(struct brf_record_reader *r)
+{
+	if (!r->taken)
+		return;
+	r->taken = false;
+	r->fragments = 0;
+	brf_buf_clear(&r->joined);
+	if (r->joined.cap > KEPT_SIZE)
+		brf_buf_free(&r->joined);
+}
+
+enum brf_record_result
+brf_record_next(struct brf_record_reader *r, struct brf_record *record,
+    struct brf_error *err)
+{
+	size_t have, len;
+	char *data;
+	bool last;
+
+	empty_joined(r);
+	for (;;) {
+		have = r->in.len - r->pos;
+		if (have < BRF_RECORD_MARK)
+			return (BRF_RECORD_MORE);
+		data = r->in.data + r->pos + BRF_RECORD_MARK;
+		len = read_mark(r->in.data + r->pos) & ~LAST_FRAGMENT;
+		last = read_mark(r->in.data + r->pos) & LAST_FRAGMENT;
+		if (!check_fragment(r, len, last, err))
+			return (BRF_RECORD_BROKEN);
+		if (have - BRF_RECORD_MARK < len)
+			return (BRF_RECORD_MORE);
+		r->pos += BRF_RECORD_MARK + len;
+		if (last && r->fragments == 0) {
+			record->data = data;
+			record->len = len;
+			return (BRF_RECORD_WHOLE);
+		}
+		brf_buf_add(&r->joined, data, len);
+		r->fragments++;
+		if (!last)
+			continue;
+		take_joined(r, record);
+		return (BRF_RECORD_WHOLE);
+	}
+}
+
+bool
+brf_record_finish(const struct brf_record_reader *r, struct brf_error *err)
+{
+	if (r->in.len == r->pos && (r->fragments == 0 || r->taken))
+		return (true);
+	return (brf_error_set(err, BRF_E_RPC_RECORD, 0,
+	    "cut after %zu bytes and %zu fragments", r->in.len - r->pos,
+	    r->fragments));
+}
+
+char *
+brf_record_begin(struct brf_buf *out, size_t most)
+{
+	brf_buf_reserve(out, BRF_RECORD_MARK + most);
+	return (out->data + out->len + BRF_RECORD_MARK);
+}
+
+void
+brf_record_end(struct brf_buf *out, size_t len)
+{
+	uint32_t word = htonl((uint32_t)len | LAST_FRAGMENT);
+
+	memcpy(out->data + out->len, &word, sizeof(word));
+	out->len += BRF_RECORD_MARK + len;
+	out->data[out->len] = '\0';
+}
