--- /dev/null
+++ b/src/wire/client.c
@@ -0,0 +1,327 @@
+#include <stdlib.h>
+
+#include "wire/client.h"
+#include "wire/codec.h"
+
+/**
+ * struct attempt_call - BRF_PEER_CALL.
+ */
+struct attempt_call {
+	struct brf_call call;
+	struct brf_exchange *x;
+};
+
+static uint64_t
+now_of(const struct brf_peer_backend *peer)
+{
+	return (brf_now(brf_timers_clock(peer->peers->config.timers)));
+}
+
+void
+brf_peer_release(struct brf_peer_backend *peer)
+{
+	struct brf_error err;
+
+	peer->open--;
+	if (!peer->forgotten || peer->open != 0)
+		return;
+	if (peer->conn != NULL) {
+		/* Comes back here without a connection. */
+		brf_error_set(&err, BRF_E_CLOSED, 0, "member gone");
+		brf_conn_close(&peer->conn->conn, &err);
+		return;
+	}
+	brf_list_remove(&peer->link);
+	free(peer);
+}
+
+void
+brf_call_end(struct brf_call *call)
+{
+	struct brf_client_conn *cc = call->cc;
+
+	brf_timer_stop(call->peer->peers->config.timers, &call->timer);
+	brf_list_remove(&call->link);
+	if (cc == NULL)
+		return;
+	cc->open--;
+	cc->used_at = now_of(call->peer);
+}
+
+static uint64_t
+time_left(const struct brf_call *call)
+{
+	uint64_t now = now_of(call->peer);
+
+	return (call->deadline > now ? call->deadline - now : 0);
+}
+
+static void
+start_timer(struct brf_call *call, uint64_t delay)
+{
+	brf_timer_start(call->peer->peers->config.timers, &call->timer, delay);
+}
+
+/* Tell the other end, and bound the wait for its word. */
+static void
+cancel_written(struct brf_call *call, enum brf_reason why, uint64_t wait)
+{
+	const struct brf_id *attempt = brf_call_attempt(call);
+
+	call->state = BRF_CALL_CANCELLED;
+	call->why = why;
+	start_timer(call, wait);
+	/* Without a connection the call is about to end. */
+	if (attempt != NULL && call->cc != NULL)
+		brf_client_cancel(call->cc, *attempt);
+}
+
+static void
+on_timer(struct brf_timer *timer, void *arg)
+{
+	struct brf_call *call = arg;
+
+	(void)timer;
+	if (call->state == BRF_CALL_QUEUED)
+		call->vt->fail(call, BRF_NOT_RUN, BRF_R_EXPIRED);
+	else if (call->state == BRF_CALL_CANCELLED)
+		call->vt->fail(call, BRF_UNKNOWN, call->why);
+	else
+		cancel_written(call, BRF_R_TIMEOUT, BRF_PEER_GRACE_US);
+}
+
+void
+brf_call_open(
+    struct brf_call *call, struct brf_peer_backend *peer, uint64_t timeout_us)
+{
+	uint64_t now = now_of(peer);
+
+	call->peer = peer;
+	call->state = BRF_CALL_QUEUED;
+	call->deadline =
+	    timeout_us < UINT64_MAX - now ? now + timeout_us : UINT64_MAX;
+	call->timer.fire = on_timer;
+	call->timer.arg = call;
+	brf_list_init(&call->link);
+	brf_list_append(&peer->queue, &call->link);
+	peer->open++;
+	peer->peers->calls_sent->value++;
+	start_timer(call, timeout_us);
+	if (peer->peers->closing) {
+		call->vt->fail(call, BRF_NOT_RUN, BRF_R_NOT_SENT);
+		return;
+	}
+	if (peer->conn == NULL)
+		brf_client_connect(peer);
+	brf_conn_touch(&peer->conn->conn);
+}
+
+void
+brf_call_cancel(struct brf_call *call)
+{
+	uint64_t wait;
+
+	if (call->state == BRF_CALL_QUEUED) {
+		call->vt->fail(call, BRF_NOT_RUN, BRF_R_CANCELLED);
+		return;
+	}
+	if (call->state == BRF_CALL_CANCELLED)
+		return;
+	wait = time_left(call);
+	if (wait > BRF_PEER_CANCEL_US)
+		wait = BRF_PEER_CANCEL_US;
+	if (wait < BRF_PEER_GRACE_US)
+		wait = BRF_PEER_GRACE_US;
+	cancel_written(call, BRF_R_CANCELLED, wait);
+}
+
+static struct attempt_call *
+attempt_call(const struct brf_call *call)
+{
+	return (brf_container_of(call, struct attempt_call, call));
+}
+
+static void
+end_attempt(struct brf_call *call, const struct brf_reply *reply)
+{
+	struct brf_peer_backend *peer = call->peer;
+	struct brf_exchange *x = attempt_call(call)->x;
+
+	brf_call_end(call);
+	free(attempt_call(call));
+	x->impl = NULL;
+	x->done(x, reply);
+	brf_peer_release(peer);
+}
+
+static size_t
+attempt_size(const struct brf_call *call)
+{
+	return (brf_attempt_size(&attempt_call(call)->x->attempt));
+}
+
+static bool
+attempt_put(const struct brf_call *call, XDR *xdr)
+{
+	return (brf_attempt_put(
+	    xdr, &attempt_call(call)->x->attempt, time_left(call)));
+}
+
+/* Extra attempts that nobody can have used are still there. */
+static void
+attempt_fail(
+    struct brf_call *call, enum brf_outcome outcome, enum brf_reason reason)
+{
+	struct brf_reply reply = { .outcome = outcome, .reason = reason };
+
+	if (outcome == BRF_NOT_RUN)
+		reply.retries = attempt_call(call)->x->attempt.retries;
+	end_attempt(call, &reply);
+}
+
+static void
+attempt_got(struct brf_call *call, XDR *xdr, const struct brf_record *record)
+{
+	const struct brf_attempt *a = &attempt_call(call)->x->attempt;
+	struct brf_message *answer;
+	struct brf_reply reply;
+	struct brf_error err;
+	bool ok = brf_reply_get(xdr, a->id, &reply, &err);
+
+	if (ok && !brf_rpc_at_end(xdr, record)) {
+		brf_message_unref(reply.answer);
+		ok = brf_error_set(
+		    &err, BRF_E_RPC_ARGUMENT, 0, "bytes behind the reply");
+	}
+	if (!ok) {
+		brf_peers_fault(call->peer->peers, &err);
+		attempt_fail(call, BRF_UNKNOWN, BRF_R_BROKEN_ANSWER);
+		return;
+	}
+	if (reply.retries > a->retries)
+		reply.retries = a->retries;
+	answer = reply.answer;
+	end_attempt(call, &reply);
+	brf_message_unref(answer);
+}
+
+static const struct brf_call_vt attempt_vt = {
+	.procedure = BRF_PEER_CALL,
+	.size = attempt_size,
+	.put = attempt_put,
+	.got = attempt_got,
+	.fail = attempt_fail,
+};
+
+const struct brf_id *
+brf_call_attempt(const struct brf_call *call)
+{
+	if (call->vt != &attempt_vt)
+		return (NULL);
+	return (&attempt_call(call)->x->attempt.id);
+}
+
+static struct brf_peer_backend *
+peer_backend(struct brf_backend *backend)
+{
+	return (brf_container_of(backend, struct brf_peer_backend, backend));
+}
+
+static void
+send_attempt(struct brf_backend *backend, struct brf_exchange *x)
+{
+	struct attempt_call *ac = brf_calloc(1, sizeof(*ac));
+
+	ac->call.vt = &attempt_vt;
+	ac->x = x;
+	x->impl = ac;
+	brf_call_open(&ac->call, peer_backend(backend), x->attempt.timeout_us);
+}
+
+static void
+cancel_attempt(struct brf_backend *backend, struct brf_exchange *x)
+{
+	struct attempt_call *ac = x->impl;
+
+	(void)backend;
+	if (ac != NULL)
+		brf_call_cancel(&ac->call);
+}
+
+static const struct brf_backend_vt backend_vt = {
+	.send = send_attempt,
+	.cancel = cancel_attempt,
+};
+
+static size_t
+address_size(const struct sockaddr *addr)
+{
+	return (addr->sa_family == AF_INET6 ? sizeof(struct sockaddr_in6)
+					    : sizeof(struct sockaddr_in));
+}
+
+static struct brf_peer_backend *
+find_backend(
+    struct brf_peers *peers, const struct sockaddr *addr, struct brf_id node)
+{
+	struct brf_peer_backend *peer;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &peers->backends) {
+		peer = brf_list_entry(l, struct brf_peer_backend, link);
+		if (!peer->forgotten && brf_id_equal(peer->node, node) &&
+		    memcmp(&peer->addr, addr, address_size(addr)) == 0)
+			return (peer);
+	}
+	return (NULL);
+}
+
+struct brf_backend *
+brf_peers_backend(
+    struct brf_peers *peers, const struct sockaddr *addr, struct brf_id node)
+{
+	struct brf_peer_backend *peer = find_backend(peers, addr, node);
+
+	if (peer != NULL)
+		return (&peer->backend);
+	peer = brf_calloc(1, sizeof(*peer));
+	peer->backend.vt = &backend_vt;
+	peer->peers = peers;
+	peer->node = node;
+	memcpy(&peer->addr, addr, address_size(addr));
+	brf_list_init(&peer->queue);
+	brf_list_append(&peers->backends, &peer->link);
+	return (&peer->backend);
+}
+
+void
+brf_peers_forget(struct brf_peers *peers, struct brf_backend *backend)
+{
+	struct brf_peer_backend *peer = peer_backend(backend);
+
+	(void)peers;
+	peer->forgotten = true;
+	peer->open++;
+	brf_peer_release(peer);
+}
+
+uint64_t
+brf_peers_bytes(const struct brf_backend *backend)
+{
+	const struct brf_peer_backend *peer =
+	    brf_container_of(backend, struct brf_peer_backend, backend);
+
+	if (peer->conn == NULL)
+		return (peer->past_bytes);
+	return (peer->past_bytes + peer->conn->conn.accepted +
+		peer->conn->conn.received);
+}
+
+void
+brf_client_free(struct brf_peers *peers)
+{
+	struct brf_list *l, *tmp;
+
+	brf_list_foreach_safe (l, tmp, &peers->backends)
+		free(brf_list_entry(l, struct brf_peer_backend, link));
+}
--- /dev/null
+++ b/src/wire/client.h
@@ -0,0 +1,138 @@
+#ifndef BRF_WIRE_CLIENT_H
+#define BRF_WIRE_CLIENT_H
+
+#include "wire/peers.h"
+
+/**
+ * DOC: The calling side: backends, their connections and open calls.
+ */
+
+#define BRF_XID_BUCKETS 256u
+
+/**
+ * struct brf_peer_backend - stands for one life of another node.
+ * @backend: first member
+ * @node: id it must prove; zero accepts any
+ * @conn: the connection, or NULL
+ * @queue: calls of which nothing is written
+ * @open: calls not ended, and other uses that keep it alive
+ * @past_bytes: bytes of connections that are gone
+ */
+struct brf_peer_backend {
+	struct brf_backend backend;
+	struct brf_peers *peers;
+	struct brf_list link;
+	struct sockaddr_storage addr;
+	struct brf_id node;
+	struct brf_client_conn *conn;
+	struct brf_list queue;
+	size_t open;
+	uint64_t past_bytes;
+	bool forgotten;
+};
+
+enum brf_client_state {
+	BRF_CLIENT_CONNECTING,
+	BRF_CLIENT_HELLO,
+	BRF_CLIENT_PROVE,
+	BRF_CLIENT_READY
+};
+
+/**
+ * struct brf_client_conn - connection opened by this node.
+ * @timer: gives up connecting, then closes the idle connection
+ * @used_at: clock time of the last call's end
+ * @written: calls written and not ended, by xid
+ * @cancels: BRF_PEER_CANCEL not yet answered
+ */
+struct brf_client_conn {
+	struct brf_conn conn;
+	struct brf_peer_backend *peer;
+	uv_connect_t connect;
+	struct brf_timer timer;
+	enum brf_client_state state;
+	struct brf_handshake handshake;
+	uint64_t used_at;
+	uint32_t next_xid;
+	uint32_t cancels;
+	size_t open;
+	struct brf_list written[BRF_XID_BUCKETS];
+};
+
+struct brf_call;
+
+/**
+ * struct brf_call_vt - what the kinds of call do.
+ * @size: bytes of the argument at most
+ * @put: encode the argument
+ * @got: a successful reply; @xdr stands at the result.  The call has ended.
+ * @fail: the call has ended without a reply; frees it
+ */
+struct brf_call_vt {
+	uint32_t procedure;
+	size_t (*size)(const struct brf_call *call);
+	bool (*put)(const struct brf_call *call, XDR *xdr);
+	void (*got)(
+	    struct brf_call *call, XDR *xdr, const struct brf_record *record);
+	void (*fail)(struct brf_call *call, enum brf_outcome outcome,
+	    enum brf_reason reason);
+};
+
+enum brf_call_state {
+	BRF_CALL_QUEUED,
+	BRF_CALL_WRITTEN,
+	BRF_CALL_CANCELLED /* written, and cancelled after that */
+};
+
+/**
+ * struct brf_call - one open call to another node.
+ * @link: in the backend's queue or the connection's @written
+ * @cc: where it was written; NULL before, and once that is lost
+ * @at: place of its first byte in the connection's stream
+ * @deadline: clock time
+ * @why: reason of the cancellation
+ */
+struct brf_call {
+	const struct brf_call_vt *vt;
+	struct brf_peer_backend *peer;
+	struct brf_client_conn *cc;
+	struct brf_list link;
+	struct brf_timer timer;
+	enum brf_call_state state;
+	enum brf_reason why;
+	uint32_t xid;
+	uint64_t at;
+	uint64_t deadline;
+};
+
+/**
+ * brf_call_open() - queue @call; fill @vt first.
+ */
+void brf_call_open(
+    struct brf_call *call, struct brf_peer_backend *peer, uint64_t timeout_us);
+
+/**
+ * brf_call_cancel() - withdraw it, or cancel it at the other end.
+ */
+void brf_call_cancel(struct brf_call *call);
+
+/**
+ * brf_call_end() - take it out of all lists; its timer is stopped.
+ *
+ * The backend stays until brf_peer_release().
+ */
+void brf_call_end(struct brf_call *call);
+
+/* Give up one use of the backend; frees it when it was the last. */
+void brf_peer_release(struct brf_peer_backend *peer);
+
+/* Open a connection; client_conn.c. */
+void brf_client_connect(struct brf_peer_backend *peer);
+
+/* Ask the other end to cancel a written call; client_conn.c. */
+void brf_client_cancel(struct brf_client_conn *cc, struct brf_id attempt);
+
+/* The attempt's id that a cancellation names; NULL for other calls. */
+const struct brf_id *brf_call_attempt(const struct brf_call *call);
+
+#endif
--- a/src/wire/codec.c
+++ b/src/wire/codec.c
@@ -45,8 +45,8 @@
 }
 
 static void
-lend_message(brf_xdr_message *out, brf_xdr_header *fields,
-    const struct brf_message *m)
+lend_message(
+    brf_xdr_message *out, brf_xdr_header *fields, const struct brf_message *m)
 {
 	size_t i;
 
@@ -165,8 +165,7 @@
 }
 
 static bool
-fill_message(
-    struct brf_message *m, brf_xdr_message *in, struct brf_error *err)
+fill_message(struct brf_message *m, brf_xdr_message *in, struct brf_error *err)
 {
 	if (!copy_text(m->method, sizeof(m->method), in->method.method_len,
 		in->method.method_val) ||
@@ -175,16 +174,15 @@
 	if (!is_path(in->path.path_val, in->path.path_len))
 		return (brf_error_set(err, BRF_E_RPC_ARGUMENT, 0, "path"));
 	if (in->path.path_len != 0 &&
-	    !brf_message_set_path(
-		m, in->path.path_val, in->path.path_len, err))
+	    !brf_message_set_path(m, in->path.path_val, in->path.path_len, err))
 		return (false);
 	m->status = (int)in->status;
 	if (!take_fields(m, in, err))
 		return (false);
 	take_body(&m->body, in);
 	if (brf_message_checksum(m) != in->checksum)
-		return (brf_error_set(err, BRF_E_CHECKSUM, 0, "%zu bytes",
-		    message_size(m)));
+		return (brf_error_set(
+		    err, BRF_E_CHECKSUM, 0, "%zu bytes", message_size(m)));
 	return (true);
 }
 
@@ -310,10 +308,10 @@
 	else if (x->level != NULL && x->level->cut > BRF_RANK_END)
 		what = "level";
 	else if ((x->outcome == BRF_ANSWERED) != (m != NULL) ||
-	    (x->outcome == BRF_ANSWERED) != (x->reason == BRF_R_NONE))
+		 (x->outcome == BRF_ANSWERED) != (x->reason == BRF_R_NONE))
 		what = "outcome and answer differ";
 	else if (m != NULL &&
-	    (m->status < STATUS_FIRST || m->status > STATUS_LAST))
+		 (m->status < STATUS_FIRST || m->status > STATUS_LAST))
 		what = "status";
 	else if (m != NULL && m->method.method_len + m->path.path_len != 0)
 		what = "answer with method or path";
@@ -339,8 +337,8 @@
     struct brf_error *err)
 {
 	if (!brf_id_equal(brf_id_from_xdr(&x->id), id))
-		return (brf_error_set(
-		    err, BRF_E_RPC_UNMATCHED, 0, "reply names another attempt"));
+		return (brf_error_set(err, BRF_E_RPC_UNMATCHED, 0,
+		    "reply names another attempt"));
 	if (!check_reply(x, err))
 		return (false);
 	r->outcome = (enum brf_outcome)x->outcome;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -26,7 +26,8 @@
  *
  * Return: false when something is longer than its bound.
  */
-bool brf_attempt_put(XDR *xdr, const struct brf_attempt *a, uint64_t timeout_us);
+bool brf_attempt_put(
+    XDR *xdr, const struct brf_attempt *a, uint64_t timeout_us);
 
 /**
  * brf_attempt_get() - decode and check.
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -3,10 +3,10 @@
 #include "wire/conn.h"
 #include "wire/peers.h"
 
-#define OUT_KEPT ((size_t)256 * 1024)	     /* bytes of memory kept */
-#define OUT_HIGH ((size_t)4 * 1024 * 1024)   /* stop reading above */
-#define KEEPALIVE_S 10			     /* seconds of silence */
-#define UNACKED_MS 5000u		     /* milliseconds until given up */
+#define OUT_KEPT ((size_t)256 * 1024)	   /* bytes of memory kept */
+#define OUT_HIGH ((size_t)4 * 1024 * 1024) /* stop reading above */
+#define KEEPALIVE_S 10			   /* seconds of silence */
+#define UNACKED_MS 5000u		   /* milliseconds until given up */
 
 void
 brf_conn_init(struct brf_conn *conn, const struct brf_conn_vt *vt,
@@ -39,8 +39,7 @@
 static int
 try_write(struct brf_conn *conn)
 {
-	uv_buf_t buf =
-	    uv_buf_init(conn->out.data, (unsigned int)conn->out.len);
+	uv_buf_t buf = uv_buf_init(conn->out.data, (unsigned int)conn->out.len);
 	int n = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
 
 	if (n > 0)
@@ -54,8 +53,8 @@
 {
 	if (!conn->busy)
 		return;
-	conn->accepted = conn->flushed -
-	    uv_stream_get_write_queue_size((uv_stream_t *)&conn->tcp);
+	conn->accepted = conn->flushed - uv_stream_get_write_queue_size(
+					     (uv_stream_t *)&conn->tcp);
 }
 
 void
@@ -124,8 +123,8 @@
 	conn->busy = true;
 	buf = uv_buf_init(conn->writing.data + done,
 	    (unsigned int)(conn->writing.len - done));
-	rc = uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
-	    on_written);
+	rc = uv_write(
+	    &conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, on_written);
 	if (rc < 0)
 		fail_system(conn, rc, "write");
 }
@@ -167,8 +166,8 @@
 	struct brf_error err;
 
 	if (brf_record_finish(&conn->reader, &err))
-		brf_error_set(&err, BRF_E_CLOSED,
-		    status == UV_EOF ? 0 : status, "read");
+		brf_error_set(
+		    &err, BRF_E_CLOSED, status == UV_EOF ? 0 : status, "read");
 	brf_conn_close(conn, &err);
 }
 
--- a/src/wire/conn.h
+++ b/src/wire/conn.h
@@ -37,7 +37,8 @@
  * @out: messages for the next write
  * @writing: messages of which the kernel took only a part yet
  * @flushed: bytes of all writes that are through
- * @accepted: bytes that the kernel took; exact once @lost is called
+ * @accepted: bytes that the kernel took, or more when a write failed; up to
+ *	date when @lost is called
  * @received: bytes read
  * @busy: @writing is under way
  * @paused: not read, since the other end does not read either
--- a/src/wire/record.c
+++ b/src/wire/record.c
@@ -3,8 +3,8 @@
 #include "wire/record.h"
 
 #define LAST_FRAGMENT 0x80000000u
-#define READ_SIZE ((size_t)64 * 1024)	/* bytes asked for at once */
-#define KEPT_SIZE ((size_t)256 * 1024)	/* bytes kept while idle */
+#define READ_SIZE ((size_t)64 * 1024)  /* bytes asked for at once */
+#define KEPT_SIZE ((size_t)256 * 1024) /* bytes kept while idle */
 #define FRAGMENTS_MAX 4096u
 
 void
@@ -69,8 +69,8 @@
 		return (brf_error_set(err, BRF_E_TOO_LARGE, 0,
 		    "record of %zu bytes or more", r->joined.len + len));
 	if (len == 0 && !last)
-		return (brf_error_set(
-		    err, BRF_E_RPC_RECORD, 0, "empty fragment"));
+		return (
+		    brf_error_set(err, BRF_E_RPC_RECORD, 0, "empty fragment"));
 	if (r->fragments == FRAGMENTS_MAX)
 		return (brf_error_set(err, BRF_E_RPC_RECORD, 0,
 		    "more than %u fragments", FRAGMENTS_MAX));
--- /dev/null
+++ b/src/wire/server.c
@@ -0,0 +1,545 @@
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "wire/codec.h"
+#include "wire/peers.h"
+
+#define ID_BUCKETS 256u
+#define UNPROVED_MAX 256u     /* connections without a proof */
+#define UNPROVED_RECORD 1024u /* bytes of a record before the proof */
+#define CHALLENGE_SIZE 256u
+#define DOCUMENTS_OVERHEAD 256u /* bytes of names and lengths of a document */
+
+enum server_state {
+	SERVER_NEW,
+	SERVER_CHALLENGED,
+	SERVER_PROVED
+};
+
+/**
+ * struct server_conn - connection accepted by this node.
+ * @timer: ends it when the caller does not prove the key in time
+ * @open: calls not yet answered; they keep it when the socket is closed
+ * @calls: these calls, by attempt id
+ */
+struct server_conn {
+	struct brf_conn conn;
+	struct brf_timer timer;
+	enum server_state state;
+	struct brf_handshake handshake;
+	size_t open;
+	bool released;
+	struct brf_list calls[ID_BUCKETS];
+};
+
+/**
+ * struct inbound_call - a call that the gate has.
+ */
+struct inbound_call {
+	struct brf_exchange x;
+	struct brf_list link;
+	struct server_conn *sc;
+	uint32_t xid;
+};
+
+static struct server_conn *
+server_conn(struct brf_conn *conn)
+{
+	return (brf_container_of(conn, struct server_conn, conn));
+}
+
+static void
+free_when_done(struct server_conn *sc)
+{
+	struct brf_peers *peers = sc->conn.peers;
+
+	if (!sc->released || sc->open != 0)
+		return;
+	free(sc);
+	brf_peers_check_closed(peers);
+}
+
+static void
+answer_status(struct server_conn *sc, uint32_t xid, enum brf_rpc_status status)
+{
+	brf_rpc_write_status(&sc->conn.out, xid, status);
+	brf_conn_touch(&sc->conn);
+}
+
+/* Framing is sound, so the connection goes on. */
+static bool
+reject(struct server_conn *sc, uint32_t xid, enum brf_rpc_status status,
+    const struct brf_error *err)
+{
+	brf_peers_fault(sc->conn.peers, err);
+	answer_status(sc, xid, status);
+	return (true);
+}
+
+/* Who can't prove the key gets this one word and no more. */
+static bool
+deny(struct server_conn *sc, uint32_t xid, enum brf_errc code, const char *what,
+    struct brf_error *err)
+{
+	brf_rpc_write_status(&sc->conn.out, xid, BRF_RPC_AUTH_ERROR);
+	return (brf_error_set(err, code, 0, "%s", what));
+}
+
+static bool
+serve_null(struct server_conn *sc, XDR *xdr, const struct brf_record *record,
+    uint32_t xid, struct brf_error *err)
+{
+	(void)xdr;
+	(void)record;
+	(void)err;
+	answer_status(sc, xid, BRF_RPC_SUCCESS);
+	return (true);
+}
+
+static void
+send_challenge(struct server_conn *sc, uint32_t xid)
+{
+	const struct brf_peers_config *config = &sc->conn.peers->config;
+	struct brf_handshake *h = &sc->handshake;
+	brf_xdr_challenge challenge;
+	struct brf_rpc_writer w;
+
+	h->callee = config->self;
+	brf_handshake_nonce(config->random, h->callee_nonce);
+	challenge.node = brf_id_to_xdr(config->self.node);
+	challenge.incarnation = config->self.incarnation;
+	memcpy(challenge.nonce, h->callee_nonce, BRF_XDR_NONCE);
+	brf_handshake_mac(h, BRF_HANDSHAKE_CALLEE, config->key, config->key_len,
+	    (unsigned char *)challenge.mac);
+	brf_rpc_begin_reply(
+	    &w, &sc->conn.out, CHALLENGE_SIZE, xid, BRF_RPC_SUCCESS);
+	brf_rpc_end(&w, xdr_brf_xdr_challenge(&w.xdr, &challenge));
+	brf_conn_touch(&sc->conn);
+}
+
+static bool
+serve_hello(struct server_conn *sc, XDR *xdr, const struct brf_record *record,
+    uint32_t xid, struct brf_error *err)
+{
+	brf_xdr_hello hello;
+
+	if (sc->state != SERVER_NEW)
+		return (deny(sc, xid, BRF_E_AUTH, "second hello", err));
+	if (!xdr_brf_xdr_hello(xdr, &hello) || !brf_rpc_at_end(xdr, record)) {
+		brf_error_set(err, BRF_E_RPC_ARGUMENT, 0, "hello");
+		return (reject(sc, xid, BRF_RPC_GARBAGE_ARGS, err));
+	}
+	sc->handshake.caller.node = brf_id_from_xdr(&hello.node);
+	sc->handshake.caller.incarnation = hello.incarnation;
+	memcpy(sc->handshake.caller_nonce, hello.nonce, BRF_XDR_NONCE);
+	sc->state = SERVER_CHALLENGED;
+	send_challenge(sc, xid);
+	return (true);
+}
+
+static bool
+serve_prove(struct server_conn *sc, XDR *xdr, const struct brf_record *record,
+    uint32_t xid, struct brf_error *err)
+{
+	const struct brf_peers_config *config = &sc->conn.peers->config;
+	brf_xdr_proof proof;
+
+	if (sc->state != SERVER_CHALLENGED)
+		return (deny(sc, xid, BRF_E_AUTH, "proof out of turn", err));
+	if (!xdr_brf_xdr_proof(xdr, &proof) || !brf_rpc_at_end(xdr, record))
+		return (deny(sc, xid, BRF_E_AUTH, "proof malformed", err));
+	if (!brf_handshake_check(&sc->handshake, BRF_HANDSHAKE_CALLER,
+		config->key, config->key_len, proof.mac))
+		return (deny(
+		    sc, xid, BRF_E_AUTH, "caller's proof does not hold", err));
+	sc->state = SERVER_PROVED;
+	sc->conn.reader.most = 0;
+	sc->conn.peers->unproved--;
+	brf_timer_stop(config->timers, &sc->timer);
+	answer_status(sc, xid, BRF_RPC_SUCCESS);
+	return (true);
+}
+
+static void
+write_reply(struct server_conn *sc, uint32_t xid, struct brf_id id,
+    const struct brf_reply *reply)
+{
+	const struct brf_reply too_large = {
+		.outcome = BRF_UNKNOWN,
+		.reason = BRF_R_ANSWER_TOO_LARGE,
+	};
+	struct brf_rpc_writer w;
+
+	brf_rpc_begin_reply(
+	    &w, &sc->conn.out, brf_reply_size(reply), xid, BRF_RPC_SUCCESS);
+	if (brf_rpc_end(&w, brf_reply_put(&w.xdr, id, reply)))
+		return;
+	brf_rpc_begin_reply(&w, &sc->conn.out, brf_reply_size(&too_large), xid,
+	    BRF_RPC_SUCCESS);
+	brf_rpc_end(&w, brf_reply_put(&w.xdr, id, &too_large));
+}
+
+static void
+on_done(struct brf_exchange *x, const struct brf_reply *reply)
+{
+	struct inbound_call *in = brf_container_of(x, struct inbound_call, x);
+	struct server_conn *sc = in->sc;
+
+	if (!sc->conn.closing) {
+		write_reply(sc, in->xid, x->attempt.id, reply);
+		brf_conn_touch(&sc->conn);
+	}
+	brf_list_remove(&in->link);
+	brf_message_unref(x->attempt.request);
+	free(in);
+	sc->open--;
+	sc->conn.peers->open_calls--;
+	free_when_done(sc);
+}
+
+static struct brf_list *
+id_bucket(struct server_conn *sc, struct brf_id id)
+{
+	return (&sc->calls[id.lo % ID_BUCKETS]);
+}
+
+static bool
+serve_call(struct server_conn *sc, XDR *xdr, const struct brf_record *record,
+    uint32_t xid, struct brf_error *err)
+{
+	struct brf_peers *peers = sc->conn.peers;
+	struct inbound_call *in = brf_calloc(1, sizeof(*in));
+	bool ok = brf_attempt_get(xdr, &in->x.attempt, err);
+
+	if (ok && !brf_rpc_at_end(xdr, record)) {
+		brf_message_unref(in->x.attempt.request);
+		ok = brf_error_set(
+		    err, BRF_E_RPC_ARGUMENT, 0, "bytes behind the attempt");
+	}
+	if (!ok) {
+		free(in);
+		return (reject(sc, xid, BRF_RPC_GARBAGE_ARGS, err));
+	}
+	in->x.done = on_done;
+	in->sc = sc;
+	in->xid = xid;
+	brf_list_init(&in->link);
+	brf_list_append(id_bucket(sc, in->x.attempt.id), &in->link);
+	sc->open++;
+	peers->open_calls++;
+	peers->calls_received->value++;
+	brf_send(peers->config.gate, &in->x);
+	return (true);
+}
+
+static struct inbound_call *
+find_inbound(struct server_conn *sc, struct brf_id id)
+{
+	struct brf_list *l, *bucket = id_bucket(sc, id);
+	struct inbound_call *in;
+
+	brf_list_foreach (l, bucket) {
+		in = brf_list_entry(l, struct inbound_call, link);
+		if (brf_id_equal(in->x.attempt.id, id))
+			return (in);
+	}
+	return (NULL);
+}
+
+/* A call that has been answered is not found, which is no fault. */
+static bool
+serve_cancel(struct server_conn *sc, XDR *xdr, const struct brf_record *record,
+    uint32_t xid, struct brf_error *err)
+{
+	struct inbound_call *in;
+	brf_xdr_id id;
+
+	if (!xdr_brf_xdr_id(xdr, &id) || !brf_rpc_at_end(xdr, record)) {
+		brf_error_set(err, BRF_E_RPC_ARGUMENT, 0, "id");
+		return (reject(sc, xid, BRF_RPC_GARBAGE_ARGS, err));
+	}
+	answer_status(sc, xid, BRF_RPC_SUCCESS);
+	in = find_inbound(sc, brf_id_from_xdr(&id));
+	if (in != NULL)
+		brf_cancel(sc->conn.peers->config.gate, &in->x);
+	return (true);
+}
+
+/**
+ * struct news_list - the answer to BRF_PEER_DOCUMENTS as it grows.
+ */
+struct news_list {
+	brf_xdr_document items[BRF_NEWS_MAX];
+	size_t count;
+	size_t bytes;
+};
+
+/* The source keeps the text until its call ends, but names nothing about it
+ * after that, so it is copied. */
+static bool
+emit_news(const struct brf_document_news *news, void *arg)
+{
+	struct news_list *list = arg;
+	brf_xdr_document *item = &list->items[list->count];
+	size_t bytes = news->len + DOCUMENTS_OVERHEAD;
+
+	if (list->count == BRF_NEWS_MAX || news->len > BRF_XDR_BODY ||
+	    list->bytes + bytes > BRF_XDR_BODY + DOCUMENTS_OVERHEAD)
+		return (false);
+	item->service.service_len = (u_int)strlen(news->service);
+	item->service.service_val =
+	    brf_strdup(news->service, item->service.service_len);
+	item->revision = news->revision;
+	item->text.text_len = (u_int)news->len;
+	item->text.text_val =
+	    news->len != 0 ? brf_strdup(news->text, news->len) : NULL;
+	list->bytes += bytes;
+	list->count++;
+	return (true);
+}
+
+static void
+write_news(struct server_conn *sc, uint32_t xid, struct news_list *list)
+{
+	brf_xdr_documents docs = {
+		.newer.newer_len = (u_int)list->count,
+		.newer.newer_val = list->items,
+	};
+	struct brf_rpc_writer w;
+	size_t i;
+
+	brf_rpc_begin_reply(&w, &sc->conn.out, list->bytes + DOCUMENTS_OVERHEAD,
+	    xid, BRF_RPC_SUCCESS);
+	if (!brf_rpc_end(&w, xdr_brf_xdr_documents(&w.xdr, &docs)))
+		brf_rpc_write_status(&sc->conn.out, xid, BRF_RPC_SYSTEM_ERR);
+	brf_conn_touch(&sc->conn);
+	for (i = 0; i < list->count; i++) {
+		free(list->items[i].service.service_val);
+		free(list->items[i].text.text_val);
+	}
+}
+
+static bool
+fill_known(const brf_xdr_revisions *in, struct brf_known_revision *known)
+{
+	const brf_xdr_revision *r;
+	u_int i;
+
+	for (i = 0; i < in->known.known_len; i++) {
+		r = &in->known.known_val[i];
+		if (memchr(r->service.service_val, '\0',
+			r->service.service_len) != NULL)
+			return (false);
+		known[i].service =
+		    brf_strdup(r->service.service_val, r->service.service_len);
+		known[i].revision = r->revision;
+	}
+	return (true);
+}
+
+static void
+ask_source(struct server_conn *sc, uint32_t xid,
+    const struct brf_known_revision *known, size_t count)
+{
+	struct brf_document_source *source = sc->conn.peers->config.documents;
+	struct news_list *list = brf_calloc(1, sizeof(*list));
+
+	if (source != NULL)
+		source->vt->newer(source, known, count, emit_news, list);
+	write_news(sc, xid, list);
+	free(list);
+}
+
+static bool
+serve_documents(struct server_conn *sc, XDR *xdr,
+    const struct brf_record *record, uint32_t xid, struct brf_error *err)
+{
+	brf_xdr_revisions in = { .known.known_len = 0 };
+	struct brf_known_revision *known = NULL;
+	size_t i, count = 0;
+	bool ok =
+	    xdr_brf_xdr_revisions(xdr, &in) && brf_rpc_at_end(xdr, record);
+
+	if (ok) {
+		count = in.known.known_len;
+		known = brf_calloc(count, sizeof(*known));
+		ok = fill_known(&in, known);
+	}
+	if (ok)
+		ask_source(sc, xid, known, count);
+	for (i = 0; i < count; i++)
+		free((char *)known[i].service);
+	free(known);
+	xdr_free((xdrproc_t)xdr_brf_xdr_revisions, &in);
+	if (ok)
+		return (true);
+	brf_error_set(err, BRF_E_RPC_ARGUMENT, 0, "revisions");
+	return (reject(sc, xid, BRF_RPC_GARBAGE_ARGS, err));
+}
+
+static const struct {
+	bool (*serve)(struct server_conn *sc, XDR *xdr,
+	    const struct brf_record *record, uint32_t xid,
+	    struct brf_error *err);
+	bool before_proof;
+} procedures[] = {
+	[BRF_PEER_NULL] = { .serve = serve_null, .before_proof = true },
+	[BRF_PEER_HELLO] = { .serve = serve_hello, .before_proof = true },
+	[BRF_PEER_PROVE] = { .serve = serve_prove, .before_proof = true },
+	[BRF_PEER_CALL] = { .serve = serve_call },
+	[BRF_PEER_CANCEL] = { .serve = serve_cancel },
+	[BRF_PEER_DOCUMENTS] = { .serve = serve_documents },
+};
+
+static enum brf_rpc_status
+check_header(const struct brf_rpc_header *h, struct brf_error *err)
+{
+	if (h->rpc_version != RPC_MSG_VERSION) {
+		brf_error_set(err, BRF_E_RPC_VERSION, 0, "RPC version %u",
+		    h->rpc_version);
+		return (BRF_RPC_VERSION_MISMATCH);
+	}
+	if (h->program != BRF_PEER_PROGRAM) {
+		brf_error_set(
+		    err, BRF_E_RPC_VERSION, 0, "program %u", h->program);
+		return (BRF_RPC_PROG_UNAVAIL);
+	}
+	if (h->version != BRF_PEER_VERSION) {
+		brf_error_set(err, BRF_E_RPC_VERSION, 0, "program version %u",
+		    h->version);
+		return (BRF_RPC_PROG_MISMATCH);
+	}
+	if (h->procedure >= brf_nitems(procedures)) {
+		brf_error_set(
+		    err, BRF_E_RPC_PROCEDURE, 0, "procedure %u", h->procedure);
+		return (BRF_RPC_PROC_UNAVAIL);
+	}
+	return (BRF_RPC_SUCCESS);
+}
+
+static bool
+on_message(struct brf_conn *conn, const struct brf_record *record,
+    struct brf_error *err)
+{
+	struct server_conn *sc = server_conn(conn);
+	struct brf_rpc_header header;
+	enum brf_rpc_status status;
+	XDR xdr;
+
+	if (!brf_rpc_read(&xdr, record, &header, err))
+		return (false);
+	if (!header.is_call) {
+		brf_error_set(err, BRF_E_RPC_UNMATCHED, 0,
+		    "reply towards the callee, xid %u", header.xid);
+		brf_peers_fault(conn->peers, err);
+		return (true);
+	}
+	status = check_header(&header, err);
+	if (status != BRF_RPC_SUCCESS)
+		return (reject(sc, header.xid, status, err));
+	if (sc->state != SERVER_PROVED &&
+	    !procedures[header.procedure].before_proof)
+		return (deny(sc, header.xid, BRF_E_RPC_DENIED,
+		    "call before the proof", err));
+	return (procedures[header.procedure].serve(
+	    sc, &xdr, record, header.xid, err));
+}
+
+static void
+on_fill(struct brf_conn *conn)
+{
+	(void)conn;
+}
+
+/* Their sender has concluded; a callback may end other calls of the list. */
+static void
+cancel_all(struct server_conn *sc, struct brf_list *calls)
+{
+	struct brf_list handed;
+	struct inbound_call *in;
+
+	brf_list_init(&handed);
+	while (!brf_list_empty(calls)) {
+		in = brf_list_entry(calls->next, struct inbound_call, link);
+		brf_list_remove(&in->link);
+		brf_list_append(&handed, &in->link);
+		brf_cancel(sc->conn.peers->config.gate, &in->x);
+	}
+	while (!brf_list_empty(&handed)) {
+		in = brf_list_entry(handed.next, struct inbound_call, link);
+		brf_list_remove(&in->link);
+	}
+}
+
+static void
+on_lost(struct brf_conn *conn, const struct brf_error *err)
+{
+	struct server_conn *sc = server_conn(conn);
+	size_t i;
+
+	(void)err;
+	brf_timer_stop(conn->peers->config.timers, &sc->timer);
+	if (sc->state != SERVER_PROVED)
+		conn->peers->unproved--;
+	for (i = 0; i < ID_BUCKETS; i++)
+		cancel_all(sc, &sc->calls[i]);
+}
+
+static void
+on_release(struct brf_conn *conn)
+{
+	struct server_conn *sc = server_conn(conn);
+
+	sc->released = true;
+	free_when_done(sc);
+}
+
+static const struct brf_conn_vt server_conn_vt = {
+	.message = on_message,
+	.fill = on_fill,
+	.lost = on_lost,
+	.release = on_release,
+};
+
+static void
+on_timer(struct brf_timer *timer, void *arg)
+{
+	struct server_conn *sc = arg;
+	struct brf_error err;
+
+	(void)timer;
+	brf_error_set(&err, BRF_E_AUTH, 0, "no proof in time");
+	brf_conn_close(&sc->conn, &err);
+}
+
+void
+brf_server_accept(struct brf_peers *peers, uv_stream_t *listener)
+{
+	struct server_conn *sc = brf_calloc(1, sizeof(*sc));
+	struct brf_error err;
+	int rc;
+	size_t i;
+
+	for (i = 0; i < ID_BUCKETS; i++)
+		brf_list_init(&sc->calls[i]);
+	sc->timer.fire = on_timer;
+	sc->timer.arg = sc;
+	sc->conn.reader.most = UNPROVED_RECORD;
+	brf_conn_init(&sc->conn, &server_conn_vt, peers);
+	peers->unproved++;
+	rc = uv_accept(listener, (uv_stream_t *)&sc->conn.tcp);
+	if (rc < 0) {
+		brf_error_set(&err, BRF_E_SYSTEM, rc, "accept");
+		brf_conn_close(&sc->conn, &err);
+		return;
+	}
+	if (peers->unproved > UNPROVED_MAX) {
+		brf_error_set(&err, BRF_E_LIMIT, 0,
+		    "%u connections without a proof", UNPROVED_MAX);
+		brf_conn_close(&sc->conn, &err);
+		return;
+	}
+	brf_timer_start(
+	    peers->config.timers, &sc->timer, peers->config.connect_us);
+	brf_conn_start(&sc->conn);
+}
