--- /dev/null
+++ b/src/member/heal.c
@@ -0,0 +1,164 @@
+#include "member/internal.h"
+
+/**
+ * DOC: How nodes that lost each other meet again.
+ *
+ * Lost members are remembered and pinged, one a period; while some are found
+ * again, more at once.  Each ping carries what is claimed of the receiver, so
+ * that it can refute.  Seeds from the settings are pinged for ever, so that
+ * sides which were wholly replaced meet as well.
+ */
+
+void
+brf_heal_verify(struct brf_members *ms, struct brf_entry *e)
+{
+	if (!brf_list_empty(&e->verify))
+		return;
+	brf_list_append(&ms->verify, &e->verify);
+}
+
+/* A lost member whose address has another life will not come back. */
+static bool
+is_replaced(struct brf_members *ms, const struct brf_entry *e)
+{
+	const struct sockaddr_in *own = &ms->table.self->member.addr;
+
+	return (brf_table_at(&ms->table, &e->member.addr, e) != NULL ||
+		(own->sin_port == e->member.addr.sin_port &&
+		    own->sin_addr.s_addr == e->member.addr.sin_addr.s_addr));
+}
+
+static void
+ping_lost(struct brf_members *ms)
+{
+	struct brf_entry *e = brf_roster_next(&ms->table, BRF_ROSTER_LOST);
+
+	if (e == NULL)
+		return;
+	if (is_replaced(ms, e))
+		brf_members_conclude(ms, e, BRF_GOSSIP_LEFT);
+	else
+		brf_probe_claim(ms, e, BRF_GOSSIP_FAILED);
+}
+
+static void
+heal_step(struct brf_members *ms)
+{
+	uint64_t now = brf_members_own(ms);
+	unsigned i;
+
+	if (now < ms->healing_until) {
+		for (i = 0; i < BRF_HEAL_PER_TICK; i++)
+			ping_lost(ms);
+	} else if (ms->next_heal <= now) {
+		ms->next_heal = now + ms->config.period_us;
+		ping_lost(ms);
+	}
+}
+
+/* After the ping the member has a period to be heard. */
+static void
+verify_step(struct brf_members *ms)
+{
+	struct brf_entry *e;
+	unsigned i;
+
+	for (i = 0; i < BRF_VERIFY_PER_TICK; i++) {
+		if (brf_list_empty(&ms->verify))
+			return;
+		e = brf_list_entry(ms->verify.next, struct brf_entry, verify);
+		brf_list_remove(&e->verify);
+		brf_probe_claim(ms, e, BRF_GOSSIP_FAILED);
+		if (e->version.state >= BRF_GOSSIP_SUSPECT)
+			continue;
+		e->until = brf_members_own(ms) + ms->config.period_us;
+		brf_list_append(&ms->checks, &e->verify);
+	}
+}
+
+static void
+check_step(struct brf_members *ms)
+{
+	uint64_t now = brf_members_own(ms), period = ms->config.period_us;
+	struct brf_entry *e;
+
+	while (!brf_list_empty(&ms->checks)) {
+		e = brf_list_entry(ms->checks.next, struct brf_entry, verify);
+		if (e->version.state < BRF_GOSSIP_SUSPECT && e->until > now)
+			return;
+		brf_list_remove(&e->verify);
+		if (e->version.state < BRF_GOSSIP_SUSPECT &&
+		    e->heard_direct + period < e->until)
+			brf_members_conclude(ms, e, BRF_GOSSIP_SUSPECT);
+	}
+}
+
+/* Members that are gone for long are forgotten. */
+static void
+forget_step(struct brf_members *ms)
+{
+	uint64_t now = brf_members_own(ms);
+	struct brf_list *l, *tmp;
+	struct brf_member before;
+	struct brf_entry *e;
+
+	brf_list_foreach_safe (l, tmp, &ms->table.gone) {
+		e = brf_list_entry(l, struct brf_entry, link);
+		if (e->until > now)
+			continue;
+		before = e->member;
+		brf_table_remove(&ms->table, e);
+		brf_members_notify(ms, &before, NULL);
+	}
+}
+
+static void
+ping_seed(struct brf_members *ms, const struct sockaddr_in *seed)
+{
+	const struct brf_entry *self = ms->table.self;
+	struct brf_gossip *g;
+
+	if (self->member.addr.sin_port == seed->sin_port &&
+	    self->member.addr.sin_addr.s_addr == seed->sin_addr.s_addr)
+		return;
+	g = brf_members_begin(ms, BRF_GOSSIP_PING);
+	brf_gossip_add_full(g, &self->member, &self->version);
+	brf_members_send(ms, seed);
+}
+
+void
+brf_members_contact(struct brf_members *ms, const struct sockaddr_in *addr)
+{
+	if (!ms->leaving && brf_table_at(&ms->table, addr, NULL) == NULL)
+		ping_seed(ms, addr);
+}
+
+static void
+seed_step(struct brf_members *ms)
+{
+	uint64_t now = brf_members_own(ms), period = ms->config.period_us;
+	size_t i;
+
+	if (ms->config.seed_count == 0 || now < ms->next_seed)
+		return;
+	if (ms->table.rosters[BRF_ROSTER_ALL].count != 0) {
+		ms->next_seed = now + BRF_SEED_PERIODS * period;
+		i = ms->seed_turn++ % ms->config.seed_count;
+		brf_members_contact(ms, &ms->config.seeds[i]);
+		return;
+	}
+	ms->next_seed = now + period / 2 +
+			brf_random_below(ms->config.random, period / 2 + 1);
+	for (i = 0; i < ms->config.seed_count; i++)
+		ping_seed(ms, &ms->config.seeds[i]);
+}
+
+void
+brf_heal_tick(struct brf_members *ms)
+{
+	heal_step(ms);
+	verify_step(ms);
+	check_step(ms);
+	forget_step(ms);
+	seed_step(ms);
+}
--- /dev/null
+++ b/src/member/internal.h
@@ -0,0 +1,181 @@
+#ifndef BRF_MEMBER_INTERNAL_H
+#define BRF_MEMBER_INTERNAL_H
+
+#include "member/table.h"
+
+/**
+ * DOC: Shared by the files of this package only.
+ *
+ * Time-outs run on the node's own time: it moves with the ticks, each by at
+ * most two ticks' length.  A process that was paused, or whose loop was late,
+ * has thus not waited for the others, and does not accuse them (compare
+ * Lifeguard, DSN-W 2018).
+ */
+
+#define BRF_TICKS_PER_PERIOD 10u
+#define BRF_SUSPICION_PERIODS 5u   /* from suspicion to failed */
+#define BRF_HEALTH_WORST 3u	   /* time-outs are at most this + 1 longer */
+#define BRF_NEWS_SENT_MAX 16u	   /* times that news is passed on, at most */
+#define BRF_NEWS_FANOUT 3u	   /* receivers of news in a tick */
+#define BRF_NEWS_BURST 2u	   /* datagrams to one of them, at most */
+#define BRF_RELAYS 3u		   /* asked to probe in our place */
+#define BRF_RELAYED_MAX 64u	   /* probes made for others at once */
+#define BRF_FAR_PROBE_EVERY 4u	   /* one in so many goes to any zone */
+#define BRF_HEAL_PER_TICK 2u	   /* pings to lost members while healing */
+#define BRF_HEAL_PERIODS 5u	   /* healing lasts from the last contact */
+#define BRF_VERIFY_PER_TICK 2u	   /* pings that carry others' claims */
+#define BRF_FORGET_PERIODS 86400u  /* a lost member is remembered for */
+#define BRF_FORGET_LEFT_PERIODS 600u /* one that left */
+#define BRF_SYNC_PERIODS 2u	   /* between two syncs, and of quiet before */
+#define BRF_SYNC_LATEST_PERIODS 10u /* sync although it is not quiet */
+#define BRF_SYNC_DATAGRAMS 4u	   /* answer to one sync */
+#define BRF_SYNC_SERVED_PER_TICK 4u /* syncs answered */
+#define BRF_SEED_PERIODS 5u	   /* between pings to a seed, once joined */
+#define BRF_CATCH_UP_PERIODS 30u   /* a joiner syncs without a pause */
+
+enum brf_probe_stage {
+	BRF_PROBE_IDLE,
+	BRF_PROBE_DIRECT,
+	BRF_PROBE_INDIRECT
+};
+
+/**
+ * struct brf_probe - the probe under way.
+ * @relays_asked: nodes asked to ping in our place
+ * @relays_heard: those that said they do; with none, the fault is likely here
+ */
+struct brf_probe {
+	enum brf_probe_stage stage;
+	uint64_t key;
+	uint32_t number;
+	uint64_t began;
+	uint64_t until;
+	unsigned relays_asked;
+	unsigned relays_heard;
+};
+
+/**
+ * struct brf_relayed - a ping made for another node.
+ */
+struct brf_relayed {
+	uint32_t number;
+	uint32_t their_number;
+	struct sockaddr_in to;
+};
+
+struct brf_member_metrics {
+	struct brf_metric *known;
+	struct brf_metric *suspects;
+	struct brf_metric *lost;
+	struct brf_metric *health;
+	struct brf_metric *malformed;
+	struct brf_metric *unauthenticated;
+	struct brf_metric *suspicions;
+	struct brf_metric *failures;
+	struct brf_metric *refutations;
+	struct brf_metric *syncs;
+	struct brf_metric *pauses;
+};
+
+struct brf_members {
+	struct brf_members_config config;
+	struct brf_gossip_codec *codec;
+	struct brf_table table;
+	struct brf_list watchers;
+	struct brf_member_metrics metrics;
+	struct brf_timer tick;
+	uint64_t tick_us;
+	uint64_t last_tick; /* clock time */
+	uint64_t own_us;    /* own time at @last_tick */
+	bool leaving;
+	unsigned health;
+	uint64_t next_probe;
+	unsigned probes;
+	struct brf_probe probe;
+	struct brf_relayed relayed[BRF_RELAYED_MAX];
+	size_t next_relayed;
+	struct brf_list news[BRF_NEWS_SENT_MAX];
+	struct brf_list docs_news[BRF_NEWS_SENT_MAX];
+	unsigned news_turn;
+	struct brf_list verify;
+	struct brf_list checks;
+	uint64_t healing_until;
+	uint64_t next_heal;
+	uint64_t next_seed;
+	size_t seed_turn;
+	uint64_t changed_at; /* own time of the last change of the table */
+	uint64_t next_sync;
+	uint64_t last_sync;
+	uint64_t catch_up_until;
+	unsigned syncs_served;
+	struct brf_gossip in;
+	struct brf_gossip out;
+};
+
+/* Own time; see DOC above. */
+uint64_t brf_members_own(const struct brf_members *ms);
+
+/* A message of this node, its header filled, in @ms->out. */
+struct brf_gossip *brf_members_begin(
+    struct brf_members *ms, enum brf_gossip_type type);
+
+/* Send @ms->out. */
+void brf_members_send(struct brf_members *ms, const struct sockaddr_in *to);
+
+/* Tell the watchers. */
+void brf_members_notify(struct brf_members *ms,
+    const struct brf_member *before, const struct brf_member *after);
+
+/**
+ * brf_members_conclude() - this node sets @state of another at its present
+ * incarnation, and passes it on.
+ */
+void brf_members_conclude(
+    struct brf_members *ms, struct brf_entry *e, enum brf_gossip_state state);
+
+/* Raise the own incarnation above @above, with @state, and pass it on. */
+void brf_members_assert_self(struct brf_members *ms, uint64_t above,
+    enum brf_gossip_state state, bool full);
+
+/* news.c */
+void brf_news_init(struct brf_members *ms);
+void brf_news_add(struct brf_members *ms, struct brf_entry *e, bool full);
+void brf_news_add_docs(struct brf_members *ms, struct brf_entry *e);
+bool brf_news_waiting(const struct brf_members *ms);
+
+/* Fill the rest of @ms->out with news that wait. */
+void brf_news_fill(struct brf_members *ms);
+
+/* Pass waiting news on to @receivers members. */
+void brf_news_spread(struct brf_members *ms, unsigned receivers);
+
+/* merge.c */
+void brf_merge(struct brf_members *ms);
+
+/* Whether a member other than @but has told of @digest. */
+bool brf_members_docs_known(const struct brf_members *ms, uint64_t digest,
+    const struct brf_entry *but);
+
+/* probe.c */
+void brf_probe_tick(struct brf_members *ms);
+void brf_probe_abandon(struct brf_members *ms);
+void brf_probe_ping(struct brf_members *ms, const struct sockaddr_in *to,
+    const struct brf_gossip_brief *claim, uint32_t number);
+/* A ping that tells @target what is claimed of it, and wants no account of
+ * the answer. */
+void brf_probe_claim(struct brf_members *ms, const struct brf_entry *target,
+    enum brf_gossip_state claim);
+void brf_probe_answer(struct brf_members *ms, const struct sockaddr_in *from);
+void brf_probe_acked(struct brf_members *ms);
+void brf_probe_relay(struct brf_members *ms, const struct sockaddr_in *from);
+void brf_probe_relaying(struct brf_members *ms);
+
+/* heal.c */
+void brf_heal_tick(struct brf_members *ms);
+void brf_heal_verify(struct brf_members *ms, struct brf_entry *e);
+
+/* sync.c */
+void brf_sync_consider(struct brf_members *ms, const struct sockaddr_in *from);
+void brf_sync_serve(struct brf_members *ms, const struct sockaddr_in *from);
+
+#endif
--- a/src/member/members.h
+++ b/src/member/members.h
@@ -36,7 +36,8 @@
  * @service: what its target serves; empty before the announcement
  * @slots: announced slots
  * @state: as told by the node or concluded by others
- * @docs_digest: digest of its documents' revisions, see config/docs.h
+ * @docs_digest: digest of its documents' revisions, see config/docs.h; 0
+ *	while not known
  * @heard: clock time of the last word, direct or through others
  */
 struct brf_member {
@@ -120,11 +121,20 @@
 void brf_members_receive(struct brf_members *ms, const struct sockaddr_in *from,
     const void *data, size_t len);
 
+/**
+ * brf_members_contact() - ping an address that may have a member, such as an
+ * entry of the store; nothing is done when a member there is known.
+ */
+void brf_members_contact(
+    struct brf_members *ms, const struct sockaddr_in *addr);
+
 const struct brf_member *brf_members_self(const struct brf_members *ms);
 
 /**
  * brf_members_update_self() - new state, service, slots or digest; spread at
  * once under a higher incarnation.  Identity and addresses are not changed.
+ * A new digest alone leaves the incarnation; it is spread by the first members
+ * that have it, others tell it to whom they talk.
  */
 void brf_members_update_self(
     struct brf_members *ms, const struct brf_member *self);
