--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -21,7 +21,7 @@
 		return (!node->settings.workspace_required);
 	if (node->workspace_keys == NULL)
 		return (false);
-	return (brf_keyring_check(node->workspace_keys, token, out, NULL));
+	return (brf_token_check(node->workspace_keys, token, out, NULL));
 }
 
 static void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -162,19 +162,18 @@
 		.key_len = set->fleet_key_len,
 		.period_us = PROBE_PERIOD_US };
 
-	node->udp = brf_udp_new(&node->loop, &addr, node->metrics, err);
+	node->udp = brf_udp_new(&node->loop, node->metrics, &addr,
+	    &self->addr, err);
 	if (node->udp == NULL)
 		return (false);
-	self->addr = endpoint(set->address, brf_udp_port(node->udp));
 	config.datagrams = brf_udp_datagrams(node->udp);
 	config.self = *self;
 	memcpy(config.seeds, set->seeds, sizeof(config.seeds));
 	memcpy(config.key, set->fleet_key, set->fleet_key_len);
 	node->members = brf_members_new(&config);
-	brf_udp_receive(node->udp, node->members);
 	node->router = brf_router_new(node->members, node->timers,
 	    node->random, node->metrics);
-	return (true);
+	return (brf_udp_start(node->udp, node->members, err));
 }
 
 static void
@@ -197,7 +196,8 @@
 	if (node->settings.workspace_keys[0] == '\0')
 		return (true);
 	node->workspace_keys =
-	    brf_keyring_parse(node->settings.workspace_keys, err);
+	    brf_keyring_parse(node->settings.workspace_keys,
+		strlen(node->settings.workspace_keys), err);
 	return (node->workspace_keys != NULL);
 }
 
@@ -292,12 +292,13 @@
 close_all(struct brf_node *node)
 {
 	node->phase = BRF_PHASE_CLOSED;
-	node->closing = 4;
+	node->closing = 5;
 	brf_members_leave(node->members);
 	brf_http_server_close(node->entry, one_closed, node);
 	brf_http_server_close(node->local, one_closed, node);
 	brf_http_server_close(node->admin, one_closed, node);
 	brf_peers_close(node->peers, one_closed, node);
+	brf_udp_close(node->udp, one_closed, node);
 }
 
 static size_t
@@ -374,7 +375,6 @@
 	brf_caller_finish(&node->caller);
 	brf_router_free(node->router);
 	brf_members_free(node->members);
-	brf_udp_free(node->udp);
 	brf_gate_free(node->gate);
 	brf_http_loop_free(node->http);
 	brf_docs_free(node->docs);
