http: server on h2o, and a first client

The client by h2o's http1client shows two faults in the table of answers: a chunked answer that is torn between two chunks ends as whole, and an invalid content-length ends the process by an assertion in h2o.

--- /dev/null
+++ b/src/http/fetch.c
@@ -0,0 +1,207 @@
+#include <netinet/in.h>
+#include <stdlib.h>
+
+#include "bulrushford.h"
+#include "http/call.h"
+#include "http/fetch.h"
+
+#define IDLE_MS 2000u /* an unused connection is closed */
+
+struct fetch_pool {
+	struct brf_list link; /* in brf_http_loop.pools */
+	struct sockaddr_storage addr;
+	struct brf_call_pool *calls;
+};
+
+/**
+ * struct brf_fetch - one call.
+ * @starting: brf_fetch_start() has not returned
+ * @dropped: cancelled by the owner, who hears no more of it
+ * @task: reports an end that came before brf_fetch_start() returned
+ */
+struct brf_fetch {
+	struct brf_call call;
+	struct brf_http_loop *hl;
+	struct brf_timer timer;
+	struct brf_http_task task;
+	uint64_t timeout_us;
+	enum brf_run_end end;
+	brf_fetch_chunk_cb chunk;
+	brf_fetch_done_cb done;
+	void *arg;
+	bool starting;
+	bool dropped;
+};
+
+static const enum brf_errc end_errors[] = {
+	[BRF_RUN_ANSWERED] = BRF_OK,
+	[BRF_RUN_NOT_STARTED] = BRF_E_CONNECT,
+	[BRF_RUN_LOST] = BRF_E_CLOSED,
+	[BRF_RUN_BROKEN] = BRF_E_HTTP,
+	[BRF_RUN_TOO_LARGE] = BRF_E_TOO_LARGE,
+	[BRF_RUN_CANCELLED] = BRF_E_TIMEOUT,
+};
+
+static bool
+same_address(const struct sockaddr *a, const struct sockaddr *b)
+{
+	const struct sockaddr_in6 *a6 = (const void *)a, *b6 = (const void *)b;
+	const struct sockaddr_in *a4 = (const void *)a, *b4 = (const void *)b;
+
+	if (a->sa_family != b->sa_family)
+		return (false);
+	if (a->sa_family == AF_INET6)
+		return (a6->sin6_port == b6->sin6_port &&
+			memcmp(&a6->sin6_addr, &b6->sin6_addr,
+			    sizeof(a6->sin6_addr)) == 0);
+	return (a4->sin_port == b4->sin_port &&
+		a4->sin_addr.s_addr == b4->sin_addr.s_addr);
+}
+
+static struct brf_call_pool *
+find_pool(struct brf_http_loop *hl, const struct sockaddr *addr)
+{
+	struct fetch_pool *pool;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &hl->pools) {
+		pool = brf_list_entry(l, struct fetch_pool, link);
+		if (same_address((struct sockaddr *)&pool->addr, addr))
+			return (pool->calls);
+	}
+	pool = brf_calloc(1, sizeof(*pool));
+	memcpy(&pool->addr, addr,
+	    addr->sa_family == AF_INET6 ? sizeof(struct sockaddr_in6)
+					: sizeof(struct sockaddr_in));
+	pool->calls = brf_call_pool_new(hl, addr, IDLE_MS);
+	brf_list_append(&hl->pools, &pool->link);
+	return (pool->calls);
+}
+
+void
+brf_fetch_pools_free(struct brf_http_loop *hl)
+{
+	struct fetch_pool *pool;
+	struct brf_list *l, *next;
+
+	brf_list_foreach_safe (l, next, &hl->pools) {
+		pool = brf_list_entry(l, struct fetch_pool, link);
+		brf_list_remove(l);
+		brf_call_pool_free(pool->calls);
+		free(pool);
+	}
+}
+
+static void
+report(struct brf_fetch *f, const struct brf_message *m)
+{
+	struct brf_fetch_answer answer = { .status = m->status };
+	struct brf_error err = { .code = BRF_OK };
+
+	if (f->end != BRF_RUN_ANSWERED) {
+		brf_error_set(&err, end_errors[f->end], 0, "HTTP call to %s",
+		    f->call.pool->authority);
+	} else if (f->chunk == NULL) {
+		answer.body = m->body.len != 0 ? m->body.data : "";
+		answer.body_len = m->body.len;
+	}
+	f->done(f->arg, err.code != BRF_OK ? &err : NULL, &answer);
+}
+
+static void
+report_task(struct brf_http_task *task)
+{
+	struct brf_fetch *f = brf_container_of(task, struct brf_fetch, task);
+	const struct brf_message none = { .status = 0 };
+
+	report(f, &none);
+	free(f);
+}
+
+static void
+call_done(struct brf_call *call, enum brf_run_end end)
+{
+	struct brf_fetch *f = brf_container_of(call, struct brf_fetch, call);
+
+	brf_timer_stop(f->hl->timers, &f->timer);
+	f->end = end;
+	if (f->starting) { /* connecting failed at once */
+		brf_http_task_post(f->hl, &f->task);
+		return;
+	}
+	if (!f->dropped)
+		report(f, call->answer);
+	free(f);
+}
+
+static void
+call_chunk(struct brf_call *call, const char *data, size_t len)
+{
+	struct brf_fetch *f = brf_container_of(call, struct brf_fetch, call);
+
+	if (f->timeout_us != 0)
+		brf_timer_start(f->hl->timers, &f->timer, f->timeout_us);
+	f->chunk(f->arg, call->answer->status, data, len);
+}
+
+static void
+on_timeout(struct brf_timer *timer, void *arg)
+{
+	struct brf_fetch *f = arg;
+
+	brf_call_cancel(&f->call);
+}
+
+static struct brf_message *
+make_request(const struct brf_fetch_call *call)
+{
+	struct brf_message *m = brf_message_new();
+	size_t i;
+
+	brf_copy_name(m->method, sizeof(m->method), call->method);
+	brf_message_set_path(m, call->path, strlen(call->path), NULL);
+	for (i = 0; i < call->header_count; i++)
+		brf_message_add_header(m, call->headers[i].name,
+		    strlen(call->headers[i].name), call->headers[i].value,
+		    strlen(call->headers[i].value), NULL);
+	if (call->body_len != 0)
+		brf_buf_add(&m->body, call->body, call->body_len);
+	return (m);
+}
+
+struct brf_fetch *
+brf_fetch_start(struct brf_http_loop *hl, const struct brf_fetch_call *call)
+{
+	struct brf_fetch *f = brf_calloc(1, sizeof(*f));
+	struct brf_message *request = make_request(call);
+
+	f->hl = hl;
+	f->chunk = call->chunk;
+	f->done = call->done;
+	f->arg = call->arg;
+	f->timeout_us = call->timeout_us;
+	f->timer = (struct brf_timer){ .fire = on_timeout, .arg = f };
+	brf_http_task_init(&f->task, report_task);
+	f->call.done = call_done;
+	f->call.chunk = call->chunk != NULL ? call_chunk : NULL;
+	f->call.body_max = call->body_max != 0 ? call->body_max : BRF_BODY_MAX;
+	if (f->timeout_us != 0)
+		brf_timer_start(hl->timers, &f->timer, f->timeout_us);
+	f->starting = true;
+	brf_call_start(&f->call, find_pool(hl, call->addr), request, NULL, 0);
+	f->starting = false;
+	brf_message_unref(request);
+	return (f);
+}
+
+void
+brf_fetch_cancel(struct brf_fetch *f)
+{
+	f->dropped = true;
+	if (!brf_list_empty(&f->task.link)) {
+		brf_http_task_cancel(&f->task);
+		free(f);
+		return;
+	}
+	brf_call_cancel(&f->call);
+}
--- /dev/null
+++ b/test/http_test.cc
@@ -0,0 +1,861 @@
+#include <gtest/gtest.h>
+
+#include "bulrushford.h"
+#include "http_fake.h"
+
+namespace
+{
+
+/* Echoes at once, holds requests, or cuts them off. */
+struct recorder {
+	struct brf_http_handler handler;
+	enum { ANSWER, HOLD, CUT } mode;
+	std::vector<struct brf_http_request *> held;
+	std::string bodies;
+	std::string fields;
+	int handled;
+	int gone;
+};
+
+void
+echo(struct brf_http_request *r)
+{
+	struct brf_message *m = brf_http_request_message(r);
+	struct brf_message *answer = brf_message_new();
+	struct brf_header extra = { "brf-outcome", "answered" };
+
+	answer->status = 200;
+	brf_message_add_header(answer, "brf-forged", 10, "x", 1, nullptr);
+	brf_message_add_header(answer, "x-path", 6, m->path, strlen(m->path),
+	    nullptr);
+	brf_buf_add(&answer->body, m->body.data, m->body.len);
+	brf_http_respond(r, answer, &extra, 1);
+	brf_message_unref(answer);
+}
+
+void
+record_handle(struct brf_http_handler *h, struct brf_http_request *r)
+{
+	auto *rec = reinterpret_cast<struct recorder *>(h);
+	struct brf_message *m = brf_http_request_message(r);
+
+	rec->handled++;
+	rec->bodies.append(m->body.data ? m->body.data : "", m->body.len);
+	for (size_t i = 0; i < m->header_count; i++)
+		rec->fields += std::string(m->headers[i].name) + "=" +
+		    m->headers[i].value + ";";
+	if (rec->mode == recorder::ANSWER)
+		echo(r);
+	else if (rec->mode == recorder::CUT)
+		brf_http_abort(r);
+	else
+		rec->held.push_back(r);
+}
+
+void
+record_gone(struct brf_http_handler *h, struct brf_http_request *r)
+{
+	auto *rec = reinterpret_cast<struct recorder *>(h);
+
+	rec->gone++;
+	for (auto &held : rec->held) {
+		if (held == r)
+			held = nullptr;
+	}
+}
+
+const struct brf_http_handler_vt record_vt = { record_handle, record_gone };
+
+class server : public ::testing::Test
+{
+    protected:
+	struct http_bench bench;
+	struct recorder rec = {};
+	struct brf_http_server *srv = nullptr;
+	uint16_t port = 0;
+	bool closed = false;
+
+	void SetUp() override
+	{
+		struct sockaddr_in addr = loopback(0);
+
+		rec.handler.vt = &record_vt;
+		srv = brf_http_server_new(bench.hl, "test",
+		    (struct sockaddr *)&addr, &rec.handler, &port, nullptr);
+		ASSERT_NE(srv, nullptr);
+	}
+
+	static void note_closed(void *arg)
+	{
+		*static_cast<bool *>(arg) = true;
+	}
+
+	void TearDown() override
+	{
+		brf_http_server_close(srv, note_closed, &closed);
+		EXPECT_TRUE(bench.turn_until([&] { return (closed); }));
+		EXPECT_EQ(brf_http_server_connections(srv), 0u);
+		brf_http_server_free(srv);
+	}
+
+	/* Send all of @bytes and turn until the peer has @want or an end. */
+	void talk(struct raw_peer &p, std::string bytes, const std::string &want)
+	{
+		bench.turn_until([&] {
+			if (!bytes.empty())
+				bytes = p.put(bytes);
+			p.get();
+			return (p.ended ||
+			    p.got.find(want) != std::string::npos);
+		});
+	}
+};
+
+std::string
+field_lines(int n, size_t len)
+{
+	std::string s;
+
+	for (int i = 0; i < n; i++)
+		s += "f" + std::to_string(i) + ": " + std::string(len, 'v') +
+		    "\r\n";
+	return (s);
+}
+
+std::string
+chunks(size_t total)
+{
+	std::string s;
+
+	for (size_t n = 0; n < total; n += 65536)
+		s += "10000\r\n" + std::string(65536, 'c') + "\r\n";
+	return (s + "0\r\n\r\n");
+}
+
+const std::string host = "host: a\r\n";
+const std::string te = "transfer-encoding: chunked\r\n";
+
+const struct request_case {
+	const char *name;
+	std::string bytes;
+	const char *status;
+	const char *reason; /* NULL when it reaches the handler */
+	const char *body;
+} request_cases[] = {
+	{ "plain", "GET /p?q=1 HTTP/1.1\r\n" + host + "\r\n", "200", nullptr,
+	    "" },
+	{ "http 1.0 without host", "GET / HTTP/1.0\r\n\r\n", "200", nullptr,
+	    "" },
+	{ "length", "POST / HTTP/1.1\r\n" + host + "content-length: 5\r\n\r\nhello",
+	    "200", nullptr, "hello" },
+	{ "chunked",
+	    "POST / HTTP/1.1\r\n" + host + te +
+		"\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n",
+	    "200", nullptr, "hello" },
+	{ "body of the bound",
+	    "POST / HTTP/1.1\r\n" + host + "content-length: 1048576\r\n\r\n" +
+		std::string(1048576, 'x'),
+	    "200", nullptr, nullptr },
+	{ "no host", "GET / HTTP/1.1\r\n\r\n", "400", "malformed", nullptr },
+	/* h2o answers what is no HTTP by a fixed text of its own */
+	{ "garbage", "\x16\x03\x01\x02\x01garbage garbage\r\n\r\n", "400",
+	    "", nullptr },
+	{ "folded field", "GET / HTTP/1.1\r\n" + host + "a: b\r\n c\r\n\r\n",
+	    "400", "malformed", nullptr },
+	{ "length of no number",
+	    "POST / HTTP/1.1\r\n" + host + "content-length: 5x\r\n\r\nhello",
+	    "400", "malformed", nullptr },
+	{ "negative length",
+	    "POST / HTTP/1.1\r\n" + host + "content-length: -5\r\n\r\nhello",
+	    "400", "malformed", nullptr },
+	{ "broken chunk",
+	    "POST / HTTP/1.1\r\n" + host + te + "\r\nzz\r\nhello\r\n", "400",
+	    "malformed", nullptr },
+	{ "unknown coding",
+	    "POST / HTTP/1.1\r\n" + host +
+		"transfer-encoding: gzip\r\n\r\nhello",
+	    "400", "malformed", nullptr },
+	{ "path without slash", "GET p HTTP/1.1\r\n" + host + "\r\n", "400",
+	    "malformed", nullptr },
+	{ "path that is not ASCII", "GET /\xff\xfe HTTP/1.1\r\n" + host + "\r\n",
+	    "400", "malformed", nullptr },
+	{ "long method",
+	    std::string(20, 'A') + " / HTTP/1.1\r\n" + host + "\r\n", "400",
+	    "malformed", nullptr },
+	{ "length over the bound",
+	    "POST / HTTP/1.1\r\n" + host + "content-length: 1048577\r\n\r\n",
+	    "413", "too_large", nullptr },
+	{ "chunks over the bound",
+	    "POST / HTTP/1.1\r\n" + host + te + "\r\n" + chunks(1200000), "413",
+	    "too_large", nullptr },
+	{ "too many fields",
+	    "GET / HTTP/1.1\r\n" + host + field_lines(65, 1) + "\r\n", "431",
+	    "headers_too_large", nullptr },
+	{ "fields too long",
+	    "GET / HTTP/1.1\r\n" + host + field_lines(2, 9000) + "\r\n", "431",
+	    "headers_too_large", nullptr },
+	{ "path too long",
+	    "GET /" + std::string(2048, 'p') + " HTTP/1.1\r\n" + host + "\r\n",
+	    "414", "too_large", nullptr },
+};
+
+TEST_F(server, request_table)
+{
+	for (auto &c : request_cases) {
+		struct raw_peer p;
+		int handled = rec.handled;
+
+		rec.bodies.clear();
+		p.connect_to(port);
+		talk(p, c.bytes, "\r\n\r\n");
+		EXPECT_EQ(p.got.substr(0, 12),
+		    std::string("HTTP/1.1 ") + c.status)
+		    << c.name << ": " << p.got.substr(0, 300);
+		EXPECT_EQ(rec.handled - handled, c.reason == nullptr) << c.name;
+		if (c.body != nullptr) {
+			EXPECT_EQ(rec.bodies, c.body) << c.name;
+		}
+		if (c.reason == nullptr || *c.reason == '\0')
+			continue;
+		EXPECT_NE(p.got.find("brf-outcome: not_run\r\n"),
+		    std::string::npos)
+		    << c.name << p.got;
+		EXPECT_NE(p.got.find(std::string("brf-reason: ") + c.reason),
+		    std::string::npos)
+		    << c.name << p.got;
+	}
+}
+
+TEST_F(server, answers_carry_fields_and_length)
+{
+	struct raw_peer p;
+
+	p.connect_to(port);
+	talk(p,
+	    "POST /a/../b HTTP/1.1\r\n" + host +
+		"content-length: 3\r\nconnection: X-Hop, keep-alive\r\n"
+		"x-hop: 1\r\nTE: trailers\r\nX-End: 2\r\n\r\nabc",
+	    "abc");
+	EXPECT_NE(p.got.find("brf-outcome: answered\r\n"), std::string::npos);
+	EXPECT_NE(p.got.find("x-path: /a/../b\r\n"), std::string::npos);
+	EXPECT_NE(p.got.find("Content-Length: 3\r\n"), std::string::npos);
+	EXPECT_EQ(p.got.find("brf-forged"), std::string::npos);
+	EXPECT_EQ(rec.fields, "x-end=2;");
+}
+
+TEST_F(server, pipelined_requests_are_answered_in_order)
+{
+	struct raw_peer p;
+
+	p.connect_to(port);
+	talk(p,
+	    "GET /1 HTTP/1.1\r\n" + host + "\r\nPOST /2 HTTP/1.1\r\n" + host +
+		"content-length: 1\r\n\r\nbGET /3 HTTP/1.1\r\n" + host + "\r\n",
+	    "x-path: /3\r\n");
+	EXPECT_EQ(rec.handled, 3);
+	EXPECT_LT(p.got.find("/1\r\n"), p.got.find("/2\r\n"));
+	EXPECT_LT(p.got.find("/2\r\n"), p.got.find("/3\r\n"));
+}
+
+TEST_F(server, half_a_body_never_reaches_the_handler)
+{
+	struct raw_peer p;
+
+	p.connect_to(port);
+	p.put("POST / HTTP/1.1\r\n" + host + "content-length: 9\r\n\r\nhalf");
+	bench.turn(20);
+	p.drop();
+	EXPECT_TRUE(bench.turn_until(
+	    [&] { return (brf_http_server_connections(srv) == 0); }));
+	EXPECT_EQ(rec.handled, 0);
+}
+
+/* Frames of RFC 9113. */
+std::string
+frame(int type, int flags, uint32_t stream, const std::string &payload)
+{
+	std::string f = { (char)(payload.size() >> 16),
+		(char)(payload.size() >> 8), (char)payload.size(), (char)type,
+		(char)flags, 0, 0, 0, (char)stream };
+
+	return (f + payload);
+}
+
+const std::string h2_preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
+    frame(4, 0, 0, "");
+/* GET / for host "a" */
+const std::string h2_get = frame(1, 5, 1, "\x82\x86\x84\x41\x01"
+					   "a");
+const std::string h2_cancel = frame(3, 0, 1, std::string("\0\0\0\x08", 4));
+
+/* Type, flags and stream of the frames in @bytes, as text. */
+std::string
+frames(const std::string &bytes)
+{
+	std::string s;
+	size_t at = 0, len;
+
+	while (at + 9 <= bytes.size()) {
+		auto *b = (const unsigned char *)bytes.data() + at;
+		len = (size_t)b[0] << 16 | (size_t)b[1] << 8 | b[2];
+		s += std::to_string(b[3]) + "/" + std::to_string(b[4]) + "/" +
+		    std::to_string(b[8]) + " ";
+		at += 9 + len;
+	}
+	return (s);
+}
+
+TEST_F(server, http2_is_answered)
+{
+	struct raw_peer p;
+
+	p.connect_to(port);
+	p.put(h2_preface + h2_get);
+	EXPECT_TRUE(bench.turn_until([&] {
+		p.get();
+		return (frames(p.got).find("0/1/1") != std::string::npos);
+	})) << frames(p.got);
+	EXPECT_EQ(rec.handled, 1);
+}
+
+const struct leave_case {
+	const char *name;
+	std::string request;
+	std::string last_words;
+	enum { CLOSE, HALF_CLOSE, RESET, STAY } how;
+} leave_cases[] = {
+	{ "http 1", "GET / HTTP/1.1\r\n" + host + "\r\n", "",
+	    leave_case::CLOSE },
+	{ "http 1 with a body",
+	    "POST / HTTP/1.1\r\n" + host + "content-length: 2\r\n\r\nab", "",
+	    leave_case::CLOSE },
+	{ "http 1 after pipelining", "GET / HTTP/1.1\r\n" + host + "\r\n",
+	    "GET /2 HTTP/1.1\r\n" + host + "\r\n", leave_case::CLOSE },
+	{ "http 1 half closed", "GET / HTTP/1.1\r\n" + host + "\r\n", "",
+	    leave_case::HALF_CLOSE },
+	{ "http 1 reset", "GET / HTTP/1.1\r\n" + host + "\r\n", "",
+	    leave_case::RESET },
+	{ "http 2 connection", h2_preface + h2_get, "", leave_case::CLOSE },
+	{ "http 2 connection reset", h2_preface + h2_get, "",
+	    leave_case::RESET },
+	{ "http 2 stream", h2_preface + h2_get, h2_cancel, leave_case::STAY },
+};
+
+TEST_F(server, a_caller_that_leaves_is_reported_while_in_progress)
+{
+	struct linger none = { 1, 0 };
+
+	rec.mode = recorder::HOLD;
+	for (auto &c : leave_cases) {
+		struct raw_peer p;
+
+		rec.handled = rec.gone = 0;
+		p.connect_to(port);
+		p.put(c.request);
+		ASSERT_TRUE(bench.turn_until(
+		    [&] { return (rec.handled == 1); }))
+		    << c.name;
+		bench.turn(20);
+		EXPECT_EQ(rec.gone, 0) << c.name;
+		p.put(c.last_words);
+		if (c.how == leave_case::HALF_CLOSE)
+			shutdown(p.fd, SHUT_WR);
+		if (c.how == leave_case::RESET)
+			setsockopt(p.fd, SOL_SOCKET, SO_LINGER, &none,
+			    sizeof(none));
+		if (c.how == leave_case::CLOSE || c.how == leave_case::RESET)
+			p.drop();
+		EXPECT_TRUE(
+		    bench.turn_until([&] { return (rec.gone == 1); }))
+		    << c.name;
+		p.drop();
+		EXPECT_TRUE(bench.turn_until(
+		    [&] { return (brf_http_server_connections(srv) == 0); }))
+		    << c.name;
+		EXPECT_EQ(rec.handled, 1) << c.name;
+		EXPECT_EQ(rec.gone, 1) << c.name;
+	}
+}
+
+TEST_F(server, abort_cuts_http1_without_an_answer)
+{
+	struct raw_peer p;
+
+	rec.mode = recorder::CUT;
+	p.connect_to(port);
+	talk(p, "GET / HTTP/1.1\r\n" + host + "\r\n", "never");
+	EXPECT_TRUE(p.ended);
+	EXPECT_EQ(p.got, "");
+}
+
+TEST_F(server, abort_resets_http2_stream)
+{
+	struct raw_peer p;
+
+	rec.mode = recorder::CUT;
+	p.connect_to(port);
+	p.put(h2_preface + h2_get);
+	EXPECT_TRUE(bench.turn_until([&] {
+		p.get();
+		return (frames(p.got).find("3/0/1") != std::string::npos);
+	})) << frames(p.got);
+	EXPECT_EQ(frames(p.got).find("1/5/1"), std::string::npos);
+	EXPECT_EQ(frames(p.got).find("0/1/1"), std::string::npos);
+}
+
+TEST_F(server, stop_finishes_requests_and_closes_idle_connections)
+{
+	struct raw_peer idle, busy, late;
+
+	rec.mode = recorder::HOLD;
+	idle.connect_to(port);
+	busy.connect_to(port);
+	busy.put("GET / HTTP/1.1\r\n" + host + "\r\n");
+	ASSERT_TRUE(bench.turn_until([&] {
+		return (rec.handled == 1 &&
+		    brf_http_server_connections(srv) == 2);
+	}));
+	brf_http_server_stop(srv);
+	EXPECT_TRUE(bench.turn_until([&] {
+		idle.get();
+		return (idle.ended);
+	}));
+	bench.turn(20);
+	EXPECT_EQ(rec.gone, 0);
+	echo(rec.held[0]);
+	talk(busy, "", "never");
+	EXPECT_NE(busy.got.find("Connection: close\r\n"), std::string::npos);
+	EXPECT_TRUE(busy.ended);
+	EXPECT_EQ(brf_http_server_connections(srv), 0u);
+	struct sockaddr_in addr = loopback(port);
+	late.fd = socket(AF_INET, SOCK_STREAM, 0);
+	EXPECT_NE(connect(late.fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+}
+
+/* A target that reads one request and answers with raw bytes. */
+struct raw_target {
+	int listener;
+	uint16_t port;
+	struct raw_peer peer;
+
+	raw_target()
+	{
+		struct sockaddr_in addr = loopback(0);
+		socklen_t len = sizeof(addr);
+
+		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		EXPECT_EQ(bind(listener, (struct sockaddr *)&addr, len), 0);
+		listen(listener, 16);
+		getsockname(listener, (struct sockaddr *)&addr, &len);
+		port = ntohs(addr.sin_port);
+	}
+
+	bool accepts()
+	{
+		int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+
+		if (fd == -1)
+			return (false);
+		peer.drop();
+		peer.fd = fd;
+		peer.ended = false;
+		peer.got.clear();
+		return (true);
+	}
+
+	~raw_target()
+	{
+		close(listener);
+	}
+};
+
+struct run_record {
+	struct brf_run run;
+	int ends;
+	enum brf_run_end end;
+	int status;
+	std::string body;
+};
+
+void
+run_done(struct brf_run *run, enum brf_run_end end, struct brf_message *answer)
+{
+	auto *r = reinterpret_cast<struct run_record *>(run);
+
+	r->ends++;
+	r->end = end;
+	if (answer != nullptr) {
+		r->status = answer->status;
+		r->body.assign(answer->body.data ? answer->body.data : "",
+		    answer->body.len);
+	}
+}
+
+class target : public ::testing::Test
+{
+    protected:
+	struct http_bench bench;
+	struct brf_message *request = brf_message_new();
+
+	void SetUp() override
+	{
+		strcpy(request->method, "POST");
+		brf_message_set_path(request, "/r", 2, nullptr);
+		brf_message_add_header(
+		    request, "x-end", 5, "1", 1, nullptr);
+		brf_buf_puts(&request->body, "ask");
+	}
+
+	void TearDown() override
+	{
+		brf_message_unref(request);
+	}
+
+	void prepare(struct run_record &r)
+	{
+		r = {};
+		r.run.request = request;
+		r.run.extra[0] = { BRF_H_REQUEST, "77" };
+		r.run.extra_count = 1;
+		r.run.done = run_done;
+	}
+
+	/* Turn until the target has the whole request. */
+	bool asked(struct raw_target &t)
+	{
+		return (bench.turn_until([&] {
+			t.accepts();
+			t.peer.get();
+			return (t.peer.got.find("\r\n\r\nask") !=
+			    std::string::npos);
+		}));
+	}
+};
+
+const std::string ok = "HTTP/1.1 200 OK\r\n";
+
+const struct answer_case {
+	const char *name;
+	std::string bytes;
+	bool close;
+	enum brf_run_end end;
+	const char *body;
+} answer_cases[] = {
+	{ "length", ok + "content-length: 5\r\n\r\nhello", false,
+	    BRF_RUN_ANSWERED, "hello" },
+	{ "no bytes", ok + "content-length: 0\r\n\r\n", false,
+	    BRF_RUN_ANSWERED, "" },
+	{ "204", "HTTP/1.1 204 No Content\r\n\r\n", false, BRF_RUN_ANSWERED,
+	    "" },
+	{ "chunked", ok + te + "\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n", false,
+	    BRF_RUN_ANSWERED, "hello" },
+	{ "interim answer first",
+	    "HTTP/1.1 100 Continue\r\n\r\n" + ok +
+		"content-length: 2\r\n\r\nab",
+	    false, BRF_RUN_ANSWERED, "ab" },
+	{ "1.0 with a length", "HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nab",
+	    true, BRF_RUN_ANSWERED, "ab" },
+	{ "same length twice",
+	    ok + "content-length: 2\r\ncontent-length: 2\r\n\r\nab", false,
+	    BRF_RUN_ANSWERED, "ab" },
+	{ "body of the bound",
+	    ok + "content-length: 1048576\r\n\r\n" + std::string(1048576, 'x'),
+	    false, BRF_RUN_ANSWERED, nullptr },
+	{ "torn length", ok + "content-length: 5\r\n\r\nhell", true,
+	    BRF_RUN_BROKEN, nullptr },
+	{ "torn chunk", ok + te + "\r\n5\r\nhel", true, BRF_RUN_BROKEN,
+	    nullptr },
+	{ "no last chunk", ok + te + "\r\n5\r\nhello\r\n", true, BRF_RUN_BROKEN,
+	    nullptr },
+	{ "bad chunk", ok + te + "\r\nxy\r\nhello\r\n", false, BRF_RUN_BROKEN,
+	    nullptr },
+	{ "torn head", "HTTP/1.1 200 OK\r\ncontent-le", true, BRF_RUN_BROKEN,
+	    nullptr },
+	{ "garbage", "\x01\x02garbage\r\n\r\n", false, BRF_RUN_BROKEN,
+	    nullptr },
+	{ "ended by close alone", ok + "\r\nhello", true, BRF_RUN_BROKEN,
+	    nullptr },
+	{ "length and chunked",
+	    ok + "content-length: 5\r\n" + te + "\r\n0\r\n\r\n", false,
+	    BRF_RUN_BROKEN, nullptr },
+	{ "two lengths",
+	    ok + "content-length: 5\r\ncontent-length: 6\r\n\r\nhello!", false,
+	    BRF_RUN_BROKEN, nullptr },
+	{ "length of no number", ok + "content-length: 5x\r\n\r\nhello", false,
+	    BRF_RUN_BROKEN, nullptr },
+	{ "switches protocols", "HTTP/1.1 101 Switching\r\n\r\n", true,
+	    BRF_RUN_BROKEN, nullptr },
+	{ "closes before answering", "", true, BRF_RUN_LOST, nullptr },
+	{ "length over the bound", ok + "content-length: 1048577\r\n\r\n",
+	    false, BRF_RUN_TOO_LARGE, nullptr },
+	{ "chunks over the bound", ok + te + "\r\n" + chunks(1200000), false,
+	    BRF_RUN_TOO_LARGE, nullptr },
+	{ "too many fields",
+	    ok + field_lines(65, 1) + "content-length: 0\r\n\r\n", false,
+	    BRF_RUN_TOO_LARGE, nullptr },
+	{ "fields too long", ok + field_lines(2, 9000) + "content-length: 0\r\n\r\n",
+	    false, BRF_RUN_TOO_LARGE, nullptr },
+};
+
+TEST_F(target, answer_table)
+{
+	for (auto &c : answer_cases) {
+		struct raw_target t;
+		struct run_record r;
+		std::string bytes = c.bytes;
+		struct brf_target *tg =
+		    brf_http_target_new(bench.hl, t.port, 2);
+
+		prepare(r);
+		brf_target_run(tg, &r.run);
+		ASSERT_TRUE(asked(t)) << c.name;
+		EXPECT_NE(t.peer.got.find("brf-request: 77\r\n"),
+		    std::string::npos);
+		EXPECT_EQ(t.peer.got.substr(0, 17), "POST /r HTTP/1.1\r")
+		    << t.peer.got;
+		bench.turn_until([&] {
+			if (!bytes.empty())
+				bytes = t.peer.put(bytes);
+			else if (c.close)
+				t.peer.drop();
+			return (r.ends != 0);
+		});
+		EXPECT_EQ(r.ends, 1) << c.name;
+		EXPECT_EQ(r.end, c.end) << c.name;
+		if (c.body != nullptr) {
+			EXPECT_EQ(r.body, c.body) << c.name;
+		}
+		bench.turn(5);
+		EXPECT_EQ(r.ends, 1) << c.name;
+		brf_http_target_free(tg);
+	}
+}
+
+TEST_F(target, cancel_closes_the_connection)
+{
+	struct raw_target t;
+	struct run_record r;
+	struct brf_target *tg = brf_http_target_new(bench.hl, t.port, 2);
+
+	prepare(r);
+	brf_target_run(tg, &r.run);
+	ASSERT_TRUE(asked(t));
+	brf_target_cancel(tg, &r.run);
+	EXPECT_EQ(r.ends, 1);
+	EXPECT_EQ(r.end, BRF_RUN_CANCELLED);
+	EXPECT_TRUE(bench.turn_until([&] {
+		t.peer.get();
+		return (t.peer.ended);
+	}));
+	brf_target_cancel(tg, &r.run);
+	EXPECT_EQ(r.ends, 1);
+	brf_http_target_free(tg);
+}
+
+TEST_F(target, nobody_listens)
+{
+	struct run_record r;
+	uint16_t port;
+
+	{
+		struct raw_target t;
+		port = t.port;
+	}
+	struct brf_target *tg = brf_http_target_new(bench.hl, port, 2);
+	prepare(r);
+	brf_target_run(tg, &r.run);
+	EXPECT_TRUE(bench.turn_until([&] { return (r.ends == 1); }));
+	EXPECT_EQ(r.end, BRF_RUN_NOT_STARTED);
+	brf_http_target_free(tg);
+}
+
+TEST_F(target, connections_are_reused_and_bounded)
+{
+	struct raw_target t;
+	struct run_record a, b, c;
+	struct brf_target *tg = brf_http_target_new(bench.hl, t.port, 1);
+	const std::string answer = ok + "content-length: 2\r\n\r\nab";
+
+	prepare(a);
+	prepare(b);
+	prepare(c);
+	brf_target_run(tg, &a.run);
+	brf_target_run(tg, &b.run);
+	brf_target_run(tg, &c.run);
+	brf_target_cancel(tg, &c.run);
+	EXPECT_EQ(c.end, BRF_RUN_NOT_STARTED);
+	EXPECT_EQ(c.ends, 1);
+	ASSERT_TRUE(asked(t));
+	bench.turn(20);
+	EXPECT_FALSE(t.accepts());
+	t.peer.got.clear();
+	t.peer.put(answer);
+	ASSERT_TRUE(asked(t)); /* the second run, on the same connection */
+	EXPECT_EQ(a.ends, 1);
+	t.peer.put(answer);
+	EXPECT_TRUE(bench.turn_until([&] { return (b.ends == 1); }));
+	EXPECT_EQ(b.end, BRF_RUN_ANSWERED);
+	brf_http_target_free(tg);
+}
+
+TEST_F(target, a_connection_closed_while_idle_is_not_reused)
+{
+	struct raw_target t;
+	struct run_record a, b;
+	struct brf_target *tg = brf_http_target_new(bench.hl, t.port, 1);
+
+	for (const char *left : { "", "stray bytes" }) {
+		prepare(a);
+		prepare(b);
+		brf_target_run(tg, &a.run);
+		ASSERT_TRUE(asked(t));
+		t.peer.put(ok + "content-length: 2\r\n\r\nab");
+		ASSERT_TRUE(bench.turn_until([&] { return (a.ends == 1); }));
+		bench.turn(5);
+		if (*left != '\0')
+			t.peer.put(left);
+		else
+			t.peer.drop();
+		brf_target_run(tg, &b.run);
+		ASSERT_TRUE(bench.turn_until([&] { return (t.accepts()); }));
+		ASSERT_TRUE(asked(t));
+		t.peer.put(ok + "content-length: 2\r\n\r\ncd");
+		EXPECT_TRUE(bench.turn_until([&] { return (b.ends == 1); }));
+		EXPECT_EQ(b.end, BRF_RUN_ANSWERED);
+		EXPECT_EQ(b.body, "cd");
+	}
+	brf_http_target_free(tg);
+}
+
+struct fetch_record {
+	int ends;
+	enum brf_errc code;
+	int status;
+	std::string body;
+	struct brf_fetch *cancel_in_chunk;
+};
+
+void
+fetch_done(void *arg, const struct brf_error *err,
+    const struct brf_fetch_answer *answer)
+{
+	auto *r = static_cast<struct fetch_record *>(arg);
+
+	r->ends++;
+	r->code = err != nullptr ? err->code : BRF_OK;
+	r->status = answer->status;
+	if (answer->body != nullptr)
+		r->body.assign(answer->body, answer->body_len);
+}
+
+void
+fetch_chunk(void *arg, int status, const char *data, size_t len)
+{
+	auto *r = static_cast<struct fetch_record *>(arg);
+
+	r->status = status;
+	r->body.append(data, len);
+	if (r->cancel_in_chunk != nullptr)
+		brf_fetch_cancel(r->cancel_in_chunk);
+}
+
+struct brf_fetch *
+start_fetch(struct http_bench &bench, struct fetch_record *r, uint16_t port,
+    bool stream, uint64_t timeout_us)
+{
+	struct sockaddr_in addr = loopback(port);
+	struct brf_fetch_call call = {};
+
+	*r = {};
+	call.addr = (struct sockaddr *)&addr;
+	call.method = "POST";
+	call.path = "/v3/kv/range";
+	call.body = "ask";
+	call.body_len = 3;
+	call.timeout_us = timeout_us;
+	call.chunk = stream ? fetch_chunk : nullptr;
+	call.done = fetch_done;
+	call.arg = r;
+	return (brf_fetch_start(bench.hl, &call));
+}
+
+TEST_F(target, fetch_table)
+{
+	const struct {
+		const char *name;
+		std::string bytes;
+		bool close;
+		bool stream;
+		uint64_t timeout_us;
+		enum brf_errc code;
+		const char *body;
+	} cases[] = {
+		{ "whole", ok + "content-length: 2\r\n\r\nab", false, false, 0,
+		    BRF_OK, "ab" },
+		{ "stream", ok + te + "\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n",
+		    false, true, 0, BRF_OK, "abcd" },
+		{ "torn stream", ok + te + "\r\n2\r\nab\r\n", true, true, 0,
+		    BRF_E_HTTP, "ab" },
+		{ "silent", "", false, false, 1000, BRF_E_TIMEOUT, "" },
+		{ "stream falls silent", ok + te + "\r\n2\r\nab\r\n", false,
+		    true, 50000, BRF_E_TIMEOUT, "ab" },
+		{ "lost", "", true, false, 0, BRF_E_CLOSED, "" },
+	};
+
+	for (auto &c : cases) {
+		struct raw_target t;
+		struct fetch_record r;
+
+		start_fetch(bench, &r, t.port, c.stream, 0);
+		ASSERT_TRUE(asked(t)) << c.name;
+		if (c.timeout_us != 0) {
+			t.peer.put(ok + "content-length: 0\r\n\r\n");
+			bench.turn_until([&] { return (r.ends == 1); });
+			start_fetch(bench, &r, t.port, c.stream, c.timeout_us);
+			t.peer.got.clear();
+			asked(t);
+		}
+		t.peer.put(c.bytes);
+		if (c.close)
+			t.peer.drop();
+		EXPECT_TRUE(bench.turn_until([&] { return (r.ends != 0); }))
+		    << c.name;
+		EXPECT_EQ(r.code, c.code) << c.name;
+		EXPECT_EQ(r.body, c.body) << c.name;
+	}
+}
+
+TEST_F(target, fetch_reports_later_even_when_it_fails_at_once)
+{
+	struct fetch_record r;
+	uint16_t port;
+
+	{
+		struct raw_target t;
+		port = t.port;
+	}
+	start_fetch(bench, &r, port, false, 0);
+	EXPECT_EQ(r.ends, 0);
+	EXPECT_TRUE(bench.turn_until([&] { return (r.ends == 1); }));
+	EXPECT_EQ(r.code, BRF_E_CONNECT);
+	EXPECT_EQ(r.status, 0);
+}
+
+TEST_F(target, fetch_cancelled_from_its_chunk_is_silent)
+{
+	struct raw_target t;
+	struct fetch_record r;
+
+	struct brf_fetch *f = start_fetch(bench, &r, t.port, true, 0);
+	r.cancel_in_chunk = f;
+	ASSERT_TRUE(asked(t));
+	t.peer.put(ok + te + "\r\n2\r\nab\r\n");
+	EXPECT_TRUE(bench.turn_until([&] {
+		t.peer.get();
+		return (t.peer.ended);
+	}));
+	EXPECT_EQ(r.ends, 0);
+	EXPECT_EQ(r.body, "ab");
+}
+
+} // namespace
