http: call targets over libuv with h2o's parsers

h2o's http1client took an answer torn between two chunks for whole and ended the process on an invalid content-length. Connections are now kept here; the parsers are libh2o's. A connection is back in the pool before its call ends, so that a run started then reuses it.

Test target.answer_table, which failed, passes. The test of idle connections read what an earlier request had left and now starts afresh each time.

--- a/src/http/call.h
+++ b/src/http/call.h
@@ -1,53 +1,61 @@
 #ifndef BRF_HTTP_CALL_H
 #define BRF_HTTP_CALL_H
 
-#include <h2o.h>
-
 #include "http/client.h"
 #include "http/loop.h"
+#include "http/parser.h"
 
 /**
- * DOC: One HTTP/1.1 call by h2o's client; for src/http only.
+ * DOC: One HTTP/1.1 call over libuv, parsed by libh2o; for src/http only.
+ *
+ * h2o 2.2's own http1client does not fit: it takes a chunked answer that ends
+ * between two chunks for whole, ends the process by an assertion on an
+ * invalid content-length, bounds no head, and can't tell whether a byte of the
+ * request has left.  So connections are kept here, and only h2o's parsers are
+ * used.
  *
- * h2o sends, reads and reuses connections.  What it doesn't check is checked
- * here: an answer is whole only when its own framing proves it, so one with
- * neither content-length nor chunked coding is broken unless its status or
- * method has no body (RFC 9112, section 6.3).  Both at once, or two lengths
- * that differ, are broken as well.
+ * An answer is whole when its own framing proves it; one with neither
+ * content-length nor chunked coding is broken unless its status or method has
+ * no body, since the end of a connection proves nothing (RFC 9112, section
+ * 6.3).  Both at once, or two lengths that differ, are broken as well.
  *
- * A kept-alive connection is tested for the peer's close just before reuse.
- * When it is lost later than that, it can't be proved that the peer did not
+ * A kept-alive connection that its peer has closed is dropped before reuse.
+ * When writing the first byte fails, the request goes to another connection;
+ * when the connection is lost later, nothing proves that the peer did not
  * read the request: BRF_RUN_LOST.
  */
 
-struct brf_call_pool {
-	struct brf_http_loop *hl;
-	h2o_socketpool_t sockets;
-	h2o_timeout_t io_timeout;
-	h2o_http1client_ctx_t ctx;
-	char authority[64]; /* value of "host" */
-};
+struct brf_call_pool;
+struct call_conn;
 
 /**
  * struct brf_call - one call; embedded by its owner.
  * @done: called exactly once, possibly before brf_call_start() returns; the
- *	call may be freed in it.  It runs inside h2o: a call that is started in
- *	it opens a new connection, as the old one is not back in the pool yet
+ *	call may be freed in it
  * @chunk: gets the body as it comes; NULL collects it in @answer
  * @body_max: largest whole body, bytes
- * @answer: status, fields and, without @chunk, body; valid in @done
+ * @answer: status, fields and, without @chunk, body; valid in @done, also
+ *	when the call failed
  */
 struct brf_call {
-	struct brf_call_pool *pool;
 	void (*done)(struct brf_call *call, enum brf_run_end end);
 	void (*chunk)(struct brf_call *call, const char *data, size_t len);
 	size_t body_max;
 	struct brf_message *answer;
-	h2o_http1client_t *client;
+	struct brf_call_pool *pool;
+	struct call_conn *conn;
 	struct brf_message *request;
 	struct brf_buf head;
-	h2o_iovec_t bufs[2];
-	bool sent;
+	enum {
+		BRF_CALL_HEAD,
+		BRF_CALL_LENGTH,
+		BRF_CALL_CHUNKED
+	} state;
+	uint64_t missing; /* bytes of the body, with a content-length */
+	struct phr_chunked_decoder decoder;
+	size_t parsed; /* bytes that an incomplete head had at the last try */
+	bool keep;     /* the connection can be used again */
+	bool sent;     /* a byte of the request may have left */
 	bool in_chunk;
 	bool cancelled;
 };
@@ -56,14 +64,17 @@
 
 /**
  * brf_call_pool_new() - connections to @addr.
- * @idle_ms: unused connections are closed after this, milliseconds
+ * @idle_us: unused connections are closed after this, microseconds
  *
  * Return: to be given to brf_call_pool_free() when no call is open.
  */
 struct brf_call_pool *brf_call_pool_new(
-    struct brf_http_loop *hl, const struct sockaddr *addr, uint64_t idle_ms);
+    struct brf_http_loop *hl, const struct sockaddr *addr, uint64_t idle_us);
 void brf_call_pool_free(struct brf_call_pool *pool);
 
+/* Address and port as in a "host" field. */
+const char *brf_call_pool_authority(const struct brf_call_pool *pool);
+
 /**
  * brf_call_start() - send @request; a reference is taken.
  * @call: zeroed but for @done, @chunk and @body_max
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -6,7 +6,7 @@
 #include "http/call.h"
 #include "http/client.h"
 
-#define IDLE_MS 8000u /* an unused connection to the target is closed */
+#define IDLE_US (8u * BRF_US_PER_S) /* unused connections are closed */
 
 /**
  * struct http_target - the target at a loopback port.
@@ -14,8 +14,7 @@
  * @open: calls with a connection
  * @waiting: runs beyond @limit, in order of arrival; their deadline is the
  *	caller's matter, and the gate seldom lets so many through
- * @in_done: depth of callbacks; runs that start there wait for the next turn,
- *	when the connection that has just become free can be reused
+ * @start: starts waiting runs when others have ended
  */
 struct http_target {
 	struct brf_target target;
@@ -23,7 +22,6 @@
 	struct brf_call_pool *pool;
 	uint32_t limit;
 	uint32_t open;
-	unsigned in_done;
 	struct brf_list waiting;
 	struct brf_http_task start;
 };
@@ -43,9 +41,7 @@
 	struct brf_run *run = hr->run;
 
 	run->impl = NULL;
-	t->in_done++;
 	run->done(run, end, answer);
-	t->in_done--;
 	free(hr);
 	if (!brf_list_empty(&t->waiting))
 		brf_http_task_post(t->hl, &t->start);
@@ -99,14 +95,12 @@
 	hr->run = run;
 	run->impl = hr;
 	brf_list_init(&hr->link);
-	if (t->in_done == 0 && t->open < t->limit &&
-	    brf_list_empty(&t->waiting)) {
+	if (t->open < t->limit && brf_list_empty(&t->waiting)) {
 		start_run(hr);
 		return;
 	}
 	hr->waiting = true;
 	brf_list_append(&t->waiting, &hr->link);
-	brf_http_task_post(t->hl, &t->start);
 }
 
 static void
@@ -144,7 +138,7 @@
 	t->hl = hl;
 	t->limit = connections != 0 ? connections : 1;
 	t->pool =
-	    brf_call_pool_new(hl, (const struct sockaddr *)&addr, IDLE_MS);
+	    brf_call_pool_new(hl, (const struct sockaddr *)&addr, IDLE_US);
 	brf_list_init(&t->waiting);
 	brf_http_task_init(&t->start, start_waiting);
 	return (&t->target);
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -5,7 +5,7 @@
 #include "http/call.h"
 #include "http/fetch.h"
 
-#define IDLE_MS 2000u /* an unused connection is closed */
+#define IDLE_US (2u * BRF_US_PER_S) /* unused connections are closed */
 
 struct fetch_pool {
 	struct brf_list link; /* in brf_http_loop.pools */
@@ -73,7 +73,7 @@
 	memcpy(&pool->addr, addr,
 	    addr->sa_family == AF_INET6 ? sizeof(struct sockaddr_in6)
 					: sizeof(struct sockaddr_in));
-	pool->calls = brf_call_pool_new(hl, addr, IDLE_MS);
+	pool->calls = brf_call_pool_new(hl, addr, IDLE_US);
 	brf_list_append(&hl->pools, &pool->link);
 	return (pool->calls);
 }
@@ -100,7 +100,7 @@
 
 	if (f->end != BRF_RUN_ANSWERED) {
 		brf_error_set(&err, end_errors[f->end], 0, "HTTP call to %s",
-		    f->call.pool->authority);
+		    brf_call_pool_authority(f->call.pool));
 	} else if (f->chunk == NULL) {
 		answer.body = m->body.len != 0 ? m->body.data : "";
 		answer.body_len = m->body.len;
--- a/src/http/fields.c
+++ b/src/http/fields.c
@@ -3,11 +3,18 @@
 
 #include "http/fields.h"
 
-/* Whether the comma list @value holds @name, which is in lower case. */
+bool
+brf_field_is(const struct phr_header *field, const char *name)
+{
+	return (field->name != NULL && field->name_len == strlen(name) &&
+		strncasecmp(field->name, name, field->name_len) == 0);
+}
+
+/* Whether the comma list @value holds @word. */
 static bool
-list_names(h2o_iovec_t value, const char *name, size_t len)
+list_holds(const char *value, size_t value_len, const char *word, size_t len)
 {
-	const char *p = value.base, *end = value.base + value.len, *stop, *tail;
+	const char *p = value, *end = value + value_len, *stop, *tail;
 
 	while (p < end) {
 		stop = memchr(p, ',', (size_t)(end - p));
@@ -18,67 +25,63 @@
 		tail = stop;
 		while (tail > p && (tail[-1] == ' ' || tail[-1] == '\t'))
 			tail--;
-		if ((size_t)(tail - p) == len && strncasecmp(p, name, len) == 0)
+		if ((size_t)(tail - p) == len && strncasecmp(p, word, len) == 0)
 			return (true);
 		p = stop + 1;
 	}
 	return (false);
 }
 
-static bool
-is_connection(const h2o_header_t *field)
-{
-	return (h2o_memis(
-	    field->name->base, field->name->len, H2O_STRLIT("connection")));
-}
-
-static bool
-connection_names(
-    const h2o_header_t *fields, size_t count, const char *name, size_t len)
+bool
+brf_fields_name(const struct phr_header *fields, size_t count, const char *list,
+    const char *word, size_t len)
 {
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		if (is_connection(&fields[i]) &&
-		    list_names(fields[i].value, name, len))
+		if (brf_field_is(&fields[i], list) &&
+		    list_holds(fields[i].value, fields[i].value_len, word, len))
 			return (true);
 	}
 	return (false);
 }
 
 static bool
-is_hop_by_hop(const h2o_header_t *field)
+is_hop_by_hop(const struct phr_header *field)
 {
 	char name[32]; /* longer than any of them */
-	size_t i, len = field->name->len;
+	size_t i;
 
-	if (len >= sizeof(name))
+	if (field->name_len >= sizeof(name))
 		return (false);
-	for (i = 0; i < len; i++)
-		name[i] = (char)tolower((unsigned char)field->name->base[i]);
-	name[len] = '\0';
+	for (i = 0; i < field->name_len; i++)
+		name[i] = (char)tolower((unsigned char)field->name[i]);
+	name[i] = '\0';
 	return (brf_header_is_hop_by_hop(name));
 }
 
 bool
-brf_fields_take(struct brf_message *m, const h2o_header_t *fields, size_t count,
-    struct brf_error *err)
+brf_fields_take(struct brf_message *m, const struct phr_header *fields,
+    size_t count, struct brf_error *err)
 {
-	const h2o_header_t *f;
+	const struct phr_header *f;
 	bool named = false;
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		named = named || is_connection(&fields[i]);
+		named = named || brf_field_is(&fields[i], "connection");
 	for (i = 0; i < count; i++) {
 		f = &fields[i];
+		if (f->name == NULL)
+			return (brf_error_set(
+			    err, BRF_E_HEADERS, 0, "folded field"));
 		if (is_hop_by_hop(f))
 			continue;
-		if (named && connection_names(
-				 fields, count, f->name->base, f->name->len))
+		if (named && brf_fields_name(fields, count, "connection",
+				 f->name, f->name_len))
 			continue;
-		if (!brf_message_add_header(m, f->name->base, f->name->len,
-			f->value.base, f->value.len, err))
+		if (!brf_message_add_header(
+			m, f->name, f->name_len, f->value, f->value_len, err))
 			return (false);
 	}
 	return (true);
--- a/src/http/fields.h
+++ b/src/http/fields.h
@@ -1,25 +1,35 @@
 #ifndef BRF_HTTP_FIELDS_H
 #define BRF_HTTP_FIELDS_H
 
-#include <h2o.h>
-
 #include "base/message.h"
+#include "http/parser.h"
 
 /**
- * DOC: HTTP fields between h2o and struct brf_message; for src/http only.
+ * DOC: HTTP fields as they are parsed, and as messages hold them; for
+ * src/http only.
  */
 
 BRF_BEGIN_DECLS
 
+/* Whether the field's name is @name, which is in lower case. */
+bool brf_field_is(const struct phr_header *field, const char *name);
+
+/**
+ * brf_fields_name() - whether a comma list in a field @list holds @word.
+ */
+bool brf_fields_name(const struct phr_header *fields, size_t count,
+    const char *list, const char *word, size_t len);
+
 /**
  * brf_fields_take() - copy the end-to-end fields into @m.
  *
  * Leaves out hop-by-hop fields, and those that a "connection" field names
  * (RFC 9110, section 7.6.1).
  *
- * Return: false with the errors of brf_message_add_header().
+ * Return: false with the errors of brf_message_add_header(); a folded line is
+ * BRF_E_HEADERS.
  */
-bool brf_fields_take(struct brf_message *m, const h2o_header_t *fields,
+bool brf_fields_take(struct brf_message *m, const struct phr_header *fields,
     size_t count, struct brf_error *err);
 
 /**
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -34,6 +34,7 @@
 #define REQUEST_TIMEOUT_MS 30000    /* for a whole request to come; idle time */
 #define DEFAULT_HOST "host.invalid" /* h2o's stand-in for an absent host */
 #define HOST_MAX 255
+#define FIELDS_MAX 128 /* hop-by-hop ones included */
 
 /**
  * struct conn - one connection of a caller.
@@ -290,6 +291,26 @@
 	return (true);
 }
 
+static bool
+take_fields(
+    struct brf_message *m, const h2o_headers_t *from, struct brf_error *err)
+{
+	struct phr_header fields[FIELDS_MAX];
+	size_t i;
+
+	if (from->size > FIELDS_MAX)
+		return (brf_error_set(
+		    err, BRF_E_TOO_LARGE, 0, "%zu fields", from->size));
+	for (i = 0; i < from->size; i++)
+		fields[i] = (struct phr_header){
+			.name = from->entries[i].name->base,
+			.name_len = from->entries[i].name->len,
+			.value = from->entries[i].value.base,
+			.value_len = from->entries[i].value.len,
+		};
+	return (brf_fields_take(m, fields, from->size, err));
+}
+
 /* Return: 0, or the status of a refusal, with its reason. */
 static int
 read_request(
@@ -304,8 +325,7 @@
 	    !brf_path_is_valid(path.base, path.len) || !copy_host(r, req))
 		return (400);
 	memcpy(m->method, method.base, method.len);
-	if (!brf_fields_take(
-		m, req->headers.entries, req->headers.size, &err)) {
+	if (!take_fields(m, &req->headers, &err)) {
 		if (err.code != BRF_E_TOO_LARGE)
 			return (400);
 		*reason = BRF_R_HEADERS;
@@ -639,7 +659,8 @@
 		return;
 	server->disposed = true;
 	/* h2o leaves it running, and insists that no timer does */
-	if (h2o_timeout_is_linked(&server->ctx.http2._graceful_shutdown_timeout))
+	if (h2o_timeout_is_linked(
+		&server->ctx.http2._graceful_shutdown_timeout))
 		h2o_timeout_unlink(
 		    &server->ctx.http2._graceful_shutdown_timeout);
 	h2o_context_dispose(&server->ctx);
--- a/test/http_fake.h
+++ b/test/http_fake.h
@@ -30,7 +30,8 @@
 	}
 
 	/* Turn the loop until @done; false after some ten thousand turns. */
-	bool turn_until(const std::function<bool()> &done)
+	bool
+	turn_until(const std::function<bool()> &done)
 	{
 		for (int i = 0; i < 50000; i++) {
 			if (done())
@@ -42,7 +43,8 @@
 		return (done());
 	}
 
-	void turn(int times)
+	void
+	turn(int times)
 	{
 		turn_until([&] { return (times-- <= 0); });
 	}
@@ -74,25 +76,28 @@
 	bool ended = false;
 	std::string got;
 
-	void connect_to(uint16_t port)
+	void
+	connect_to(uint16_t port)
 	{
 		struct sockaddr_in addr = loopback(port);
 
 		fd = socket(AF_INET, SOCK_STREAM, 0);
-		ASSERT_EQ(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
-		    0);
+		ASSERT_EQ(
+		    connect(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
 		fcntl(fd, F_SETFL, O_NONBLOCK);
 	}
 
 	/* What fits is sent; the rest is returned. */
-	std::string put(const std::string &bytes)
+	std::string
+	put(const std::string &bytes)
 	{
 		ssize_t n = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
 
 		return (bytes.substr(n > 0 ? (size_t)n : 0));
 	}
 
-	void get()
+	void
+	get()
 	{
 		char buf[65536];
 		ssize_t n;
@@ -104,7 +109,8 @@
 		ended = n == 0 || (n < 0 && errno != EAGAIN);
 	}
 
-	void drop()
+	void
+	drop()
 	{
 		if (fd != -1)
 			close(fd);
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -9,7 +9,11 @@
 /* Echoes at once, holds requests, or cuts them off. */
 struct recorder {
 	struct brf_http_handler handler;
-	enum { ANSWER, HOLD, CUT } mode;
+	enum {
+		ANSWER,
+		HOLD,
+		CUT
+	} mode;
 	std::vector<struct brf_http_request *> held;
 	std::string bodies;
 	std::string fields;
@@ -26,8 +30,8 @@
 
 	answer->status = 200;
 	brf_message_add_header(answer, "brf-forged", 10, "x", 1, nullptr);
-	brf_message_add_header(answer, "x-path", 6, m->path, strlen(m->path),
-	    nullptr);
+	brf_message_add_header(
+	    answer, "x-path", 6, m->path, strlen(m->path), nullptr);
 	brf_buf_add(&answer->body, m->body.data, m->body.len);
 	brf_http_respond(r, answer, &extra, 1);
 	brf_message_unref(answer);
@@ -43,7 +47,7 @@
 	rec->bodies.append(m->body.data ? m->body.data : "", m->body.len);
 	for (size_t i = 0; i < m->header_count; i++)
 		rec->fields += std::string(m->headers[i].name) + "=" +
-		    m->headers[i].value + ";";
+			       m->headers[i].value + ";";
 	if (rec->mode == recorder::ANSWER)
 		echo(r);
 	else if (rec->mode == recorder::CUT)
@@ -68,14 +72,15 @@
 
 class server : public ::testing::Test
 {
-    protected:
+      protected:
 	struct http_bench bench;
 	struct recorder rec = {};
 	struct brf_http_server *srv = nullptr;
 	uint16_t port = 0;
 	bool closed = false;
 
-	void SetUp() override
+	void
+	SetUp() override
 	{
 		struct sockaddr_in addr = loopback(0);
 
@@ -85,12 +90,14 @@
 		ASSERT_NE(srv, nullptr);
 	}
 
-	static void note_closed(void *arg)
+	static void
+	note_closed(void *arg)
 	{
 		*static_cast<bool *>(arg) = true;
 	}
 
-	void TearDown() override
+	void
+	TearDown() override
 	{
 		brf_http_server_close(srv, note_closed, &closed);
 		EXPECT_TRUE(bench.turn_until([&] { return (closed); }));
@@ -99,14 +106,15 @@
 	}
 
 	/* Send all of @bytes and turn until the peer has @want or an end. */
-	void talk(struct raw_peer &p, std::string bytes, const std::string &want)
+	void
+	talk(struct raw_peer &p, std::string bytes, const std::string &want)
 	{
 		bench.turn_until([&] {
 			if (!bytes.empty())
 				bytes = p.put(bytes);
 			p.get();
-			return (p.ended ||
-			    p.got.find(want) != std::string::npos);
+			return (
+			    p.ended || p.got.find(want) != std::string::npos);
 		});
 	}
 };
@@ -118,7 +126,7 @@
 
 	for (int i = 0; i < n; i++)
 		s += "f" + std::to_string(i) + ": " + std::string(len, 'v') +
-		    "\r\n";
+		     "\r\n";
 	return (s);
 }
 
@@ -146,7 +154,8 @@
 	    "" },
 	{ "http 1.0 without host", "GET / HTTP/1.0\r\n\r\n", "200", nullptr,
 	    "" },
-	{ "length", "POST / HTTP/1.1\r\n" + host + "content-length: 5\r\n\r\nhello",
+	{ "length",
+	    "POST / HTTP/1.1\r\n" + host + "content-length: 5\r\n\r\nhello",
 	    "200", nullptr, "hello" },
 	{ "chunked",
 	    "POST / HTTP/1.1\r\n" + host + te +
@@ -158,8 +167,8 @@
 	    "200", nullptr, nullptr },
 	{ "no host", "GET / HTTP/1.1\r\n\r\n", "400", "malformed", nullptr },
 	/* h2o answers what is no HTTP by a fixed text of its own */
-	{ "garbage", "\x16\x03\x01\x02\x01garbage garbage\r\n\r\n", "400",
-	    "", nullptr },
+	{ "garbage", "\x16\x03\x01\x02\x01garbage garbage\r\n\r\n", "400", "",
+	    nullptr },
 	{ "folded field", "GET / HTTP/1.1\r\n" + host + "a: b\r\n c\r\n\r\n",
 	    "400", "malformed", nullptr },
 	{ "length of no number",
@@ -177,8 +186,9 @@
 	    "400", "malformed", nullptr },
 	{ "path without slash", "GET p HTTP/1.1\r\n" + host + "\r\n", "400",
 	    "malformed", nullptr },
-	{ "path that is not ASCII", "GET /\xff\xfe HTTP/1.1\r\n" + host + "\r\n",
-	    "400", "malformed", nullptr },
+	{ "path that is not ASCII",
+	    "GET /\xff\xfe HTTP/1.1\r\n" + host + "\r\n", "400", "malformed",
+	    nullptr },
 	{ "long method",
 	    std::string(20, 'A') + " / HTTP/1.1\r\n" + host + "\r\n", "400",
 	    "malformed", nullptr },
@@ -208,8 +218,8 @@
 		rec.bodies.clear();
 		p.connect_to(port);
 		talk(p, c.bytes, "\r\n\r\n");
-		EXPECT_EQ(p.got.substr(0, 12),
-		    std::string("HTTP/1.1 ") + c.status)
+		EXPECT_EQ(
+		    p.got.substr(0, 12), std::string("HTTP/1.1 ") + c.status)
 		    << c.name << ": " << p.got.substr(0, 300);
 		EXPECT_EQ(rec.handled - handled, c.reason == nullptr) << c.name;
 		if (c.body != nullptr) {
@@ -217,8 +227,8 @@
 		}
 		if (c.reason == nullptr || *c.reason == '\0')
 			continue;
-		EXPECT_NE(p.got.find("brf-outcome: not_run\r\n"),
-		    std::string::npos)
+		EXPECT_NE(
+		    p.got.find("brf-outcome: not_run\r\n"), std::string::npos)
 		    << c.name << p.got;
 		EXPECT_NE(p.got.find(std::string("brf-reason: ") + c.reason),
 		    std::string::npos)
@@ -281,11 +291,12 @@
 	return (f + payload);
 }
 
-const std::string h2_preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
-    frame(4, 0, 0, "");
+const std::string h2_preface =
+    "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(4, 0, 0, "");
 /* GET / for host "a" */
-const std::string h2_get = frame(1, 5, 1, "\x82\x86\x84\x41\x01"
-					   "a");
+const std::string h2_get = frame(1, 5, 1,
+    "\x82\x86\x84\x41\x01"
+    "a");
 const std::string h2_cancel = frame(3, 0, 1, std::string("\0\0\0\x08", 4));
 
 /* Type, flags and stream of the frames in @bytes, as text. */
@@ -299,7 +310,7 @@
 		auto *b = (const unsigned char *)bytes.data() + at;
 		len = (size_t)b[0] << 16 | (size_t)b[1] << 8 | b[2];
 		s += std::to_string(b[3]) + "/" + std::to_string(b[4]) + "/" +
-		    std::to_string(b[8]) + " ";
+		     std::to_string(b[8]) + " ";
 		at += 9 + len;
 	}
 	return (s);
@@ -322,7 +333,12 @@
 	const char *name;
 	std::string request;
 	std::string last_words;
-	enum { CLOSE, HALF_CLOSE, RESET, STAY } how;
+	enum {
+		CLOSE,
+		HALF_CLOSE,
+		RESET,
+		STAY
+	} how;
 } leave_cases[] = {
 	{ "http 1", "GET / HTTP/1.1\r\n" + host + "\r\n", "",
 	    leave_case::CLOSE },
@@ -352,26 +368,25 @@
 		rec.handled = rec.gone = 0;
 		p.connect_to(port);
 		p.put(c.request);
-		ASSERT_TRUE(bench.turn_until(
-		    [&] { return (rec.handled == 1); }))
-		    << c.name;
+		ASSERT_TRUE(bench.turn_until([&] {
+			return (rec.handled == 1);
+		})) << c.name;
 		bench.turn(20);
 		EXPECT_EQ(rec.gone, 0) << c.name;
 		p.put(c.last_words);
 		if (c.how == leave_case::HALF_CLOSE)
 			shutdown(p.fd, SHUT_WR);
 		if (c.how == leave_case::RESET)
-			setsockopt(p.fd, SOL_SOCKET, SO_LINGER, &none,
-			    sizeof(none));
+			setsockopt(
+			    p.fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
 		if (c.how == leave_case::CLOSE || c.how == leave_case::RESET)
 			p.drop();
-		EXPECT_TRUE(
-		    bench.turn_until([&] { return (rec.gone == 1); }))
+		EXPECT_TRUE(bench.turn_until([&] { return (rec.gone == 1); }))
 		    << c.name;
 		p.drop();
-		EXPECT_TRUE(bench.turn_until(
-		    [&] { return (brf_http_server_connections(srv) == 0); }))
-		    << c.name;
+		EXPECT_TRUE(bench.turn_until([&] {
+			return (brf_http_server_connections(srv) == 0);
+		})) << c.name;
 		EXPECT_EQ(rec.handled, 1) << c.name;
 		EXPECT_EQ(rec.gone, 1) << c.name;
 	}
@@ -412,8 +427,8 @@
 	busy.connect_to(port);
 	busy.put("GET / HTTP/1.1\r\n" + host + "\r\n");
 	ASSERT_TRUE(bench.turn_until([&] {
-		return (rec.handled == 1 &&
-		    brf_http_server_connections(srv) == 2);
+		return (
+		    rec.handled == 1 && brf_http_server_connections(srv) == 2);
 	}));
 	brf_http_server_stop(srv);
 	EXPECT_TRUE(bench.turn_until([&] {
@@ -450,7 +465,8 @@
 		port = ntohs(addr.sin_port);
 	}
 
-	bool accepts()
+	bool
+	accepts()
 	{
 		int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
 
@@ -493,25 +509,27 @@
 
 class target : public ::testing::Test
 {
-    protected:
+      protected:
 	struct http_bench bench;
 	struct brf_message *request = brf_message_new();
 
-	void SetUp() override
+	void
+	SetUp() override
 	{
 		strcpy(request->method, "POST");
 		brf_message_set_path(request, "/r", 2, nullptr);
-		brf_message_add_header(
-		    request, "x-end", 5, "1", 1, nullptr);
+		brf_message_add_header(request, "x-end", 5, "1", 1, nullptr);
 		brf_buf_puts(&request->body, "ask");
 	}
 
-	void TearDown() override
+	void
+	TearDown() override
 	{
 		brf_message_unref(request);
 	}
 
-	void prepare(struct run_record &r)
+	void
+	prepare(struct run_record &r)
 	{
 		r = {};
 		r.run.request = request;
@@ -521,13 +539,14 @@
 	}
 
 	/* Turn until the target has the whole request. */
-	bool asked(struct raw_target &t)
+	bool
+	asked(struct raw_target &t)
 	{
 		return (bench.turn_until([&] {
 			t.accepts();
 			t.peer.get();
 			return (t.peer.got.find("\r\n\r\nask") !=
-			    std::string::npos);
+				std::string::npos);
 		}));
 	}
 };
@@ -543,8 +562,8 @@
 } answer_cases[] = {
 	{ "length", ok + "content-length: 5\r\n\r\nhello", false,
 	    BRF_RUN_ANSWERED, "hello" },
-	{ "no bytes", ok + "content-length: 0\r\n\r\n", false,
-	    BRF_RUN_ANSWERED, "" },
+	{ "no bytes", ok + "content-length: 0\r\n\r\n", false, BRF_RUN_ANSWERED,
+	    "" },
 	{ "204", "HTTP/1.1 204 No Content\r\n\r\n", false, BRF_RUN_ANSWERED,
 	    "" },
 	{ "chunked", ok + te + "\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n", false,
@@ -593,8 +612,9 @@
 	{ "too many fields",
 	    ok + field_lines(65, 1) + "content-length: 0\r\n\r\n", false,
 	    BRF_RUN_TOO_LARGE, nullptr },
-	{ "fields too long", ok + field_lines(2, 9000) + "content-length: 0\r\n\r\n",
-	    false, BRF_RUN_TOO_LARGE, nullptr },
+	{ "fields too long",
+	    ok + field_lines(2, 9000) + "content-length: 0\r\n\r\n", false,
+	    BRF_RUN_TOO_LARGE, nullptr },
 };
 
 TEST_F(target, answer_table)
@@ -609,8 +629,8 @@
 		prepare(r);
 		brf_target_run(tg, &r.run);
 		ASSERT_TRUE(asked(t)) << c.name;
-		EXPECT_NE(t.peer.got.find("brf-request: 77\r\n"),
-		    std::string::npos);
+		EXPECT_NE(
+		    t.peer.got.find("brf-request: 77\r\n"), std::string::npos);
 		EXPECT_EQ(t.peer.got.substr(0, 17), "POST /r HTTP/1.1\r")
 		    << t.peer.got;
 		bench.turn_until([&] {
@@ -700,11 +720,12 @@
 
 TEST_F(target, a_connection_closed_while_idle_is_not_reused)
 {
-	struct raw_target t;
-	struct run_record a, b;
-	struct brf_target *tg = brf_http_target_new(bench.hl, t.port, 1);
-
 	for (const char *left : { "", "stray bytes" }) {
+		struct raw_target t;
+		struct run_record a, b;
+		struct brf_target *tg =
+		    brf_http_target_new(bench.hl, t.port, 1);
+
 		prepare(a);
 		prepare(b);
 		brf_target_run(tg, &a.run);
@@ -723,8 +744,8 @@
 		EXPECT_TRUE(bench.turn_until([&] { return (b.ends == 1); }));
 		EXPECT_EQ(b.end, BRF_RUN_ANSWERED);
 		EXPECT_EQ(b.body, "cd");
+		brf_http_target_free(tg);
 	}
-	brf_http_target_free(tg);
 }
 
 struct fetch_record {
