http: prefix the internal names, answer's fields and host of outgoing calls

The names of single calls stood twice in the program. Outgoing calls through a node name the service in "host", and callers read the outcome's fields.

--- a/src/http/call.c
+++ b/src/http/call.c
@@ -14,11 +14,11 @@
 #define KEEP_MAX 65536u	 /* larger buffers of idle connections are freed */
 
 /**
- * struct brf_call_pool - connections to one address.
+ * struct brf_http_pool - connections to one address.
  * @idle: unused ones, the last used first
  * @sweep: closes those that are unused for @idle_us
  */
-struct brf_call_pool {
+struct brf_http_pool {
 	struct brf_http_loop *hl;
 	struct sockaddr_storage addr;
 	char authority[64];
@@ -36,8 +36,8 @@
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	uv_write_t write;
-	struct brf_call_pool *pool;
-	struct brf_call *call;
+	struct brf_http_pool *pool;
+	struct brf_http_call *call;
 	struct brf_list link;
 	struct brf_buf input;
 	uint64_t idle_since;
@@ -64,7 +64,7 @@
 static void
 sweep(struct brf_timer *timer, void *arg)
 {
-	struct brf_call_pool *pool = arg;
+	struct brf_http_pool *pool = arg;
 	uint64_t now = brf_now(brf_timers_clock(pool->hl->timers));
 	struct call_conn *c;
 
@@ -82,7 +82,7 @@
 static void
 keep_conn(struct call_conn *c)
 {
-	struct brf_call_pool *pool = c->pool;
+	struct brf_http_pool *pool = c->pool;
 
 	if (c->input.cap > KEEP_MAX)
 		brf_buf_free(&c->input);
@@ -98,7 +98,7 @@
  * finds it in the pool.  The owner may free the call in @done.
  */
 static void
-end(struct brf_call *call, enum brf_run_end how)
+end(struct brf_http_call *call, enum brf_run_end how)
 {
 	struct brf_message *answer = call->answer, *request = call->request;
 	struct call_conn *c = call->conn;
@@ -117,7 +117,7 @@
 
 /* Return: false when the call has ended in it. */
 static bool
-add_body(struct brf_call *call, const char *data, size_t len)
+add_body(struct brf_http_call *call, const char *data, size_t len)
 {
 	if (len == 0)
 		return (true);
@@ -139,7 +139,7 @@
 }
 
 static void
-read_length_body(struct brf_call *call, struct brf_buf *in)
+read_length_body(struct brf_http_call *call, struct brf_buf *in)
 {
 	size_t len = in->len < call->missing ? in->len : call->missing;
 
@@ -152,7 +152,7 @@
 }
 
 static void
-read_chunked_body(struct brf_call *call, struct brf_buf *in)
+read_chunked_body(struct brf_http_call *call, struct brf_buf *in)
 {
 	size_t len = in->len;
 	ssize_t rest = phr_decode_chunked(&call->decoder, in->data, &len);
@@ -200,15 +200,15 @@
 
 	*f = (struct framing){ .chunked = false };
 	for (i = 0; i < count; i++) {
-		if (brf_field_is(&fields[i], "transfer-encoding")) {
+		if (brf_http_field_is(&fields[i], "transfer-encoding")) {
 			if (f->chunked ||
-			    !brf_fields_name(&fields[i], 1, "transfer-encoding",
-				"chunked", 7) ||
+			    !brf_http_fields_name(&fields[i], 1,
+				"transfer-encoding", "chunked", 7) ||
 			    fields[i].value_len != 7)
 				return (false);
 			f->chunked = true;
 		}
-		if (!brf_field_is(&fields[i], "content-length"))
+		if (!brf_http_field_is(&fields[i], "content-length"))
 			continue;
 		if (!parse_length(&fields[i], &length) ||
 		    (f->has_length && f->length != length))
@@ -220,7 +220,7 @@
 }
 
 static bool
-has_no_body(const struct brf_call *call, int status)
+has_no_body(const struct brf_http_call *call, int status)
 {
 	return (status == 204 || status == 304 ||
 		strcmp(call->request->method, "HEAD") == 0);
@@ -228,20 +228,20 @@
 
 /* Choose how the body is read; BRF_RUN_ANSWERED lets it go on. */
 static enum brf_run_end
-begin_body(struct brf_call *call, int status, const struct framing *f)
+begin_body(struct brf_http_call *call, int status, const struct framing *f)
 {
 	if (has_no_body(call, status)) {
-		call->state = BRF_CALL_LENGTH;
+		call->state = BRF_HTTP_CALL_LENGTH;
 		return (BRF_RUN_ANSWERED);
 	}
 	if (f->chunked) {
-		call->state = BRF_CALL_CHUNKED;
+		call->state = BRF_HTTP_CALL_CHUNKED;
 		call->decoder.consume_trailer = 1;
 		return (BRF_RUN_ANSWERED);
 	}
 	if (!f->has_length)
 		return (BRF_RUN_BROKEN);
-	call->state = BRF_CALL_LENGTH;
+	call->state = BRF_HTTP_CALL_LENGTH;
 	call->missing = f->length;
 	if (call->chunk != NULL)
 		return (BRF_RUN_ANSWERED);
@@ -252,7 +252,7 @@
 }
 
 static enum brf_run_end
-take_head(struct brf_call *call, int minor_version, int status,
+take_head(struct brf_http_call *call, int minor_version, int status,
     const struct phr_header *fields, size_t count)
 {
 	struct brf_error err = { .code = BRF_OK };
@@ -261,9 +261,9 @@
 	if (status < 200 || status > 599 || !read_framing(fields, count, &f))
 		return (BRF_RUN_BROKEN);
 	call->answer->status = status;
-	call->keep = minor_version >= 1 &&
-		     !brf_fields_name(fields, count, "connection", "close", 5);
-	if (!brf_fields_take(call->answer, fields, count, &err))
+	call->keep = minor_version >= 1 && !brf_http_fields_name(fields, count,
+					       "connection", "close", 5);
+	if (!brf_http_fields_take(call->answer, fields, count, &err))
 		return (err.code == BRF_E_TOO_LARGE ? BRF_RUN_TOO_LARGE
 						    : BRF_RUN_BROKEN);
 	return (begin_body(call, status, &f));
@@ -271,7 +271,7 @@
 
 /* Return: whether the head was there and the call goes on. */
 static bool
-read_head(struct brf_call *call, struct brf_buf *in)
+read_head(struct brf_http_call *call, struct brf_buf *in)
 {
 	struct phr_header fields[FIELDS_MAX];
 	size_t count = FIELDS_MAX, msg_len;
@@ -300,13 +300,14 @@
 }
 
 static void
-read_answer(struct brf_call *call, struct brf_buf *in)
+read_answer(struct brf_http_call *call, struct brf_buf *in)
 {
-	while (call->state == BRF_CALL_HEAD) { /* interim ones may precede */
+	while (
+	    call->state == BRF_HTTP_CALL_HEAD) { /* interim ones may precede */
 		if (in->len == 0 || !read_head(call, in))
 			return;
 	}
-	if (call->state == BRF_CALL_LENGTH)
+	if (call->state == BRF_HTTP_CALL_LENGTH)
 		read_length_body(call, in);
 	else if (in->len != 0)
 		read_chunked_body(call, in);
@@ -330,7 +331,7 @@
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct call_conn *c = stream->data;
-	struct brf_call *call = c->call;
+	struct brf_http_call *call = c->call;
 
 	if (n == 0)
 		return;
@@ -339,7 +340,7 @@
 		return;
 	}
 	if (n < 0) {
-		end(call, call->state != BRF_CALL_HEAD || c->input.len != 0
+		end(call, call->state != BRF_HTTP_CALL_HEAD || c->input.len != 0
 			      ? BRF_RUN_BROKEN
 			      : BRF_RUN_LOST);
 		return;
@@ -385,7 +386,7 @@
 
 /* Return: false when nothing could be sent. */
 static bool
-send_request(struct brf_call *call, struct call_conn *c)
+send_request(struct brf_http_call *call, struct call_conn *c)
 {
 	struct brf_buf *body = &call->request->body;
 	uv_buf_t bufs[2] = { uv_buf_init(
@@ -413,7 +414,7 @@
 {
 	struct call_conn *c =
 	    brf_container_of(connect, struct call_conn, connect);
-	struct brf_call *call = c->call;
+	struct brf_http_call *call = c->call;
 
 	if (call == NULL)
 		return;
@@ -425,9 +426,9 @@
 }
 
 static bool
-open_conn(struct brf_call *call)
+open_conn(struct brf_http_call *call)
 {
-	struct brf_call_pool *pool = call->pool;
+	struct brf_http_pool *pool = call->pool;
 	struct call_conn *c = brf_calloc(1, sizeof(*c));
 
 	c->pool = pool;
@@ -454,9 +455,9 @@
 
 /* Return: whether the request went out on a connection that was unused. */
 static bool
-reuse_conn(struct brf_call *call)
+reuse_conn(struct brf_http_call *call)
 {
-	struct brf_call_pool *pool = call->pool;
+	struct brf_http_pool *pool = call->pool;
 	struct call_conn *c;
 
 	while (!brf_list_empty(&pool->idle)) {
@@ -490,7 +491,8 @@
 }
 
 static void
-build_head(struct brf_call *call, const struct brf_header *extra, size_t count)
+build_head(
+    struct brf_http_call *call, const struct brf_header *extra, size_t count)
 {
 	const struct brf_message *m = call->request;
 	struct brf_buf *b = &call->head;
@@ -498,7 +500,7 @@
 
 	brf_buf_reserve(b, m->header_bytes + strlen(m->path) + 1024);
 	brf_buf_printf(b, "%s %s HTTP/1.1\r\nhost: %s\r\n", m->method, m->path,
-	    call->pool->authority);
+	    call->host != NULL ? call->host : call->pool->authority);
 	for (i = 0; i < m->header_count; i++) {
 		if (!brf_header_is_hop_by_hop(m->headers[i].name))
 			put_field(b, &m->headers[i]);
@@ -511,7 +513,7 @@
 }
 
 void
-brf_call_start(struct brf_call *call, struct brf_call_pool *pool,
+brf_http_call_start(struct brf_http_call *call, struct brf_http_pool *pool,
     struct brf_message *request, const struct brf_header *extra,
     size_t extra_count)
 {
@@ -524,7 +526,7 @@
 }
 
 void
-brf_call_cancel(struct brf_call *call)
+brf_http_call_cancel(struct brf_http_call *call)
 {
 	if (call->cancelled)
 		return;
@@ -535,7 +537,7 @@
 }
 
 static void
-name_authority(struct brf_call_pool *pool)
+name_authority(struct brf_http_pool *pool)
 {
 	const struct sockaddr_in6 *in6 =
 	    (const struct sockaddr_in6 *)&pool->addr;
@@ -553,11 +555,11 @@
 	    ntohs(in->sin_port));
 }
 
-struct brf_call_pool *
-brf_call_pool_new(
+struct brf_http_pool *
+brf_http_pool_new(
     struct brf_http_loop *hl, const struct sockaddr *addr, uint64_t idle_us)
 {
-	struct brf_call_pool *pool = brf_calloc(1, sizeof(*pool));
+	struct brf_http_pool *pool = brf_calloc(1, sizeof(*pool));
 
 	pool->hl = hl;
 	pool->idle_us = idle_us;
@@ -571,7 +573,7 @@
 }
 
 void
-brf_call_pool_free(struct brf_call_pool *pool)
+brf_http_pool_free(struct brf_http_pool *pool)
 {
 	if (pool == NULL)
 		return;
@@ -583,7 +585,7 @@
 }
 
 const char *
-brf_call_pool_authority(const struct brf_call_pool *pool)
+brf_http_pool_authority(const struct brf_http_pool *pool)
 {
 	return (pool->authority);
 }
--- a/src/http/call.h
+++ b/src/http/call.h
@@ -25,31 +25,34 @@
  * read the request: BRF_RUN_LOST.
  */
 
-struct brf_call_pool;
+struct brf_http_pool;
 struct call_conn;
 
 /**
- * struct brf_call - one call; embedded by its owner.
- * @done: called exactly once, possibly before brf_call_start() returns; the
- *	call may be freed in it
+ * struct brf_http_call - one call; embedded by its owner.
+ * @done: called exactly once, possibly before brf_http_call_start() returns;
+ *the call may be freed in it
  * @chunk: gets the body as it comes; NULL collects it in @answer
  * @body_max: largest whole body, bytes
+ * @host: value of the "host" field, read by brf_http_call_start(); NULL for
+ *	the pool's address
  * @answer: status, fields and, without @chunk, body; valid in @done, also
  *	when the call failed
  */
-struct brf_call {
-	void (*done)(struct brf_call *call, enum brf_run_end end);
-	void (*chunk)(struct brf_call *call, const char *data, size_t len);
+struct brf_http_call {
+	void (*done)(struct brf_http_call *call, enum brf_run_end end);
+	void (*chunk)(struct brf_http_call *call, const char *data, size_t len);
 	size_t body_max;
+	const char *host;
 	struct brf_message *answer;
-	struct brf_call_pool *pool;
+	struct brf_http_pool *pool;
 	struct call_conn *conn;
 	struct brf_message *request;
 	struct brf_buf head;
 	enum {
-		BRF_CALL_HEAD,
-		BRF_CALL_LENGTH,
-		BRF_CALL_CHUNKED
+		BRF_HTTP_CALL_HEAD,
+		BRF_HTTP_CALL_LENGTH,
+		BRF_HTTP_CALL_CHUNKED
 	} state;
 	uint64_t missing; /* bytes of the body, with a content-length */
 	struct phr_chunked_decoder decoder;
@@ -63,34 +66,34 @@
 BRF_BEGIN_DECLS
 
 /**
- * brf_call_pool_new() - connections to @addr.
+ * brf_http_pool_new() - connections to @addr.
  * @idle_us: unused connections are closed after this, microseconds
  *
- * Return: to be given to brf_call_pool_free() when no call is open.
+ * Return: to be given to brf_http_pool_free() when no call is open.
  */
-struct brf_call_pool *brf_call_pool_new(
+struct brf_http_pool *brf_http_pool_new(
     struct brf_http_loop *hl, const struct sockaddr *addr, uint64_t idle_us);
-void brf_call_pool_free(struct brf_call_pool *pool);
+void brf_http_pool_free(struct brf_http_pool *pool);
 
 /* Address and port as in a "host" field. */
-const char *brf_call_pool_authority(const struct brf_call_pool *pool);
+const char *brf_http_pool_authority(const struct brf_http_pool *pool);
 
 /**
- * brf_call_start() - send @request; a reference is taken.
- * @call: zeroed but for @done, @chunk and @body_max
+ * brf_http_call_start() - send @request; a reference is taken.
+ * @call: zeroed but for @done, @chunk, @body_max and @host
  * @extra: @extra_count fields more than the request's own
  */
-void brf_call_start(struct brf_call *call, struct brf_call_pool *pool,
+void brf_http_call_start(struct brf_http_call *call, struct brf_http_pool *pool,
     struct brf_message *request, const struct brf_header *extra,
     size_t extra_count);
 
 /**
- * brf_call_cancel() - close the connection of a call that has not ended.
+ * brf_http_call_cancel() - close the connection of a call that has not ended.
  *
  * @done follows with BRF_RUN_NOT_STARTED when nothing was sent yet, else with
  * BRF_RUN_CANCELLED: at once, or when @chunk has returned.
  */
-void brf_call_cancel(struct brf_call *call);
+void brf_http_call_cancel(struct brf_http_call *call);
 
 BRF_END_DECLS
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -19,7 +19,7 @@
 struct http_target {
 	struct brf_target target;
 	struct brf_http_loop *hl;
-	struct brf_call_pool *pool;
+	struct brf_http_pool *pool;
 	uint32_t limit;
 	uint32_t open;
 	struct brf_list waiting;
@@ -27,7 +27,7 @@
 };
 
 struct http_run {
-	struct brf_call call;
+	struct brf_http_call call;
 	struct http_target *target;
 	struct brf_run *run;
 	struct brf_list link;
@@ -48,7 +48,7 @@
 }
 
 static void
-call_done(struct brf_call *call, enum brf_run_end end)
+call_done(struct brf_http_call *call, enum brf_run_end end)
 {
 	struct http_run *hr = brf_container_of(call, struct http_run, call);
 
@@ -66,7 +66,7 @@
 	t->open++;
 	hr->call.done = call_done;
 	hr->call.body_max = BRF_BODY_MAX;
-	brf_call_start(
+	brf_http_call_start(
 	    &hr->call, t->pool, run->request, run->extra, run->extra_count);
 }
 
@@ -111,7 +111,7 @@
 	if (hr == NULL)
 		return;
 	if (!hr->waiting) {
-		brf_call_cancel(&hr->call);
+		brf_http_call_cancel(&hr->call);
 		return;
 	}
 	brf_list_remove(&hr->link);
@@ -138,7 +138,7 @@
 	t->hl = hl;
 	t->limit = connections != 0 ? connections : 1;
 	t->pool =
-	    brf_call_pool_new(hl, (const struct sockaddr *)&addr, IDLE_US);
+	    brf_http_pool_new(hl, (const struct sockaddr *)&addr, IDLE_US);
 	brf_list_init(&t->waiting);
 	brf_http_task_init(&t->start, start_waiting);
 	return (&t->target);
@@ -153,6 +153,6 @@
 		return;
 	t = brf_container_of(target, struct http_target, target);
 	brf_http_task_cancel(&t->start);
-	brf_call_pool_free(t->pool);
+	brf_http_pool_free(t->pool);
 	free(t);
 }
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -10,7 +10,7 @@
 struct fetch_pool {
 	struct brf_list link; /* in brf_http_loop.pools */
 	struct sockaddr_storage addr;
-	struct brf_call_pool *calls;
+	struct brf_http_pool *calls;
 };
 
 /**
@@ -20,7 +20,7 @@
  * @task: reports an end that came before brf_fetch_start() returned
  */
 struct brf_fetch {
-	struct brf_call call;
+	struct brf_http_call call;
 	struct brf_http_loop *hl;
 	struct brf_timer timer;
 	struct brf_http_task task;
@@ -58,7 +58,7 @@
 		a4->sin_addr.s_addr == b4->sin_addr.s_addr);
 }
 
-static struct brf_call_pool *
+static struct brf_http_pool *
 find_pool(struct brf_http_loop *hl, const struct sockaddr *addr)
 {
 	struct fetch_pool *pool;
@@ -73,7 +73,7 @@
 	memcpy(&pool->addr, addr,
 	    addr->sa_family == AF_INET6 ? sizeof(struct sockaddr_in6)
 					: sizeof(struct sockaddr_in));
-	pool->calls = brf_call_pool_new(hl, addr, IDLE_US);
+	pool->calls = brf_http_pool_new(hl, addr, IDLE_US);
 	brf_list_append(&hl->pools, &pool->link);
 	return (pool->calls);
 }
@@ -87,7 +87,7 @@
 	brf_list_foreach_safe (l, next, &hl->pools) {
 		pool = brf_list_entry(l, struct fetch_pool, link);
 		brf_list_remove(l);
-		brf_call_pool_free(pool->calls);
+		brf_http_pool_free(pool->calls);
 		free(pool);
 	}
 }
@@ -95,12 +95,15 @@
 static void
 report(struct brf_fetch *f, const struct brf_message *m)
 {
-	struct brf_fetch_answer answer = { .status = m->status };
+	struct brf_fetch_answer answer = {
+		.status = m->status,
+		.message = m->status != 0 ? m : NULL,
+	};
 	struct brf_error err = { .code = BRF_OK };
 
 	if (f->end != BRF_RUN_ANSWERED) {
 		brf_error_set(&err, end_errors[f->end], 0, "HTTP call to %s",
-		    brf_call_pool_authority(f->call.pool));
+		    brf_http_pool_authority(f->call.pool));
 	} else if (f->chunk == NULL) {
 		answer.body = m->body.len != 0 ? m->body.data : "";
 		answer.body_len = m->body.len;
@@ -119,7 +122,7 @@
 }
 
 static void
-call_done(struct brf_call *call, enum brf_run_end end)
+call_done(struct brf_http_call *call, enum brf_run_end end)
 {
 	struct brf_fetch *f = brf_container_of(call, struct brf_fetch, call);
 
@@ -135,7 +138,7 @@
 }
 
 static void
-call_chunk(struct brf_call *call, const char *data, size_t len)
+call_chunk(struct brf_http_call *call, const char *data, size_t len)
 {
 	struct brf_fetch *f = brf_container_of(call, struct brf_fetch, call);
 
@@ -149,7 +152,7 @@
 {
 	struct brf_fetch *f = arg;
 
-	brf_call_cancel(&f->call);
+	brf_http_call_cancel(&f->call);
 }
 
 static struct brf_message *
@@ -183,12 +186,14 @@
 	f->timer = (struct brf_timer){ .fire = on_timeout, .arg = f };
 	brf_http_task_init(&f->task, report_task);
 	f->call.done = call_done;
+	f->call.host = call->host;
 	f->call.chunk = call->chunk != NULL ? call_chunk : NULL;
 	f->call.body_max = call->body_max != 0 ? call->body_max : BRF_BODY_MAX;
 	if (f->timeout_us != 0)
 		brf_timer_start(hl->timers, &f->timer, f->timeout_us);
 	f->starting = true;
-	brf_call_start(&f->call, find_pool(hl, call->addr), request, NULL, 0);
+	brf_http_call_start(
+	    &f->call, find_pool(hl, call->addr), request, NULL, 0);
 	f->starting = false;
 	brf_message_unref(request);
 	return (f);
@@ -203,5 +208,5 @@
 		free(f);
 		return;
 	}
-	brf_call_cancel(&f->call);
+	brf_http_call_cancel(&f->call);
 }
--- a/src/http/fetch.h
+++ b/src/http/fetch.h
@@ -21,9 +21,11 @@
  * @status: HTTP status; 0 when the call failed before a head was read
  * @body: whole body; NULL when the call failed, and with a chunk callback
  * @body_len: bytes of @body
+ * @message: the answer's fields; NULL when @status is 0
  */
 struct brf_fetch_answer {
 	int status;
+	const struct brf_message *message;
 	const char *body;
 	size_t body_len;
 };
@@ -52,6 +54,7 @@
  * @addr: address of the server, AF_INET or AF_INET6
  * @method: such as "POST"
  * @path: with query
+ * @host: value of the "host" field; NULL for @addr
  * @headers: @header_count fields besides host and content-length; may be NULL
  * @body: @body_len bytes; may be NULL
  * @timeout_us: bound of the whole call, connecting included; with @chunk the
@@ -65,6 +68,7 @@
 	const struct sockaddr *addr;
 	const char *method;
 	const char *path;
+	const char *host;
 	const struct brf_header *headers;
 	size_t header_count;
 	const char *body;
--- a/src/http/fields.c
+++ b/src/http/fields.c
@@ -4,7 +4,7 @@
 #include "http/fields.h"
 
 bool
-brf_field_is(const struct phr_header *field, const char *name)
+brf_http_field_is(const struct phr_header *field, const char *name)
 {
 	return (field->name != NULL && field->name_len == strlen(name) &&
 		strncasecmp(field->name, name, field->name_len) == 0);
@@ -33,13 +33,13 @@
 }
 
 bool
-brf_fields_name(const struct phr_header *fields, size_t count, const char *list,
-    const char *word, size_t len)
+brf_http_fields_name(const struct phr_header *fields, size_t count,
+    const char *list, const char *word, size_t len)
 {
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		if (brf_field_is(&fields[i], list) &&
+		if (brf_http_field_is(&fields[i], list) &&
 		    list_holds(fields[i].value, fields[i].value_len, word, len))
 			return (true);
 	}
@@ -61,7 +61,7 @@
 }
 
 bool
-brf_fields_take(struct brf_message *m, const struct phr_header *fields,
+brf_http_fields_take(struct brf_message *m, const struct phr_header *fields,
     size_t count, struct brf_error *err)
 {
 	const struct phr_header *f;
@@ -69,7 +69,7 @@
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		named = named || brf_field_is(&fields[i], "connection");
+		named = named || brf_http_field_is(&fields[i], "connection");
 	for (i = 0; i < count; i++) {
 		f = &fields[i];
 		if (f->name == NULL)
@@ -77,7 +77,7 @@
 			    err, BRF_E_HEADERS, 0, "folded field"));
 		if (is_hop_by_hop(f))
 			continue;
-		if (named && brf_fields_name(fields, count, "connection",
+		if (named && brf_http_fields_name(fields, count, "connection",
 				 f->name, f->name_len))
 			continue;
 		if (!brf_message_add_header(
@@ -88,7 +88,7 @@
 }
 
 bool
-brf_path_is_valid(const char *path, size_t len)
+brf_http_path_is_valid(const char *path, size_t len)
 {
 	size_t i;
 
@@ -102,7 +102,7 @@
 }
 
 bool
-brf_method_is_valid(const char *method, size_t len)
+brf_http_method_is_valid(const char *method, size_t len)
 {
 	size_t i;
 
@@ -118,7 +118,7 @@
 }
 
 bool
-brf_field_is_internal(const char *name)
+brf_http_field_is_internal(const char *name)
 {
 	return (strncmp(name, "brf-", 4) == 0);
 }
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -308,7 +308,7 @@
 			.value = from->entries[i].value.base,
 			.value_len = from->entries[i].value.len,
 		};
-	return (brf_fields_take(m, fields, from->size, err));
+	return (brf_http_fields_take(m, fields, from->size, err));
 }
 
 /* Return: 0, or the status of a refusal, with its reason. */
@@ -321,8 +321,8 @@
 	struct brf_error err = { .code = BRF_OK };
 
 	*reason = BRF_R_MALFORMED;
-	if (!brf_method_is_valid(method.base, method.len) ||
-	    !brf_path_is_valid(path.base, path.len) || !copy_host(r, req))
+	if (!brf_http_method_is_valid(method.base, method.len) ||
+	    !brf_http_path_is_valid(path.base, path.len) || !copy_host(r, req))
 		return (400);
 	memcpy(m->method, method.base, method.len);
 	if (!take_fields(m, &req->headers, &err)) {
@@ -727,7 +727,7 @@
 		h = &answer->headers[i];
 		/* h2o writes the date */
 		if (brf_header_is_hop_by_hop(h->name) ||
-		    brf_field_is_internal(h->name) ||
+		    brf_http_field_is_internal(h->name) ||
 		    strcmp(h->name, "date") == 0)
 			continue;
 		add_field(req, h->name, h->value, false);
