--- /dev/null
+++ b/test/wire_peer_test.cc
@@ -0,0 +1,950 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/log.h"
+#include "gate_fake.h"
+#include "wire/codec.h"
+#include "wire/handshake.h"
+#include "wire/peer.h"
+#include "wire/rpc.h"
+
+namespace
+{
+
+const char fleet_key[] = "fleet key";
+const struct brf_id callee_id = { 7, 7 };
+const struct brf_id caller_id = { 8, 8 };
+
+/* One node's side of the protocol with a gate that the test drives. */
+struct node {
+	struct brf_metrics *metrics = brf_metrics_new();
+	struct brf_random_seeded random;
+	struct gate_fake gate;
+	struct brf_peers *peers;
+	uint16_t port = 0;
+
+	node(uv_loop_t *loop, struct brf_timers *timers, struct brf_id id,
+	    struct brf_document_source *documents)
+	{
+		struct brf_peers_config c = {};
+		struct sockaddr_in addr;
+
+		brf_random_seeded_init(&random, id.lo);
+		c.loop = loop;
+		c.timers = timers;
+		c.random = &random.random;
+		c.metrics = metrics;
+		c.gate = &gate.backend;
+		c.documents = documents;
+		c.self = { id, 1 };
+		c.key_len = sizeof(fleet_key);
+		memcpy(c.key, fleet_key, sizeof(fleet_key));
+		c.idle_us = 60 * BRF_US_PER_S;
+		c.connect_us = BRF_US_PER_S;
+		peers = brf_peers_new(&c);
+		uv_ip4_addr("127.0.0.1", 0, &addr);
+		EXPECT_TRUE(brf_peers_listen(
+		    peers, (struct sockaddr *)&addr, &port, nullptr));
+	}
+
+	double
+	errors(enum brf_errc code)
+	{
+		std::string label =
+		    std::string("error=\"") + brf_error_name(code) + "\"";
+		return (brf_metrics_counter(
+		    metrics, "brf_peer_errors_total", "", label.c_str())
+			    ->value);
+	}
+
+	double
+	connections()
+	{
+		return (
+		    brf_metrics_gauge(metrics, "brf_peer_connections", "", "")
+			->value);
+	}
+};
+
+/* An exchange that notes how it ended. */
+struct sent {
+	struct brf_exchange x = {};
+	int ends = 0;
+	struct brf_reply reply = {};
+	std::string body;
+
+	sent(uint64_t id, const std::string &text, uint64_t timeout_us)
+	{
+		x.attempt.id = { 99, id };
+		x.attempt.timeout_us = timeout_us;
+		x.attempt.retries = 2;
+		x.attempt.request = brf_message_new();
+		brf_copy_name(x.attempt.request->method, 16, "GET");
+		brf_message_set_path(x.attempt.request, "/", 1, nullptr);
+		brf_buf_add(&x.attempt.request->body, text.data(), text.size());
+		x.done = [](struct brf_exchange *ended,
+			     const struct brf_reply *r) {
+			struct sent *s = (struct sent *)ended;
+			s->ends++;
+			s->reply = *r;
+			if (r->answer != nullptr)
+				s->body.assign(r->answer->body.data != nullptr
+						   ? r->answer->body.data
+						   : "",
+				    r->answer->body.len);
+		};
+	}
+	sent(const sent &) = delete;
+	~sent()
+	{
+		brf_message_unref(x.attempt.request);
+	}
+};
+
+/* A socket without a loop, for what a well-behaved node would not send. */
+struct raw {
+	int fd = -1;
+	bool eof = false;
+	struct brf_record_reader reader = {};
+	std::string got;
+
+	~raw()
+	{
+		brf_record_reader_free(&reader);
+		if (fd >= 0)
+			close(fd);
+	}
+
+	void
+	send(const std::string &bytes)
+	{
+		EXPECT_EQ(::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+		    (ssize_t)bytes.size());
+	}
+
+	/* Whether a whole record came; it is in @got. */
+	bool
+	poll()
+	{
+		struct brf_record rec;
+		char bytes[4096];
+		ssize_t n;
+
+		while ((n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+			brf_record_feed(&reader, bytes, (size_t)n);
+		eof = eof || n == 0 || (n < 0 && errno == ECONNRESET);
+		if (brf_record_next(&reader, &rec, nullptr) != BRF_RECORD_WHOLE)
+			return (false);
+		got.assign(rec.data, rec.len);
+		return (true);
+	}
+};
+
+typedef std::function<bool(XDR *)> put_fn;
+
+std::string
+call_bytes(uint32_t xid, uint32_t procedure, put_fn put)
+{
+	struct brf_buf out = {};
+	struct brf_rpc_writer w;
+
+	brf_rpc_begin_call(&w, &out, 8192, xid, procedure);
+	EXPECT_TRUE(brf_rpc_end(&w, put(&w.xdr)));
+	std::string bytes(out.data, out.len);
+	brf_buf_free(&out);
+	return (bytes);
+}
+
+std::string
+reply_bytes(uint32_t xid, enum brf_rpc_status status, put_fn put)
+{
+	struct brf_buf out = {};
+	struct brf_rpc_writer w;
+
+	brf_rpc_begin_reply(&w, &out, 8192, xid, status);
+	EXPECT_TRUE(brf_rpc_end(&w, put(&w.xdr)));
+	std::string bytes(out.data, out.len);
+	brf_buf_free(&out);
+	return (bytes);
+}
+
+const put_fn nothing = [](XDR *) { return (true); };
+
+class wire : public ::testing::Test
+{
+      protected:
+	uv_loop_t loop;
+	struct brf_clock_manual clock;
+	struct brf_timers *timers;
+	std::unique_ptr<node> caller, callee;
+	struct brf_backend *backend;
+	struct brf_document_source *documents = nullptr;
+
+	void
+	SetUp() override
+	{
+		int quiet = open("/dev/null", O_WRONLY);
+
+		brf_log_open(quiet, BRF_LOG_ERROR, nullptr);
+		uv_loop_init(&loop);
+		brf_clock_manual_init(&clock, 1000000);
+		timers = brf_timers_new(&clock.clock);
+		caller.reset(new node(&loop, timers, caller_id, nullptr));
+		callee.reset(new node(&loop, timers, callee_id, documents));
+		backend = to(callee->port, callee_id);
+	}
+
+	void
+	TearDown() override
+	{
+		int closed = 0;
+		auto note = [](void *arg) { ++*(int *)arg; };
+
+		for (node *n : { caller.get(), callee.get() }) {
+			brf_peers_close(n->peers, note, &closed);
+			n->gate.deaf = false;
+			while (!n->gate.open.empty())
+				n->gate.refuse(n->gate.open[0], BRF_R_DRAINING);
+		}
+		EXPECT_TRUE(run([&] { return (closed == 2); }));
+		for (node *n : { caller.get(), callee.get() }) {
+			brf_peers_free(n->peers);
+			brf_metrics_free(n->metrics);
+		}
+		EXPECT_EQ(brf_timers_next(timers), BRF_TIMER_NONE);
+		brf_timers_free(timers);
+		EXPECT_EQ(uv_loop_close(&loop), 0);
+	}
+
+	/* Bounded, so that a test that waits in vain ends. */
+	bool
+	run(const std::function<bool()> &until)
+	{
+		for (int i = 0; i < 20000; i++) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			brf_timers_run(timers);
+			if (until())
+				return (true);
+			usleep(100);
+		}
+		return (false);
+	}
+
+	void
+	pass(uint64_t us)
+	{
+		clock.now += us;
+		brf_timers_run(timers);
+	}
+
+	struct brf_backend *
+	to(uint16_t port, struct brf_id id)
+	{
+		struct sockaddr_in addr;
+
+		uv_ip4_addr("127.0.0.1", port, &addr);
+		return (brf_peers_backend(
+		    caller->peers, (struct sockaddr *)&addr, id));
+	}
+
+	/* Send @s and wait until the callee's gate has it. */
+	void
+	reach_gate(struct sent *s)
+	{
+		size_t before = callee->gate.open.size();
+
+		brf_send(backend, &s->x);
+		ASSERT_TRUE(
+		    run([&] { return (callee->gate.open.size() > before); }));
+	}
+
+	void
+	connect_raw(struct raw *r)
+	{
+		struct sockaddr_in addr;
+
+		uv_ip4_addr("127.0.0.1", callee->port, &addr);
+		r->fd = socket(AF_INET, SOCK_STREAM, 0);
+		ASSERT_EQ(
+		    connect(r->fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+	}
+
+	/* The caller's half of the handshake; @spoil changes the proof. */
+	void
+	prove(struct raw *r, bool spoil)
+	{
+		struct brf_handshake h = {};
+		struct brf_rpc_header header;
+		brf_xdr_hello hello = {};
+		brf_xdr_challenge c;
+		brf_xdr_proof proof;
+		XDR xdr;
+
+		h.caller = { { 5, 5 }, 1 };
+		hello.node = { 5, 5 };
+		hello.incarnation = 1;
+		r->send(call_bytes(1, BRF_PEER_HELLO,
+		    [&](XDR *x) { return (xdr_brf_xdr_hello(x, &hello)); }));
+		ASSERT_TRUE(run([&] { return (r->poll()); }));
+		struct brf_record rec = { &r->got[0], r->got.size() };
+		ASSERT_TRUE(brf_rpc_read(&xdr, &rec, &header, nullptr));
+		ASSERT_TRUE(xdr_brf_xdr_challenge(&xdr, &c));
+		h.callee = { { c.node.hi, c.node.lo }, c.incarnation };
+		memcpy(h.callee_nonce, c.nonce, sizeof(c.nonce));
+		EXPECT_TRUE(brf_handshake_check(&h, BRF_HANDSHAKE_CALLEE,
+		    (const unsigned char *)fleet_key, sizeof(fleet_key),
+		    c.mac));
+		brf_handshake_mac(&h, BRF_HANDSHAKE_CALLER,
+		    (const unsigned char *)fleet_key, sizeof(fleet_key),
+		    (unsigned char *)proof.mac);
+		proof.mac[31] ^= spoil ? 1 : 0;
+		r->send(call_bytes(2, BRF_PEER_PROVE,
+		    [&](XDR *x) { return (xdr_brf_xdr_proof(x, &proof)); }));
+		ASSERT_TRUE(run([&] { return (r->poll()); }));
+	}
+};
+
+TEST_F(wire, large_answers_out_of_order_reach_their_callers)
+{
+	std::vector<std::unique_ptr<sent>> all;
+	size_t n = 12;
+
+	for (size_t i = 0; i < n; i++) {
+		all.emplace_back(
+		    new sent(i, std::string(BRF_BODY_MAX - i, (char)('a' + i)),
+			60 * BRF_US_PER_S));
+		brf_send(backend, &all[i]->x);
+	}
+	ASSERT_TRUE(run([&] { return (callee->gate.open.size() == n); }));
+	EXPECT_EQ(brf_peers_open_calls(callee->peers), n);
+	for (size_t i = n; i-- > 0;) {
+		struct brf_message *q = callee->gate.open[i]->attempt.request;
+		callee->gate.answer(callee->gate.open[i],
+		    std::string(q->body.data, q->body.len));
+	}
+	ASSERT_TRUE(run([&] {
+		for (auto &s : all)
+			if (s->ends == 0)
+				return (false);
+		return (true);
+	}));
+	for (size_t i = 0; i < n; i++) {
+		EXPECT_EQ(all[i]->ends, 1);
+		EXPECT_EQ(all[i]->reply.outcome, BRF_ANSWERED);
+		EXPECT_TRUE(all[i]->body ==
+			    std::string(BRF_BODY_MAX - i, (char)('a' + i)))
+		    << i;
+	}
+	EXPECT_EQ(caller->connections(), 1);
+	EXPECT_GT(brf_peers_bytes(backend), 2 * n * (BRF_BODY_MAX - n));
+}
+
+TEST_F(wire, attempt_travels_whole_with_the_time_that_is_left)
+{
+	struct sent s(1, "x", BRF_US_PER_S);
+
+	brf_copy_name(s.x.attempt.workspace, 64, "ws");
+	brf_copy_name(s.x.attempt.token, 192, "tok");
+	s.x.attempt.resend = true;
+	s.x.attempt.root = { 3, 4 };
+	brf_send(backend, &s.x);
+	pass(400000);
+	ASSERT_TRUE(run([&] { return (!callee->gate.open.empty()); }));
+	struct brf_attempt &a = callee->gate.open[0]->attempt;
+	EXPECT_EQ(a.timeout_us, 600000);
+	EXPECT_STREQ(a.workspace, "ws");
+	EXPECT_STREQ(a.token, "tok");
+	EXPECT_TRUE(a.resend);
+	EXPECT_EQ(a.retries, 2);
+	EXPECT_TRUE(brf_id_equal(a.root, { 3, 4 }));
+	struct brf_reply reply = {};
+	reply.outcome = BRF_NOT_RUN;
+	reply.reason = BRF_R_OVERLOAD;
+	reply.retries = 3; /* more than went down */
+	reply.retry_after_ms = 70;
+	callee->gate.end(callee->gate.open[0], reply);
+	ASSERT_TRUE(run([&] { return (s.ends == 1); }));
+	EXPECT_EQ(s.reply.reason, BRF_R_OVERLOAD);
+	EXPECT_EQ(s.reply.retry_after_ms, 70);
+	EXPECT_EQ(s.reply.retries, 2);
+}
+
+TEST_F(wire, cancel_before_the_write_is_not_run)
+{
+	struct sent s(1, "x", BRF_US_PER_S), other(2, "y", BRF_US_PER_S);
+
+	callee->gate.echo = true;
+	brf_send(backend, &s.x);
+	brf_send(backend, &other.x);
+	brf_cancel(backend, &s.x);
+	EXPECT_EQ(s.ends, 1);
+	EXPECT_EQ(s.reply.outcome, BRF_NOT_RUN);
+	EXPECT_EQ(s.reply.reason, BRF_R_CANCELLED);
+	EXPECT_EQ(s.reply.retries, 2);
+	ASSERT_TRUE(run([&] { return (other.ends == 1); }));
+	EXPECT_EQ(callee->gate.seen.size(), 1);
+}
+
+TEST_F(wire, cancel_after_the_write_ends_as_the_gate_says)
+{
+	for (auto outcome : { BRF_NOT_RUN, BRF_UNKNOWN }) {
+		struct sent s(1, "x", 60 * BRF_US_PER_S);
+
+		callee->gate.on_cancel = outcome;
+		reach_gate(&s);
+		brf_cancel(backend, &s.x);
+		brf_cancel(backend, &s.x);
+		EXPECT_EQ(s.ends, 0);
+		ASSERT_TRUE(run([&] { return (s.ends == 1); }));
+		EXPECT_EQ(s.reply.outcome, outcome);
+		EXPECT_EQ(s.reply.reason, BRF_R_CANCELLED);
+	}
+	EXPECT_EQ(callee->gate.cancelled, 2);
+}
+
+TEST_F(wire, cancel_without_a_word_is_unknown)
+{
+	struct sent s(1, "x", 60 * BRF_US_PER_S);
+
+	callee->gate.deaf = true;
+	reach_gate(&s);
+	brf_cancel(backend, &s.x);
+	ASSERT_TRUE(run([&] { return (callee->gate.cancelled == 1); }));
+	pass(BRF_PEER_CANCEL_US - 1);
+	EXPECT_EQ(s.ends, 0);
+	pass(1);
+	ASSERT_EQ(s.ends, 1);
+	EXPECT_EQ(s.reply.outcome, BRF_UNKNOWN);
+	EXPECT_EQ(s.reply.reason, BRF_R_CANCELLED);
+}
+
+TEST_F(wire, time_up_asks_the_gate_and_then_is_unknown)
+{
+	struct sent s(1, "x", BRF_US_PER_S), told(2, "y", BRF_US_PER_S);
+
+	reach_gate(&told);
+	pass(BRF_US_PER_S);
+	EXPECT_EQ(told.ends, 0);
+	ASSERT_TRUE(run([&] { return (told.ends == 1); }));
+	EXPECT_EQ(told.reply.outcome, BRF_NOT_RUN);
+
+	callee->gate.deaf = true;
+	reach_gate(&s);
+	pass(BRF_US_PER_S);
+	ASSERT_TRUE(run([&] { return (callee->gate.cancelled == 2); }));
+	EXPECT_EQ(s.ends, 0);
+	pass(BRF_PEER_GRACE_US);
+	ASSERT_EQ(s.ends, 1);
+	EXPECT_EQ(s.reply.outcome, BRF_UNKNOWN);
+	EXPECT_EQ(s.reply.reason, BRF_R_TIMEOUT);
+
+	/* the late answer meets nothing, and the connection goes on */
+	callee->gate.answer(callee->gate.open[0], "late");
+	ASSERT_TRUE(
+	    run([&] { return (caller->errors(BRF_E_RPC_UNMATCHED) == 1); }));
+	struct sent next(3, "z", BRF_US_PER_S);
+	callee->gate.echo = true;
+	brf_send(backend, &next.x);
+	ASSERT_TRUE(run([&] { return (next.ends == 1); }));
+	EXPECT_EQ(next.body, "z");
+	EXPECT_EQ(caller->connections(), 1);
+	EXPECT_EQ(s.ends, 1);
+}
+
+TEST_F(wire, time_up_before_the_write_is_not_run)
+{
+	struct sent s(1, "x", 1000);
+
+	brf_send(backend, &s.x);
+	pass(1000);
+	ASSERT_EQ(s.ends, 1);
+	EXPECT_EQ(s.reply.outcome, BRF_NOT_RUN);
+	EXPECT_EQ(s.reply.reason, BRF_R_EXPIRED);
+}
+
+TEST_F(wire, callee_cancels_what_its_lost_caller_had_open)
+{
+	struct sent s(1, "x", 60 * BRF_US_PER_S);
+
+	reach_gate(&s);
+	callee->gate.deaf = true;
+	brf_peers_close(
+	    caller->peers, [](void *) {}, nullptr);
+	EXPECT_EQ(s.ends, 1);
+	EXPECT_EQ(s.reply.outcome, BRF_UNKNOWN);
+	EXPECT_EQ(s.reply.reason, BRF_R_CONNECTION_LOST);
+	ASSERT_TRUE(run([&] { return (callee->gate.cancelled == 1); }));
+	EXPECT_EQ(brf_peers_open_calls(callee->peers), 1);
+	callee->gate.answer(callee->gate.open[0], "into the void");
+	EXPECT_EQ(brf_peers_open_calls(callee->peers), 0);
+	ASSERT_TRUE(run([&] { return (caller->connections() == 0); }));
+	/* so that the end of the test can close it once */
+	brf_peers_free(caller->peers);
+	brf_metrics_free(caller->metrics);
+	caller.reset(new node(&loop, timers, caller_id, nullptr));
+}
+
+TEST_F(wire, idle_connection_is_closed_and_opened_again)
+{
+	callee->gate.echo = true;
+	for (int i = 0; i < 2; i++) {
+		struct sent s(1, "x", BRF_US_PER_S);
+		brf_send(backend, &s.x);
+		ASSERT_TRUE(run([&] { return (s.ends == 1); }));
+		EXPECT_EQ(s.reply.outcome, BRF_ANSWERED);
+		pass(59 * BRF_US_PER_S);
+		EXPECT_EQ(caller->connections(), 1);
+		pass(1 * BRF_US_PER_S);
+		ASSERT_TRUE(run([&] {
+			return (caller->connections() == 0 &&
+				callee->connections() == 0);
+		}));
+	}
+}
+
+TEST_F(wire, forgotten_backend_ends_its_calls_first)
+{
+	struct sent s(1, "x", BRF_US_PER_S);
+
+	reach_gate(&s);
+	brf_peers_forget(caller->peers, backend);
+	EXPECT_EQ(s.ends, 0);
+	callee->gate.answer(callee->gate.open[0], "ok");
+	ASSERT_TRUE(run([&] { return (s.ends == 1); }));
+	EXPECT_EQ(s.reply.outcome, BRF_ANSWERED);
+	ASSERT_TRUE(run([&] { return (caller->connections() == 0); }));
+}
+
+/* What a callee is sent by somebody who breaks the protocol. */
+enum bad_end {
+	ANSWERED_AND_OPEN,
+	OPEN,
+	CLOSED,
+	ANSWERED_AND_CLOSED
+};
+
+struct bad_input {
+	const char *name;
+	bool proved;
+	std::string bytes;
+	enum bad_end end;
+	enum brf_rpc_status status;
+	enum brf_errc code;
+};
+
+/* Replace the 32-bit word number @i of a record's content. */
+std::string
+with_word(std::string bytes, size_t i, uint32_t word)
+{
+	uint32_t be = htonl(word);
+
+	memcpy(&bytes[4 + 4 * i], &be, 4);
+	return (bytes);
+}
+
+std::vector<bad_input>
+bad_inputs()
+{
+	std::string null = call_bytes(9, BRF_PEER_NULL, nothing);
+	std::string cut_call = call_bytes(9, BRF_PEER_CALL,
+	    [](XDR *x) { return (xdr_setpos(x, xdr_getpos(x) + 8)); });
+	std::string spare = call_bytes(9, BRF_PEER_CANCEL,
+	    [](XDR *x) { return (xdr_setpos(x, xdr_getpos(x) + 20)); });
+
+	return {
+		{ "unknown procedure", true, call_bytes(9, 77, nothing),
+		    ANSWERED_AND_OPEN, BRF_RPC_PROC_UNAVAIL,
+		    BRF_E_RPC_PROCEDURE },
+		{ "RPC version", true, with_word(null, 2, 3), ANSWERED_AND_OPEN,
+		    BRF_RPC_VERSION_MISMATCH, BRF_E_RPC_VERSION },
+		{ "program", true, with_word(null, 3, 3), ANSWERED_AND_OPEN,
+		    BRF_RPC_PROG_UNAVAIL, BRF_E_RPC_VERSION },
+		{ "program version", true, with_word(null, 4, 3),
+		    ANSWERED_AND_OPEN, BRF_RPC_PROG_MISMATCH,
+		    BRF_E_RPC_VERSION },
+		{ "cut argument", true, cut_call, ANSWERED_AND_OPEN,
+		    BRF_RPC_GARBAGE_ARGS, BRF_E_RPC_ARGUMENT },
+		{ "bytes behind the argument", true, spare, ANSWERED_AND_OPEN,
+		    BRF_RPC_GARBAGE_ARGS, BRF_E_RPC_ARGUMENT },
+		{ "wild revisions", true,
+		    call_bytes(9, BRF_PEER_DOCUMENTS,
+			[](XDR *x) {
+				u_int wild = 0xffffffffu;
+				return (xdr_u_int(x, &wild));
+			}),
+		    ANSWERED_AND_OPEN, BRF_RPC_GARBAGE_ARGS,
+		    BRF_E_RPC_ARGUMENT },
+		{ "reply to nothing", true,
+		    reply_bytes(9, BRF_RPC_SUCCESS, nothing), OPEN,
+		    BRF_RPC_SUCCESS, BRF_E_RPC_UNMATCHED },
+		{ "no header", true, std::string("\x80\0\0\4abcd", 8), CLOSED,
+		    BRF_RPC_SUCCESS, BRF_E_RPC_HEADER },
+		{ "wild credentials", true, with_word(null, 7, 401), CLOSED,
+		    BRF_RPC_SUCCESS, BRF_E_RPC_HEADER },
+		{ "wild length", true, std::string("\xff\xff\xff\xff", 4),
+		    CLOSED, BRF_RPC_SUCCESS, BRF_E_TOO_LARGE },
+		{ "empty fragment", true, std::string("\0\0\0\0", 4), CLOSED,
+		    BRF_RPC_SUCCESS, BRF_E_RPC_RECORD },
+		{ "long record before the proof", false,
+		    std::string("\x80\x01\0\0", 4), CLOSED, BRF_RPC_SUCCESS,
+		    BRF_E_TOO_LARGE },
+		{ "call before the proof", false, cut_call, ANSWERED_AND_CLOSED,
+		    BRF_RPC_AUTH_ERROR, BRF_E_RPC_DENIED },
+		{ "proof before hello", false,
+		    call_bytes(9, BRF_PEER_PROVE, nothing), ANSWERED_AND_CLOSED,
+		    BRF_RPC_AUTH_ERROR, BRF_E_AUTH },
+	};
+}
+
+TEST_F(wire, bad_input_is_answered_counted_and_hurts_no_other)
+{
+	struct sent other(1, "kept", 600 * BRF_US_PER_S);
+
+	reach_gate(&other);
+	for (auto &c : bad_inputs()) {
+		SCOPED_TRACE(c.name);
+		struct brf_rpc_header h = {};
+		struct raw r;
+		XDR xdr;
+		double before = callee->errors(c.code);
+		connect_raw(&r);
+		if (c.proved)
+			prove(&r, false);
+		r.send(c.bytes);
+		ASSERT_TRUE(
+		    run([&] { return (callee->errors(c.code) > before); }));
+		EXPECT_EQ(callee->errors(c.code), before + 1);
+		if (c.end == ANSWERED_AND_OPEN ||
+		    c.end == ANSWERED_AND_CLOSED) {
+			ASSERT_TRUE(run([&] { return (r.poll()); }));
+			struct brf_record rec = { &r.got[0], r.got.size() };
+			ASSERT_TRUE(brf_rpc_read(&xdr, &rec, &h, nullptr));
+			EXPECT_EQ(h.xid, 9);
+			EXPECT_EQ(h.status, c.status);
+		}
+		if (c.end == CLOSED || c.end == ANSWERED_AND_CLOSED) {
+			EXPECT_TRUE(run([&] { return (r.poll(), r.eof); }));
+			continue;
+		}
+		r.send(call_bytes(10, BRF_PEER_NULL, nothing));
+		EXPECT_TRUE(run([&] { return (r.poll()); }));
+	}
+	callee->gate.answer(callee->gate.open[0], "kept");
+	ASSERT_TRUE(run([&] { return (other.ends == 1); }));
+	EXPECT_EQ(other.body, "kept");
+}
+
+TEST_F(wire, wrong_proof_is_denied)
+{
+	struct brf_rpc_header h;
+	struct raw r;
+	XDR xdr;
+
+	connect_raw(&r);
+	prove(&r, true);
+	struct brf_record rec = { &r.got[0], r.got.size() };
+	ASSERT_TRUE(brf_rpc_read(&xdr, &rec, &h, nullptr));
+	EXPECT_EQ(h.status, BRF_RPC_AUTH_ERROR);
+	EXPECT_TRUE(run([&] { return (r.poll(), r.eof); }));
+	EXPECT_EQ(callee->errors(BRF_E_AUTH), 1);
+}
+
+TEST_F(wire, silence_instead_of_a_proof_ends)
+{
+	struct raw r;
+
+	connect_raw(&r);
+	ASSERT_TRUE(run([&] { return (callee->connections() == 1); }));
+	pass(BRF_US_PER_S);
+	EXPECT_TRUE(run([&] { return (r.poll(), r.eof); }));
+	EXPECT_EQ(callee->errors(BRF_E_AUTH), 1);
+}
+
+/* Where a callee that the test plays leaves the script. */
+enum leave {
+	REFUSES,
+	AFTER_ACCEPT,
+	AFTER_HELLO,
+	WRONG_PROOF,
+	OTHER_LIFE,
+	AFTER_CHALLENGE,
+	DENIES_PROOF,
+	AFTER_CALL,
+	STATUS_ONLY,
+	BAD_REPLY
+};
+
+struct broken_callee {
+	const char *name;
+	enum leave leave;
+	enum brf_rpc_status status;
+	void (*spoil)(std::string *reply);
+	enum brf_outcome outcome;
+	enum brf_reason reason;
+	enum brf_errc code;
+};
+
+const broken_callee broken_callees[] = {
+	{ "refuses", REFUSES, BRF_RPC_SUCCESS, nullptr, BRF_NOT_RUN,
+	    BRF_R_NOT_SENT, BRF_E_CONNECT },
+	{ "leaves after accept", AFTER_ACCEPT, BRF_RPC_SUCCESS, nullptr,
+	    BRF_NOT_RUN, BRF_R_NOT_SENT, BRF_OK },
+	{ "leaves after hello", AFTER_HELLO, BRF_RPC_SUCCESS, nullptr,
+	    BRF_NOT_RUN, BRF_R_NOT_SENT, BRF_OK },
+	{ "wrong proof", WRONG_PROOF, BRF_RPC_SUCCESS, nullptr, BRF_NOT_RUN,
+	    BRF_R_NOT_SENT, BRF_E_AUTH },
+	{ "another life", OTHER_LIFE, BRF_RPC_SUCCESS, nullptr, BRF_NOT_RUN,
+	    BRF_R_NOT_SENT, BRF_E_AUTH },
+	{ "leaves after challenge", AFTER_CHALLENGE, BRF_RPC_SUCCESS, nullptr,
+	    BRF_NOT_RUN, BRF_R_NOT_SENT, BRF_OK },
+	{ "denies proof", DENIES_PROOF, BRF_RPC_SUCCESS, nullptr, BRF_NOT_RUN,
+	    BRF_R_NOT_SENT, BRF_E_RPC_DENIED },
+	{ "leaves after call", AFTER_CALL, BRF_RPC_SUCCESS, nullptr,
+	    BRF_UNKNOWN, BRF_R_CONNECTION_LOST, BRF_OK },
+	{ "denies call", STATUS_ONLY, BRF_RPC_AUTH_ERROR, nullptr, BRF_NOT_RUN,
+	    BRF_R_NOT_SENT, BRF_E_RPC_DENIED },
+	{ "unknown procedure", STATUS_ONLY, BRF_RPC_PROC_UNAVAIL, nullptr,
+	    BRF_NOT_RUN, BRF_R_NOT_SENT, BRF_E_RPC_DENIED },
+	{ "garbage", STATUS_ONLY, BRF_RPC_GARBAGE_ARGS, nullptr, BRF_NOT_RUN,
+	    BRF_R_MALFORMED, BRF_E_RPC_DENIED },
+	{ "system error", STATUS_ONLY, BRF_RPC_SYSTEM_ERR, nullptr, BRF_UNKNOWN,
+	    BRF_R_BROKEN_ANSWER, BRF_E_RPC_DENIED },
+	{ "no result", STATUS_ONLY, BRF_RPC_SUCCESS, nullptr, BRF_UNKNOWN,
+	    BRF_R_BROKEN_ANSWER, BRF_E_RPC_ARGUMENT },
+	{ "cut reply", BAD_REPLY, BRF_RPC_SUCCESS,
+	    [](std::string *r) { r->resize(r->size() - 1); }, BRF_UNKNOWN,
+	    BRF_R_CONNECTION_LOST, BRF_E_RPC_RECORD },
+	{ "changed body", BAD_REPLY, BRF_RPC_SUCCESS,
+	    [](std::string *r) { (*r)[r->find("answer")] = 'b'; }, BRF_UNKNOWN,
+	    BRF_R_BROKEN_ANSWER, BRF_E_CHECKSUM },
+	{ "another attempt's reply", BAD_REPLY, BRF_RPC_SUCCESS,
+	    [](std::string *r) { *r = with_word(*r, 9, 4711); }, BRF_UNKNOWN,
+	    BRF_R_BROKEN_ANSWER, BRF_E_RPC_UNMATCHED },
+	{ "another xid", BAD_REPLY, BRF_RPC_SUCCESS,
+	    [](std::string *r) { *r = with_word(*r, 0, 4711); }, BRF_UNKNOWN,
+	    BRF_R_CONNECTION_LOST, BRF_E_RPC_UNMATCHED },
+};
+
+std::string
+good_reply(uint32_t xid, struct brf_id id)
+{
+	struct brf_reply reply = {};
+
+	reply.answer = brf_message_new();
+	reply.answer->status = 200;
+	brf_buf_puts(&reply.answer->body, "answer");
+	std::string bytes = reply_bytes(xid, BRF_RPC_SUCCESS,
+	    [&](XDR *x) { return (brf_reply_put(x, id, &reply)); });
+	brf_message_unref(reply.answer);
+	return (bytes);
+}
+
+std::string
+challenge_reply(uint32_t xid, brf_xdr_hello *hello, enum leave leave)
+{
+	struct brf_handshake h = {};
+	brf_xdr_challenge c = {};
+
+	h.caller = { { hello->node.hi, hello->node.lo }, hello->incarnation };
+	memcpy(h.caller_nonce, hello->nonce, sizeof(h.caller_nonce));
+	h.callee.node = callee_id;
+	h.callee.node.lo += leave == OTHER_LIFE ? 1 : 0;
+	c.node = { h.callee.node.hi, h.callee.node.lo };
+	brf_handshake_mac(&h, BRF_HANDSHAKE_CALLEE,
+	    (const unsigned char *)fleet_key, sizeof(fleet_key),
+	    (unsigned char *)c.mac);
+	c.mac[0] ^= leave == WRONG_PROOF ? 1 : 0;
+	return (reply_bytes(xid, BRF_RPC_SUCCESS,
+	    [&](XDR *x) { return (xdr_brf_xdr_challenge(x, &c)); }));
+}
+
+/* Answer one message as the script says; false: it is over. */
+bool
+play(struct raw *r, const struct broken_callee &c)
+{
+	struct brf_record rec = { &r->got[0], r->got.size() };
+	struct brf_rpc_header h;
+	brf_xdr_hello hello;
+	std::string bytes;
+	XDR xdr;
+
+	EXPECT_TRUE(brf_rpc_read(&xdr, &rec, &h, nullptr));
+	if (h.procedure == BRF_PEER_HELLO) {
+		if (c.leave == AFTER_HELLO)
+			return (false);
+		EXPECT_TRUE(xdr_brf_xdr_hello(&xdr, &hello));
+		r->send(challenge_reply(h.xid, &hello, c.leave));
+		return (c.leave != AFTER_CHALLENGE);
+	}
+	if (h.procedure == BRF_PEER_PROVE) {
+		r->send(reply_bytes(h.xid,
+		    c.leave == DENIES_PROOF ? BRF_RPC_AUTH_ERROR
+					    : BRF_RPC_SUCCESS,
+		    nothing));
+		return (true);
+	}
+	if (c.leave == STATUS_ONLY)
+		r->send(reply_bytes(h.xid, c.status, nothing));
+	if (c.leave == BAD_REPLY) {
+		bytes = good_reply(h.xid, { 99, 1 });
+		c.spoil(&bytes);
+		r->send(bytes);
+	}
+	return (false);
+}
+
+TEST_F(wire, broken_callee_gives_the_outcome_that_is_proved)
+{
+	for (const auto &c : broken_callees) {
+		SCOPED_TRACE(c.name);
+		struct sockaddr_in addr;
+		socklen_t len = sizeof(addr);
+		struct sent s(1, "x", 600 * BRF_US_PER_S);
+		double before = caller->errors(c.code);
+		struct raw r;
+		uv_ip4_addr("127.0.0.1", 0, &addr);
+		int lfd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		ASSERT_EQ(bind(lfd, (struct sockaddr *)&addr, len), 0);
+		if (c.leave != REFUSES) {
+			ASSERT_EQ(listen(lfd, 1), 0);
+		}
+		getsockname(lfd, (struct sockaddr *)&addr, &len);
+		brf_send(to(ntohs(addr.sin_port), callee_id), &s.x);
+		bool on = true;
+		EXPECT_TRUE(run([&] {
+			if (r.fd < 0)
+				r.fd = accept(lfd, nullptr, nullptr);
+			if (r.fd >= 0 && c.leave == AFTER_ACCEPT)
+				on = false;
+			if (r.fd >= 0 && on && r.poll())
+				on = play(&r, c);
+			if (r.fd >= 0 && !on)
+				shutdown(r.fd, SHUT_RDWR);
+			return (s.ends != 0);
+		}));
+		close(lfd);
+		EXPECT_EQ(s.ends, 1);
+		EXPECT_EQ(s.reply.outcome, c.outcome);
+		EXPECT_EQ(s.reply.reason, c.reason);
+		EXPECT_EQ(s.reply.answer, nullptr);
+		if (c.code != BRF_OK) {
+			EXPECT_EQ(caller->errors(c.code), before + 1);
+		}
+	}
+}
+
+/* Documents that the callee has: one over the bound of a record together. */
+struct two_documents {
+	struct brf_document_source source;
+	size_t known = 0;
+	std::string text = std::string(BRF_BODY_MAX, 'd');
+
+	two_documents();
+};
+
+void
+two_newer(struct brf_document_source *source,
+    const struct brf_known_revision *known, size_t count,
+    bool (*emit)(const struct brf_document_news *news, void *arg), void *arg)
+{
+	auto *d = reinterpret_cast<struct two_documents *>(source);
+	struct brf_document_news news[] = {
+		{ "gone", 5, nullptr, 0 },
+		{ "large", 6, d->text.data(), d->text.size() },
+		{ "more", 7, "{}", 2 },
+	};
+
+	d->known = count;
+	for (auto &n : news) {
+		if (count == 1 && strcmp(known[0].service, n.service) == 0 &&
+		    known[0].revision >= n.revision)
+			continue;
+		if (!emit(&n, arg))
+			break;
+	}
+}
+
+const struct brf_document_source_vt two_vt = { two_newer };
+
+two_documents::two_documents() : source{ &two_vt }
+{
+}
+
+class wire_documents : public wire
+{
+      protected:
+	struct two_documents store;
+
+	void
+	SetUp() override
+	{
+		documents = &store.source;
+		wire::SetUp();
+	}
+};
+
+struct fetched {
+	int ends = 0;
+	enum brf_errc code = BRF_OK;
+	std::vector<std::string> names;
+	size_t bytes = 0;
+};
+
+void
+note_documents(void *arg, const struct brf_document_news *news, size_t count,
+    const struct brf_error *err)
+{
+	auto *f = static_cast<struct fetched *>(arg);
+
+	f->ends++;
+	f->code = err != nullptr ? err->code : BRF_OK;
+	for (size_t i = 0; i < count; i++) {
+		f->names.emplace_back(news[i].service);
+		f->bytes += news[i].len;
+	}
+}
+
+TEST_F(wire_documents, fetch_gives_what_fits_and_the_rest_next_time)
+{
+	struct brf_known_revision known = { "gone", 5 };
+	struct fetched first, second;
+
+	brf_peers_fetch_documents(
+	    caller->peers, backend, nullptr, 0, note_documents, &first);
+	ASSERT_TRUE(run([&] { return (first.ends == 1); }));
+	EXPECT_EQ(first.names, std::vector<std::string>{ "gone" });
+	brf_peers_fetch_documents(
+	    caller->peers, backend, &known, 1, note_documents, &second);
+	ASSERT_TRUE(run([&] { return (second.ends == 1); }));
+	EXPECT_EQ(store.known, 1);
+	EXPECT_EQ(second.names, std::vector<std::string>{ "large" });
+	EXPECT_EQ(second.bytes, BRF_BODY_MAX);
+}
+
+TEST_F(wire, fetch_without_an_answer_has_a_type)
+{
+	struct sent connects(1, "x", 600 * BRF_US_PER_S);
+	struct fetched late, lost;
+
+	reach_gate(&connects);
+	brf_peers_fetch_documents(
+	    caller->peers, backend, nullptr, 0, note_documents, &late);
+	pass(BRF_PEER_DOCUMENTS_US);
+	EXPECT_EQ(late.ends, 1);
+	EXPECT_EQ(late.code, BRF_E_TIMEOUT);
+	brf_peers_fetch_documents(
+	    caller->peers, to(1, callee_id), nullptr, 0, note_documents, &lost);
+	pass(BRF_US_PER_S);
+	EXPECT_EQ(lost.ends, 1);
+	EXPECT_EQ(lost.code, BRF_E_CLOSED);
+}
+
+} // namespace
