--- a/src/member/codec.c
+++ b/src/member/codec.c
@@ -70,16 +70,13 @@
 static size_t
 body_bytes(enum brf_gossip_type type)
 {
-	switch (type) {
-	case BRF_GOSSIP_PING_REQ:
-		return (TARGET_BYTES);
-	case BRF_GOSSIP_RELAYED:
-		return (SUBJECT_BYTES);
-	case BRF_GOSSIP_SYNC:
-		return (BRF_GOSSIP_PARTS * sizeof(uint32_t));
-	default:
-		return (0);
-	}
+	static const size_t bytes[BRF_GOSSIP_TYPE_COUNT] = {
+		[BRF_GOSSIP_PING_REQ] = TARGET_BYTES,
+		[BRF_GOSSIP_RELAYED] = SUBJECT_BYTES,
+		[BRF_GOSSIP_SYNC] = BRF_GOSSIP_PARTS * sizeof(uint32_t),
+	};
+
+	return (bytes[type]);
 }
 
 void
@@ -87,8 +84,8 @@
 {
 	memset(g, 0, offsetof(struct brf_gossip, briefs));
 	g->type = type;
-	g->size = HEADER_BYTES + COUNTS_BYTES + BRF_GOSSIP_MAC +
-		  body_bytes(type);
+	g->size =
+	    HEADER_BYTES + COUNTS_BYTES + BRF_GOSSIP_MAC + body_bytes(type);
 }
 
 static bool
@@ -149,8 +146,8 @@
 static bool
 code_version(XDR *x, struct brf_gossip_version *v)
 {
-	uint64_t word = v->incarnation << 16 | (uint64_t)v->fields << 8 |
-			v->state;
+	uint64_t word =
+	    v->incarnation << 16 | (uint64_t)v->fields << 8 | v->state;
 
 	if (!xdr_uint64_t(x, &word))
 		return (false);
@@ -260,8 +257,8 @@
 static bool
 code_counts(XDR *x, struct brf_gossip *g)
 {
-	uint32_t word = g->brief_count << 16 | g->docs_items << 8 |
-			g->full_count;
+	uint32_t word =
+	    g->brief_count << 16 | g->docs_items << 8 | g->full_count;
 
 	if (!xdr_uint32_t(x, &word))
 		return (false);
--- a/src/member/codec.h
+++ b/src/member/codec.h
@@ -16,7 +16,7 @@
  */
 
 enum brf_gossip_type {
-	BRF_GOSSIP_PING,     /* asks for BRF_GOSSIP_ACK with the same number */
+	BRF_GOSSIP_PING, /* asks for BRF_GOSSIP_ACK with the same number */
 	BRF_GOSSIP_ACK,
 	BRF_GOSSIP_PING_REQ, /* asks a relay to ping @target */
 	BRF_GOSSIP_RELAYING, /* the relay hears, and has sent the ping */
@@ -81,11 +81,11 @@
 	struct brf_gossip_version version;
 };
 
-#define BRF_GOSSIP_PARTS 64u	    /* parts of the table in a sync */
-#define BRF_GOSSIP_BRIEFS_MAX 64u   /* items of one datagram */
-#define BRF_GOSSIP_DOCS_MAX 32u	    /* items of one datagram */
-#define BRF_GOSSIP_FULLS_MAX 24u    /* items of one datagram */
-#define BRF_GOSSIP_MAC 16u	    /* bytes of the HMAC that are sent */
+#define BRF_GOSSIP_PARTS 64u	  /* parts of the table in a sync */
+#define BRF_GOSSIP_BRIEFS_MAX 64u /* items of one datagram */
+#define BRF_GOSSIP_DOCS_MAX 32u	  /* items of one datagram */
+#define BRF_GOSSIP_FULLS_MAX 24u  /* items of one datagram */
+#define BRF_GOSSIP_MAC 16u	  /* bytes of the HMAC that are sent */
 #define BRF_GOSSIP_INCARNATION_MAX ((1ull << 48) - 1)
 
 /**
@@ -167,8 +167,8 @@
     struct brf_gossip *g, struct brf_error *err);
 
 /* Whether @a is newer than @b, both of one life. */
-bool brf_gossip_newer(const struct brf_gossip_version *a,
-    const struct brf_gossip_version *b);
+bool brf_gossip_newer(
+    const struct brf_gossip_version *a, const struct brf_gossip_version *b);
 
 BRF_END_DECLS
 
--- a/src/member/internal.h
+++ b/src/member/internal.h
@@ -13,25 +13,25 @@
  */
 
 #define BRF_TICKS_PER_PERIOD 10u
-#define BRF_SUSPICION_PERIODS 5u   /* from suspicion to failed */
-#define BRF_HEALTH_WORST 3u	   /* time-outs are at most this + 1 longer */
-#define BRF_NEWS_SENT_MAX 16u	   /* times that news is passed on, at most */
-#define BRF_NEWS_FANOUT 3u	   /* receivers of news in a tick */
-#define BRF_NEWS_BURST 2u	   /* datagrams to one of them, at most */
-#define BRF_RELAYS 3u		   /* asked to probe in our place */
-#define BRF_RELAYED_MAX 64u	   /* probes made for others at once */
-#define BRF_FAR_PROBE_EVERY 4u	   /* one in so many goes to any zone */
-#define BRF_HEAL_PER_TICK 2u	   /* pings to lost members while healing */
-#define BRF_HEAL_PERIODS 5u	   /* healing lasts from the last contact */
-#define BRF_VERIFY_PER_TICK 2u	   /* pings that carry others' claims */
-#define BRF_FORGET_PERIODS 86400u  /* a lost member is remembered for */
+#define BRF_SUSPICION_PERIODS 5u     /* from suspicion to failed */
+#define BRF_HEALTH_WORST 3u	     /* time-outs are at most this + 1 longer */
+#define BRF_NEWS_SENT_MAX 16u	     /* times that news is passed on, at most */
+#define BRF_NEWS_FANOUT 3u	     /* receivers of news in a tick */
+#define BRF_NEWS_BURST 2u	     /* datagrams to one of them, at most */
+#define BRF_RELAYS 3u		     /* asked to probe in our place */
+#define BRF_RELAYED_MAX 64u	     /* probes made for others at once */
+#define BRF_FAR_PROBE_EVERY 4u	     /* one in so many goes to any zone */
+#define BRF_HEAL_PER_TICK 2u	     /* pings to lost members while healing */
+#define BRF_HEAL_PERIODS 5u	     /* healing lasts from the last contact */
+#define BRF_VERIFY_PER_TICK 2u	     /* pings that carry others' claims */
+#define BRF_FORGET_PERIODS 86400u    /* a lost member is remembered for */
 #define BRF_FORGET_LEFT_PERIODS 600u /* one that left */
-#define BRF_SYNC_PERIODS 2u	   /* between two syncs, and of quiet before */
+#define BRF_SYNC_PERIODS 2u	    /* between two syncs, and of quiet before */
 #define BRF_SYNC_LATEST_PERIODS 10u /* sync although it is not quiet */
-#define BRF_SYNC_DATAGRAMS 4u	   /* answer to one sync */
+#define BRF_SYNC_DATAGRAMS 4u	    /* answer to one sync */
 #define BRF_SYNC_SERVED_PER_TICK 4u /* syncs answered */
-#define BRF_SEED_PERIODS 5u	   /* between pings to a seed, once joined */
-#define BRF_CATCH_UP_PERIODS 30u   /* a joiner syncs without a pause */
+#define BRF_SEED_PERIODS 5u	    /* between pings to a seed, once joined */
+#define BRF_CATCH_UP_PERIODS 30u    /* a joiner syncs without a pause */
 
 enum brf_probe_stage {
 	BRF_PROBE_IDLE,
@@ -123,8 +123,8 @@
 void brf_members_send(struct brf_members *ms, const struct sockaddr_in *to);
 
 /* Tell the watchers. */
-void brf_members_notify(struct brf_members *ms,
-    const struct brf_member *before, const struct brf_member *after);
+void brf_members_notify(struct brf_members *ms, const struct brf_member *before,
+    const struct brf_member *after);
 
 /**
  * brf_members_conclude() - this node sets @state of another at its present
@@ -153,8 +153,8 @@
 void brf_merge(struct brf_members *ms);
 
 /* Whether a member other than @but has told of @digest. */
-bool brf_members_docs_known(const struct brf_members *ms, uint64_t digest,
-    const struct brf_entry *but);
+bool brf_members_docs_known(
+    const struct brf_members *ms, uint64_t digest, const struct brf_entry *but);
 
 /* probe.c */
 void brf_probe_tick(struct brf_members *ms);
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -153,17 +153,17 @@
 	    "0: time-outs are trusted; higher: lengthened.", "");
 	m->malformed = brf_metrics_counter(to, "brf_datagrams_refused_total",
 	    "Datagrams dropped.", "error=\"datagram_invalid\"");
-	m->unauthenticated = brf_metrics_counter(to,
-	    "brf_datagrams_refused_total", "Datagrams dropped.",
-	    "error=\"authentication_failed\"");
+	m->unauthenticated =
+	    brf_metrics_counter(to, "brf_datagrams_refused_total",
+		"Datagrams dropped.", "error=\"authentication_failed\"");
 	m->suspicions = brf_metrics_counter(to, "brf_member_suspicions_total",
 	    "Suspicions that this node raised.", "");
 	m->failures = brf_metrics_counter(to, "brf_member_failures_total",
 	    "Members that this node declared failed.", "");
-	m->refutations = brf_metrics_counter(to,
-	    "brf_member_refutations_total", "Claims on this node refuted.", "");
-	m->syncs = brf_metrics_counter(to, "brf_member_syncs_total",
-	    "Table differences asked for.", "");
+	m->refutations = brf_metrics_counter(to, "brf_member_refutations_total",
+	    "Claims on this node refuted.", "");
+	m->syncs = brf_metrics_counter(
+	    to, "brf_member_syncs_total", "Table differences asked for.", "");
 	m->pauses = brf_metrics_counter(to, "brf_member_pauses_total",
 	    "Times that this node's loop was late.", "");
 }
--- a/src/member/merge.c
+++ b/src/member/merge.c
@@ -17,8 +17,8 @@
 	if (!brf_gossip_newer(claim, own))
 		return;
 	ms->metrics.refutations->value++;
-	brf_members_assert_self(ms, claim->incarnation,
-	    (enum brf_gossip_state)own->state, false);
+	brf_members_assert_self(
+	    ms, claim->incarnation, (enum brf_gossip_state)own->state, false);
 }
 
 /* A life that began at an address ends the one before it there. */
@@ -61,8 +61,8 @@
 
 static void
 apply(struct brf_members *ms, struct brf_entry *e,
-    const struct brf_gossip_version *version, const struct brf_gossip_full *full,
-    bool pass_on)
+    const struct brf_gossip_version *version,
+    const struct brf_gossip_full *full, bool pass_on)
 {
 	struct brf_member before = e->member;
 	bool was_gone = brf_entry_gone(e);
--- a/src/member/probe.c
+++ b/src/member/probe.c
@@ -166,8 +166,7 @@
 void
 brf_probe_answer(struct brf_members *ms, const struct sockaddr_in *from)
 {
-	struct brf_entry *e =
-	    brf_table_find(&ms->table, ms->in.sender.lo);
+	struct brf_entry *e = brf_table_find(&ms->table, ms->in.sender.lo);
 	struct brf_gossip *g = brf_members_begin(ms, BRF_GOSSIP_ACK);
 	struct brf_gossip_brief claim;
 
--- a/src/member/sync.c
+++ b/src/member/sync.c
@@ -103,8 +103,8 @@
 			continue;
 		for (chain = part; chain < BRF_TABLE_CHAINS;
 		     chain += BRF_GOSSIP_PARTS) {
-			left = put_chain(
-			    ms, ms->table.chains[chain], from, left);
+			left =
+			    put_chain(ms, ms->table.chains[chain], from, left);
 			if (left == 0)
 				return;
 		}
--- a/src/member/table.c
+++ b/src/member/table.c
@@ -25,11 +25,14 @@
 void
 brf_table_clear(struct brf_table *t)
 {
+	struct brf_entry *e, *next;
 	size_t i;
 
 	for (i = 0; i < BRF_TABLE_CHAINS; i++) {
-		while (t->chains[i] != NULL)
-			brf_table_remove(t, t->chains[i]);
+		for (e = t->chains[i]; e != NULL; e = next) {
+			next = e->next;
+			free(e);
+		}
 	}
 	for (i = 0; i < BRF_ROSTER_COUNT; i++)
 		free(t->rosters[i].list);
@@ -211,9 +214,8 @@
 brf_table_add(struct brf_table *t, const struct brf_member *member,
     const struct brf_gossip_version *version)
 {
-	static const struct brf_gossip_version none = {
-		.state = BRF_GOSSIP_LEFT
-	};
+	static const struct brf_gossip_version none = { .state =
+							    BRF_GOSSIP_LEFT };
 	struct brf_entry *e, **chain = chain_of(t, member->node.lo);
 
 	if (t->count == BRF_MEMBERS_MAX)
--- a/src/member/udp.c
+++ b/src/member/udp.c
@@ -27,8 +27,8 @@
 	struct brf_udp *u = brf_container_of(d, struct brf_udp, datagrams);
 	uv_buf_t buf = uv_buf_init((char *)data, (unsigned)len);
 
-	if (uv_udp_try_send(&u->handle, &buf, 1,
-		(const struct sockaddr *)to) < 0) {
+	if (uv_udp_try_send(&u->handle, &buf, 1, (const struct sockaddr *)to) <
+	    0) {
 		u->dropped->value++;
 		return;
 	}
@@ -71,8 +71,8 @@
 	    "channel=\"gossip\",direction=\"sent\"");
 	u->received = brf_metrics_counter(metrics, "brf_control_bytes_total",
 	    help, "channel=\"gossip\",direction=\"received\"");
-	u->dropped = brf_metrics_counter(metrics,
-	    "brf_datagrams_unsent_total", "Datagrams the socket refused.", "");
+	u->dropped = brf_metrics_counter(metrics, "brf_datagrams_unsent_total",
+	    "Datagrams the socket refused.", "");
 }
 
 static void
@@ -103,8 +103,7 @@
 	if (rc != 0)
 		return (rc);
 	(void)uv_recv_buffer_size((uv_handle_t *)&u->handle, &size);
-	return (uv_udp_getsockname(
-	    &u->handle, (struct sockaddr *)bound, &len));
+	return (uv_udp_getsockname(&u->handle, (struct sockaddr *)bound, &len));
 }
 
 struct brf_udp *
--- /dev/null
+++ b/src/route/explain.c
@@ -0,0 +1,92 @@
+#include "route/internal.h"
+
+static const char *const ring_names[] = { "zone", "region", "other" };
+
+/* Why a node gets no new work; NULL when it may. */
+static const char *
+why_not(const struct brf_route_node *node, uint64_t now)
+{
+	if (node->member.state != BRF_MEMBER_READY)
+		return (brf_member_state_name(node->member.state));
+	if (node->refusing_until > now)
+		return ("draining");
+	if (node->outlier.until > now)
+		return ("ejected");
+	if (brf_outlier_out(node, now))
+		return ("probation");
+	if (!brf_level_admits(node, 0, now))
+		return ("level");
+	if (brf_level_load(node, now) >= brf_level_room(node, now))
+		return ("full");
+	return (NULL);
+}
+
+/* The lowest rank that is shed there, as far as is known here. */
+static uint32_t
+least_shed(const struct brf_route_node *node, uint64_t now)
+{
+	uint32_t low = 0, high = BRF_RANK_END, middle;
+
+	while (low < high) {
+		middle = low + (high - low) / 2;
+		if (brf_level_admits(node, middle, now))
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return (low);
+}
+
+static void
+put_node(const struct brf_route_node *node, uint64_t now, struct brf_buf *out)
+{
+	const char *why = why_not(node, now);
+	char id[BRF_ID_TEXT];
+	uint64_t left =
+	    node->outlier.until > now ? node->outlier.until - now : 0;
+
+	brf_id_format(node->member.node, id);
+	brf_buf_printf(out, "{\"node\":\"%s\",\"zone\":\"", id);
+	brf_buf_put_json(out, node->member.zone, strlen(node->member.zone));
+	brf_buf_printf(out,
+	    "\",\"ring\":\"%s\",\"state\":\"%s\",\"own\":%s,"
+	    "\"in_flight\":%u,\"load\":%.1f,\"room\":%.0f,"
+	    "\"latency_us\":%.0f,\"sheds_from_rank\":%u,"
+	    "\"failures\":%u,\"ejected_us\":%llu,\"no_work\":",
+	    ring_names[node->ring], brf_member_state_name(node->member.state),
+	    node->own ? "true" : "false", node->in_flight,
+	    brf_level_load(node, now), brf_level_room(node, now),
+	    node->latency_us, least_shed(node, now), node->outlier.failures,
+	    (unsigned long long)left);
+	if (why != NULL)
+		brf_buf_printf(out, "\"%s\"}", why);
+	else
+		brf_buf_puts(out, "null}");
+}
+
+void
+brf_router_explain(
+    const struct brf_router *r, const char *service, struct brf_buf *out)
+{
+	const struct brf_service *s = brf_index_service(r, service);
+	uint64_t now = brf_now(r->clock);
+	const struct brf_list *l;
+	const char *comma = "";
+
+	brf_buf_puts(out, "{\"service\":\"");
+	brf_buf_put_json(out, service, strlen(service));
+	brf_buf_printf(out,
+	    "\",\"expected_us\":%llu,\"link_bytes_left\":%.0f,"
+	    "\"candidates\":[",
+	    (unsigned long long)brf_router_expected_us(r, service),
+	    r->link.tokens);
+	if (s != NULL) {
+		brf_list_foreach (l, &s->nodes) {
+			brf_buf_puts(out, comma);
+			put_node(brf_list_entry(l, struct brf_route_node, link),
+			    now, out);
+			comma = ",";
+		}
+	}
+	brf_buf_puts(out, "]}");
+}
--- /dev/null
+++ b/src/route/internal.h
@@ -0,0 +1,170 @@
+#ifndef BRF_ROUTE_INTERNAL_H
+#define BRF_ROUTE_INTERNAL_H
+
+#include "base/list.h"
+#include "route/link.h"
+#include "route/router.h"
+
+/**
+ * enum brf_ring - how far a node is.
+ */
+enum brf_ring {
+	BRF_RING_ZONE,	 /* own zone */
+	BRF_RING_REGION, /* own region, another zone */
+	BRF_RING_OTHER,	 /* another region */
+	BRF_RING_COUNT
+};
+
+/**
+ * struct brf_outlier - what this node has itself seen of another.
+ * @failures: consecutive ones
+ * @ejections: consecutive ones; each is longer than the last
+ * @until: clock time at which it may be tried again; 0 when not ejected
+ * @probation: after that time one attempt at once, until one is useful
+ */
+struct brf_outlier {
+	uint32_t failures;
+	uint32_t ejections;
+	uint64_t until;
+	bool probation;
+};
+
+/**
+ * struct brf_route_node - one node that serves something.
+ * @ring: where it stands from here
+ * @ready_place: one more than its index among its ring's ready nodes, or 0
+ * @suspect_place: the same among suspect ones
+ * @indexed: still known; it is freed once it is not and @in_flight is 0
+ * @in_flight: attempts from here
+ * @latency_us: moving average of useful answers; 0 for none
+ * @latency_at: clock time of the last of them
+ * @level: last admission level, of clock time @level_at (0: none)
+ * @level_in_flight: @in_flight at that time
+ * @refusing_until: it said that it drains; news of that may be under way
+ */
+struct brf_route_node {
+	struct brf_member member;
+	struct brf_service *service;
+	struct brf_route_node *next;
+	struct brf_list link;
+	enum brf_ring ring;
+	size_t ready_place;
+	size_t suspect_place;
+	bool indexed;
+	bool own;
+	uint32_t in_flight;
+	double latency_us;
+	uint64_t latency_at;
+	struct brf_level level;
+	uint64_t level_at;
+	uint32_t level_in_flight;
+	uint64_t refusing_until;
+	struct brf_outlier outlier;
+	void *data;
+	void (*release)(void *data);
+};
+
+struct brf_route_list {
+	struct brf_route_node **list;
+	size_t count;
+	size_t cap;
+};
+
+/**
+ * struct brf_service - the nodes of one service.
+ * @expected_us: moving average of useful answers; 0 for none
+ * @retry_after_ms: last word of a gate that refused, at @retry_after_at
+ */
+struct brf_service {
+	char name[BRF_NAME_MAX + 1];
+	struct brf_service *next;
+	struct brf_list nodes;
+	struct brf_route_list ready[BRF_RING_COUNT];
+	struct brf_route_list suspect[BRF_RING_COUNT];
+	double expected_us;
+	uint32_t retry_after_ms;
+	uint64_t retry_after_at;
+};
+
+#define BRF_ROUTE_CHAINS 1024u
+#define BRF_SERVICE_CHAINS 256u
+
+struct brf_route_metrics {
+	struct brf_metric *picks[BRF_RING_COUNT];
+	struct brf_metric *shed;
+	struct brf_metric *no_target;
+	struct brf_metric *link_budget;
+	struct brf_metric *ejections;
+};
+
+struct brf_router {
+	struct brf_members *members;
+	struct brf_clock *clock;
+	struct brf_random *random;
+	struct brf_members_watcher watcher;
+	struct brf_route_node *nodes[BRF_ROUTE_CHAINS];
+	struct brf_service *services[BRF_SERVICE_CHAINS];
+	struct brf_link link;
+	uint64_t link_bytes_per_s;
+	size_t region_members;
+	struct brf_route_metrics metrics;
+};
+
+/* index.c */
+struct brf_service *brf_index_service(
+    const struct brf_router *r, const char *name);
+
+/* Follow a change of the membership. */
+void brf_index_update(struct brf_router *r, const struct brf_member *member);
+void brf_index_forget(struct brf_router *r, struct brf_id id);
+void brf_index_clear(struct brf_router *r);
+
+/* Free @node when it is not indexed and nothing is in flight. */
+void brf_index_release(struct brf_route_node *node);
+
+/* outlier.c */
+bool brf_outlier_out(const struct brf_route_node *node, uint64_t now);
+void brf_outlier_learn(struct brf_router *r, struct brf_route_node *node,
+    const struct brf_reply *reply, uint64_t took_us);
+bool brf_reply_useful(const struct brf_reply *reply);
+
+/* level.c */
+void brf_level_learn(
+    struct brf_route_node *node, const struct brf_reply *reply, uint64_t now);
+
+/* Whether its last level, as far as it still counts, admits @rank. */
+bool brf_level_admits(
+    const struct brf_route_node *node, uint32_t rank, uint64_t now);
+
+/* Attempts at the node, those of others as of its last level. */
+double brf_level_load(const struct brf_route_node *node, uint64_t now);
+
+/* Attempts that it runs at once. */
+double brf_level_room(const struct brf_route_node *node, uint64_t now);
+
+/* choose.c */
+
+/**
+ * struct brf_choice - a choice under way.
+ * @refused: a level refused the rank at some node
+ */
+struct brf_choice {
+	struct brf_router *router;
+	const struct brf_route_request *request;
+	struct brf_service *service;
+	uint64_t now;
+	bool refused;
+};
+
+enum brf_choice_kind {
+	BRF_CHOOSE_SPARE,  /* ready, untried, with room left */
+	BRF_CHOOSE_READY,  /* ready and untried */
+	BRF_CHOOSE_TRIED,  /* ready, tried or ejected */
+	BRF_CHOOSE_SUSPECT /* suspect */
+};
+
+/* The better of two random nodes of a ring that fit; NULL for none. */
+struct brf_route_node *brf_choose(
+    struct brf_choice *c, enum brf_ring ring, enum brf_choice_kind kind);
+
+#endif
--- /dev/null
+++ b/src/route/level.c
@@ -0,0 +1,59 @@
+#include "route/internal.h"
+
+/* A level counts less the older it is, and no more at this age. */
+#define LEVEL_AGE_US BRF_US_PER_S
+
+/* While nothing is known of a gate's limit and its member told no slots. */
+#define ROOM_UNKNOWN 16.0
+
+void
+brf_level_learn(
+    struct brf_route_node *node, const struct brf_reply *reply, uint64_t now)
+{
+	if (!reply->has_level)
+		return;
+	node->level = reply->level;
+	node->level_at = now;
+	node->level_in_flight = node->in_flight;
+}
+
+/* Part of its weight that a level still has, between 0 and 1. */
+static double
+level_weight(const struct brf_route_node *node, uint64_t now)
+{
+	uint64_t age = now - node->level_at;
+
+	if (node->level_at == 0 || age >= LEVEL_AGE_US)
+		return (0);
+	return (1.0 - (double)age / (double)LEVEL_AGE_US);
+}
+
+bool
+brf_level_admits(const struct brf_route_node *node, uint32_t rank, uint64_t now)
+{
+	double weight = level_weight(node, now);
+	double shed = (double)BRF_RANK_END - (double)node->level.cut;
+
+	if (shed <= 0)
+		return (true);
+	return ((double)rank < (double)BRF_RANK_END - weight * shed);
+}
+
+double
+brf_level_load(const struct brf_route_node *node, uint64_t now)
+{
+	double weight = level_weight(node, now);
+	double at_gate = (double)node->level.in_flight + node->level.waiting;
+	double since = (double)node->in_flight - node->level_in_flight;
+	double load = weight * (at_gate + since);
+
+	return (load > node->in_flight ? load : node->in_flight);
+}
+
+double
+brf_level_room(const struct brf_route_node *node, uint64_t now)
+{
+	if (level_weight(node, now) > 0 && node->level.limit != 0)
+		return (node->level.limit);
+	return (node->member.slots != 0 ? node->member.slots : ROOM_UNKNOWN);
+}
--- /dev/null
+++ b/src/route/router.c
@@ -0,0 +1,290 @@
+#include <stdlib.h>
+
+#include "route/internal.h"
+
+/* 30 Mbit/s, shared by all nodes of a region. */
+#define LINK_BYTES_PER_S 3750000u
+
+#define LATENCY_GAIN 0.1 /* of the moving averages */
+#define REFUSING_US BRF_US_PER_S
+#define RETRY_AFTER_AGE_US (2 * BRF_US_PER_S)
+#define RETRY_AFTER_LEAST_MS 100u
+#define RETRY_AFTER_NO_TARGET_MS 1000u
+
+static void
+share_link(struct brf_router *r)
+{
+	size_t nodes = r->region_members != 0 ? r->region_members : 1;
+
+	brf_link_set_rate(&r->link, (double)r->link_bytes_per_s / (double)nodes,
+	    brf_now(r->clock));
+}
+
+static bool
+in_region(const struct brf_router *r, const struct brf_member *m)
+{
+	return (m != NULL && m->state != BRF_MEMBER_GONE &&
+		strcmp(m->region, brf_members_self(r->members)->region) == 0);
+}
+
+static void
+on_change(struct brf_members_watcher *w, const struct brf_member *before,
+    const struct brf_member *after)
+{
+	struct brf_router *r = brf_container_of(w, struct brf_router, watcher);
+	bool was = in_region(r, before), is = in_region(r, after);
+
+	if (was != is) {
+		r->region_members += is ? 1 : -1;
+		share_link(r);
+	}
+	if (after != NULL && after->state != BRF_MEMBER_GONE)
+		brf_index_update(r, after);
+	else if (before != NULL)
+		brf_index_forget(r, before->node);
+}
+
+static bool
+visit(const struct brf_member *member, void *arg)
+{
+	struct brf_router *r = arg;
+
+	on_change(&r->watcher, NULL, member);
+	return (true);
+}
+
+static void
+init_metrics(struct brf_router *r, struct brf_metrics *to)
+{
+	static const char *const rings[] = { "ring=\"zone\"", "ring=\"region\"",
+		"ring=\"other\"" };
+	static const char refused[] = "Choices that found no node.";
+	struct brf_route_metrics *m = &r->metrics;
+	size_t i;
+
+	for (i = 0; i < BRF_RING_COUNT; i++)
+		m->picks[i] = brf_metrics_counter(to, "brf_route_picks_total",
+		    "Nodes chosen, by distance.", rings[i]);
+	m->shed = brf_metrics_counter(
+	    to, "brf_route_refused_total", refused, "reason=\"shed_early\"");
+	m->no_target = brf_metrics_counter(
+	    to, "brf_route_refused_total", refused, "reason=\"no_target\"");
+	m->link_budget = brf_metrics_counter(
+	    to, "brf_route_refused_total", refused, "reason=\"link_budget\"");
+	m->ejections = brf_metrics_counter(to, "brf_route_ejections_total",
+	    "Nodes ejected for consecutive failures.", "");
+}
+
+struct brf_router *
+brf_router_new(struct brf_members *members, struct brf_timers *timers,
+    struct brf_random *random, struct brf_metrics *metrics)
+{
+	struct brf_router *r = brf_calloc(1, sizeof(*r));
+
+	r->members = members;
+	r->clock = brf_timers_clock(timers);
+	r->random = random;
+	r->link_bytes_per_s = LINK_BYTES_PER_S;
+	init_metrics(r, metrics);
+	share_link(r);
+	r->watcher.changed = on_change;
+	brf_members_watch(members, &r->watcher);
+	brf_members_each(members, visit, r);
+	return (r);
+}
+
+void
+brf_router_free(struct brf_router *r)
+{
+	if (r == NULL)
+		return;
+	brf_members_unwatch(&r->watcher);
+	brf_index_clear(r);
+	free(r);
+}
+
+void
+brf_router_set_link(struct brf_router *r, uint64_t bytes_per_s)
+{
+	r->link_bytes_per_s = bytes_per_s;
+	share_link(r);
+}
+
+void
+brf_router_link_take(struct brf_router *r, size_t bytes)
+{
+	brf_link_take(&r->link, bytes, brf_now(r->clock));
+}
+
+/*
+ * What to look for, ring by ring, until something is found.  A ring further
+ * out is used only with room to spare; when there is none anywhere, a surge
+ * stays in the zone where it began.
+ */
+static const enum brf_choice_kind kinds[] = { BRF_CHOOSE_SPARE,
+	BRF_CHOOSE_READY, BRF_CHOOSE_TRIED, BRF_CHOOSE_SUSPECT };
+
+static struct brf_route_node *
+find(struct brf_choice *c, size_t rings)
+{
+	struct brf_route_node *node;
+	size_t kind, ring;
+
+	for (kind = 0; kind < brf_nitems(kinds); kind++) {
+		if (kinds[kind] == BRF_CHOOSE_SUSPECT && c->refused)
+			break;
+		for (ring = 0; ring < rings; ring++) {
+			node = brf_choose(c, (enum brf_ring)ring, kinds[kind]);
+			if (node != NULL)
+				return (node);
+		}
+	}
+	return (NULL);
+}
+
+static enum brf_route_result
+refuse(struct brf_router *r, const struct brf_choice *c, bool budget)
+{
+	if (c->refused) {
+		r->metrics.shed->value++;
+		return (BRF_ROUTE_SHED);
+	}
+	if (budget) {
+		r->metrics.link_budget->value++;
+		return (BRF_ROUTE_LINK_BUDGET);
+	}
+	r->metrics.no_target->value++;
+	return (BRF_ROUTE_NO_TARGET);
+}
+
+static void
+take(struct brf_choice *c, struct brf_route_node *node)
+{
+	struct brf_router *r = c->router;
+
+	node->in_flight++;
+	r->metrics.picks[node->ring]->value++;
+	if (node->ring == BRF_RING_OTHER)
+		brf_link_take(&r->link, c->request->bytes, c->now);
+}
+
+enum brf_route_result
+brf_router_pick(struct brf_router *r, const struct brf_route_request *request,
+    struct brf_route_node **chosen)
+{
+	struct brf_choice c = { .router = r,
+		.request = request,
+		.service = brf_index_service(r, request->service),
+		.now = brf_now(r->clock) };
+	size_t rings = BRF_RING_OTHER;
+	bool far, budget = false;
+
+	if (c.service == NULL)
+		return (refuse(r, &c, false));
+	far = request->cross_region &&
+	      c.service->ready[BRF_RING_OTHER].count +
+		      c.service->suspect[BRF_RING_OTHER].count !=
+		  0;
+	if (far && brf_link_admits(&r->link, request->cls, c.now))
+		rings = BRF_RING_COUNT;
+	else
+		budget = far;
+	*chosen = find(&c, rings);
+	if (*chosen == NULL)
+		return (refuse(r, &c, budget));
+	take(&c, *chosen);
+	return (BRF_ROUTE_CHOSEN);
+}
+
+static void
+average(double *value, double next)
+{
+	*value = *value > 0 ? *value + LATENCY_GAIN * (next - *value) : next;
+}
+
+static void
+learn(struct brf_router *r, struct brf_route_node *node,
+    const struct brf_reply *reply, uint64_t took_us)
+{
+	struct brf_service *s = node->service;
+	uint64_t now = brf_now(r->clock);
+
+	brf_level_learn(node, reply, now);
+	brf_outlier_learn(r, node, reply, took_us);
+	if (brf_reply_useful(reply)) {
+		average(&node->latency_us, (double)took_us);
+		node->latency_at = now;
+		if (s != NULL)
+			average(&s->expected_us, (double)took_us);
+	}
+	if (reply->reason == BRF_R_DRAINING)
+		node->refusing_until = now + REFUSING_US;
+	if (s != NULL && reply->outcome == BRF_NOT_RUN &&
+	    reply->retry_after_ms != 0) {
+		s->retry_after_ms = reply->retry_after_ms;
+		s->retry_after_at = now;
+	}
+}
+
+void
+brf_router_done(struct brf_router *r, struct brf_route_node *node,
+    const struct brf_reply *reply, uint64_t took_us, size_t bytes)
+{
+	node->in_flight--;
+	if (node->ring == BRF_RING_OTHER)
+		brf_router_link_take(r, bytes);
+	learn(r, node, reply, took_us);
+	brf_index_release(node);
+}
+
+const struct brf_member *
+brf_route_node_member(const struct brf_route_node *node)
+{
+	return (&node->member);
+}
+
+void
+brf_route_node_set_data(
+    struct brf_route_node *node, void *data, void (*release)(void *data))
+{
+	node->data = data;
+	node->release = release;
+}
+
+void *
+brf_route_node_data(const struct brf_route_node *node)
+{
+	return (node->data);
+}
+
+uint64_t
+brf_router_expected_us(const struct brf_router *r, const char *service)
+{
+	const struct brf_service *s = brf_index_service(r, service);
+
+	return (s != NULL ? (uint64_t)s->expected_us : 0);
+}
+
+static size_t
+ready_nodes(const struct brf_service *s)
+{
+	size_t ring, n = 0;
+
+	for (ring = 0; ring < BRF_RING_COUNT; ring++)
+		n += s->ready[ring].count;
+	return (n);
+}
+
+uint32_t
+brf_router_retry_after_ms(const struct brf_router *r, const char *service)
+{
+	const struct brf_service *s = brf_index_service(r, service);
+	uint64_t now = brf_now(r->clock);
+
+	if (s == NULL || ready_nodes(s) == 0)
+		return (RETRY_AFTER_NO_TARGET_MS);
+	if (now - s->retry_after_at > RETRY_AFTER_AGE_US ||
+	    s->retry_after_ms < RETRY_AFTER_LEAST_MS)
+		return (RETRY_AFTER_LEAST_MS);
+	return (s->retry_after_ms);
+}
--- a/src/route/router.h
+++ b/src/route/router.h
@@ -58,6 +58,24 @@
     struct brf_metrics *metrics);
 void brf_router_free(struct brf_router *r);
 
+/**
+ * brf_router_set_link() - budget of the link between regions.
+ * @bytes_per_s: of the whole region; each of its members gets an equal share.
+ *	30 Mbit/s when not set
+ */
+void brf_router_set_link(struct brf_router *r, uint64_t bytes_per_s);
+
+/* Count bytes that crossed the link for control. */
+void brf_router_link_take(struct brf_router *r, size_t bytes);
+
+/**
+ * brf_router_explain() - append a JSON object with each node of @service:
+ * where it is, its state, its load as seen from here, and in "no_work" why
+ * nothing new is sent to it, or null.
+ */
+void brf_router_explain(
+    const struct brf_router *r, const char *service, struct brf_buf *out);
+
 /**
  * brf_router_pick() - choose a node.
  * @chosen: filled with BRF_ROUTE_CHOSEN; brf_router_done() must follow.
--- a/test/gossip_fake.h
+++ b/test/gossip_fake.h
@@ -142,8 +142,7 @@
 fake_launch(struct fake_node *n, size_t to, const void *data, size_t len)
 {
 	struct fake_net *net = n->net;
-	struct fake_flight *f =
-	    (struct fake_flight *)brf_calloc(1, sizeof(*f));
+	struct fake_flight *f = (struct fake_flight *)brf_calloc(1, sizeof(*f));
 	uint64_t delay = net->faults.delay_us;
 
 	if (net->faults.jitter_us != 0)
@@ -225,8 +224,8 @@
 	snprintf(c.self.zone, sizeof(c.self.zone), "zone-%c", 'a' + zone);
 	snprintf(c.self.region, sizeof(c.self.region), "region-%d",
 	    zone * 2 < net->zones);
-	snprintf(c.self.service, sizeof(c.self.service), "service-%zu",
-	    place % 69);
+	snprintf(
+	    c.self.service, sizeof(c.self.service), "service-%zu", place % 69);
 	for (i = 0; i < net->seeds; i++)
 		c.seeds[c.seed_count++] = fake_address(i);
 	memcpy(c.key, net->key, sizeof(net->key));
@@ -378,8 +377,8 @@
 
 /* Run until @done says so; the time that took, or @limit plus one step. */
 static inline uint64_t
-fake_run_until(struct fake_net *net,
-    bool (*done)(const struct fake_net *net), uint64_t limit)
+fake_run_until(struct fake_net *net, bool (*done)(const struct fake_net *net),
+    uint64_t limit)
 {
 	uint64_t began = net->clock.now;
 
