--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -98,8 +98,10 @@
             BIN / "bulrushfordd", "--address", HOST, "--zone", zone,
             "--region", region, "--entry-port", 0, "--peer-port", 0,
             "--gossip-port", 0, "--local-port", 0, "--admin-port", 0,
-            "--ports-file", ports, "--seeds", ",".join(seeds), *extra,
+            "--ports-file", ports, *extra,
         ]
+        if seeds:
+            argv += ["--seeds", ",".join(seeds)]
         super().__init__(
             argv, {"BRF_FLEET_KEY": fleet.key, **(env or {})},
             fleet.folder / f"{name}.log",
