http: refuse requests whose length or host is ambiguous

h2o 2.2 took the first of two lengths and left the rest of the body to be read as the next request, and ignored a length beside a transfer coding and a second host. The head is read again by h2o's parser, and such requests are refused with 400 before a handler sees them. The table of requests has the three cases; they failed before and pass now. Every proper prefix of a request or an answer is tried too.

--- a/include/bulrushford.h
+++ b/include/bulrushford.h
@@ -34,7 +34,7 @@
 /* Fixed bounds; no document and no setting raises them. */
 #define BRF_RETRY_BOUND 3u	      /* extra attempts per root request */
 #define BRF_DEPTH_MAX 32u	      /* calls nested below a root request */
-#define BRF_BODY_MAX (1024u * 1024u)  /* bytes, request and answer alike */
+#define BRF_BODY_MAX 1048576u	      /* bytes, request and answer alike */
 #define BRF_HEADERS_MAX 64u	      /* fields of one message */
 #define BRF_HEADER_BYTES_MAX 16384u   /* bytes of all fields of a message */
 #define BRF_PATH_MAX 2048u	      /* bytes of path and query */
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -30,6 +30,13 @@
 
 BRF_BEGIN_DECLS
 
+/**
+ * phr_parse_request() - read the head of a request; see phr_parse_response().
+ */
+int phr_parse_request(const char *buf, size_t len, const char **method,
+    size_t *method_len, const char **path, size_t *path_len, int *minor_version,
+    struct phr_header *headers, size_t *count, size_t last_len);
+
 /**
  * phr_parse_response() - read the head of an answer.
  * @count: room in @headers; becomes the number of fields
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -291,24 +291,58 @@
 	return (true);
 }
 
+/*
+ * h2o drops the second of two lengths or hosts, and the length beside a
+ * transfer coding, where other parties may choose differently.  The head is
+ * still at the start of h2o's input, so it is read again (RFC 9112, sections
+ * 3.2 and 6.3).  One length that is written twice is refused as well.
+ */
 static bool
-take_fields(
-    struct brf_message *m, const h2o_headers_t *from, struct brf_error *err)
+read_http1_fields(
+    const h2o_socket_t *sock, struct phr_header *fields, size_t *count)
+{
+	const char *method, *path;
+	size_t method_len, path_len, i, hosts = 0, lengths = 0;
+	int minor_version;
+
+	if (phr_parse_request(sock->input->bytes, sock->input->size, &method,
+		&method_len, &path, &path_len, &minor_version, fields, count,
+		0) < 0)
+		return (false);
+	for (i = 0; i < *count; i++) {
+		if (brf_http_field_is(&fields[i], "host"))
+			hosts++;
+		if (brf_http_field_is(&fields[i], "content-length") ||
+		    brf_http_field_is(&fields[i], "transfer-encoding"))
+			lengths++;
+	}
+	return (hosts <= 1 && lengths <= 1);
+}
+
+static bool
+take_fields(struct brf_message *m, const h2o_req_t *req,
+    const h2o_socket_t *sock, struct brf_error *err)
 {
 	struct phr_header fields[FIELDS_MAX];
-	size_t i;
+	size_t i, count = FIELDS_MAX;
 
-	if (from->size > FIELDS_MAX)
+	if (req->version < 0x200) {
+		if (!read_http1_fields(sock, fields, &count))
+			return (brf_error_set(err, BRF_E_HEADERS, 0, "head"));
+		return (brf_http_fields_take(m, fields, count, err));
+	}
+	count = req->headers.size;
+	if (count > FIELDS_MAX)
 		return (brf_error_set(
-		    err, BRF_E_TOO_LARGE, 0, "%zu fields", from->size));
-	for (i = 0; i < from->size; i++)
+		    err, BRF_E_TOO_LARGE, 0, "%zu fields", count));
+	for (i = 0; i < count; i++)
 		fields[i] = (struct phr_header){
-			.name = from->entries[i].name->base,
-			.name_len = from->entries[i].name->len,
-			.value = from->entries[i].value.base,
-			.value_len = from->entries[i].value.len,
+			.name = req->headers.entries[i].name->base,
+			.name_len = req->headers.entries[i].name->len,
+			.value = req->headers.entries[i].value.base,
+			.value_len = req->headers.entries[i].value.len,
 		};
-	return (brf_http_fields_take(m, fields, from->size, err));
+	return (brf_http_fields_take(m, fields, count, err));
 }
 
 /* Return: 0, or the status of a refusal, with its reason. */
@@ -325,7 +359,7 @@
 	    !brf_http_path_is_valid(path.base, path.len) || !copy_host(r, req))
 		return (400);
 	memcpy(m->method, method.base, method.len);
-	if (!take_fields(m, &req->headers, &err)) {
+	if (!take_fields(m, req, r->conn->sock, &err)) {
 		if (err.code != BRF_E_TOO_LARGE)
 			return (400);
 		*reason = BRF_R_HEADERS;
--- a/standin/brf-target/calls.c
+++ b/standin/brf-target/calls.c
@@ -124,13 +124,14 @@
 void
 calls_cancel(struct work *w)
 {
+	struct brf_list *l, *next;
 	struct child *child;
 
-	while (!brf_list_empty(&w->children)) {
-		child = brf_list_entry(w->children.next, struct child, link);
-		brf_list_remove(&child->link);
+	brf_list_foreach_safe (l, next, &w->children) {
+		child = brf_list_entry(l, struct child, link);
 		if (child->fetch != NULL)
 			brf_fetch_cancel(child->fetch);
 		free(child);
 	}
+	brf_list_init(&w->children);
 }
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -99,7 +99,8 @@
 	void
 	TearDown() override
 	{
-		brf_http_server_close(srv, note_closed, &closed);
+		if (!closed)
+			brf_http_server_close(srv, note_closed, &closed);
 		EXPECT_TRUE(bench.turn_until([&] { return (closed); }));
 		EXPECT_EQ(brf_http_server_connections(srv), 0u);
 		brf_http_server_free(srv);
@@ -184,6 +185,16 @@
 	    "POST / HTTP/1.1\r\n" + host +
 		"transfer-encoding: gzip\r\n\r\nhello",
 	    "400", "malformed", nullptr },
+	{ "two lengths",
+	    "POST / HTTP/1.1\r\n" + host +
+		"content-length: 5\r\ncontent-length: 6\r\n\r\nhello!",
+	    "400", "malformed", nullptr },
+	{ "two hosts", "GET / HTTP/1.1\r\n" + host + "host: b\r\n\r\n", "400",
+	    "malformed", nullptr },
+	{ "length and chunked",
+	    "POST / HTTP/1.1\r\n" + host + te +
+		"content-length: 5\r\n\r\n0\r\n\r\n",
+	    "400", "malformed", nullptr },
 	{ "path without slash", "GET p HTTP/1.1\r\n" + host + "\r\n", "400",
 	    "malformed", nullptr },
 	{ "path that is not ASCII",
@@ -280,6 +291,46 @@
 	EXPECT_EQ(rec.handled, 0);
 }
 
+TEST_F(server, no_prefix_of_a_request_reaches_the_handler)
+{
+	const std::string requests[] = {
+		"GET /p HTTP/1.1\r\n" + host + "\r\n",
+		"POST / HTTP/1.1\r\n" + host + "content-length: 3\r\n\r\nabc",
+		"POST / HTTP/1.1\r\n" + host + te + "\r\n3\r\nabc\r\n0\r\n\r\n",
+	};
+
+	for (auto &request : requests) {
+		for (size_t n = 0; n < request.size(); n++) {
+			struct raw_peer p;
+
+			p.connect_to(port);
+			p.put(request.substr(0, n));
+			bench.turn(3);
+			p.drop();
+		}
+	}
+	EXPECT_TRUE(bench.turn_until(
+	    [&] { return (brf_http_server_connections(srv) == 0); }));
+	EXPECT_EQ(rec.handled, 0);
+}
+
+TEST_F(server, a_request_that_comes_with_the_close_is_gone_as_well)
+{
+	rec.mode = recorder::HOLD;
+	for (int i = 0; i < 20; i++) {
+		struct raw_peer p;
+
+		p.connect_to(port);
+		p.put("GET / HTTP/1.1\r\n" + host + "\r\n");
+		p.drop();
+	}
+	bench.turn(20);
+	EXPECT_TRUE(bench.turn_until(
+	    [&] { return (brf_http_server_connections(srv) == 0); }));
+	bench.turn(5);
+	EXPECT_EQ(rec.gone, rec.handled);
+}
+
 /* Frames of RFC 9113. */
 std::string
 frame(int type, int flags, uint32_t stream, const std::string &payload)
@@ -447,6 +498,43 @@
 	EXPECT_NE(connect(late.fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
 }
 
+TEST_F(server, stop_finishes_http2_streams_and_closes)
+{
+	struct raw_peer p;
+
+	rec.mode = recorder::HOLD;
+	p.connect_to(port);
+	p.put(h2_preface + h2_get);
+	ASSERT_TRUE(bench.turn_until([&] { return (rec.handled == 1); }));
+	brf_http_server_stop(srv);
+	EXPECT_TRUE(bench.turn_until([&] {
+		p.get();
+		return (frames(p.got).find("7/0/0") != std::string::npos);
+	})) << frames(p.got);
+	echo(rec.held[0]);
+	EXPECT_TRUE(bench.turn_until([&] {
+		p.get();
+		return (p.ended);
+	}));
+	EXPECT_NE(frames(p.got).find("0/1/1"), std::string::npos)
+	    << frames(p.got);
+}
+
+TEST_F(server, close_tells_the_handler_of_each_request)
+{
+	struct raw_peer one, two;
+
+	rec.mode = recorder::HOLD;
+	one.connect_to(port);
+	two.connect_to(port);
+	one.put("GET / HTTP/1.1\r\n" + host + "\r\n");
+	two.put(h2_preface + h2_get);
+	ASSERT_TRUE(bench.turn_until([&] { return (rec.handled == 2); }));
+	brf_http_server_close(srv, note_closed, &closed);
+	EXPECT_TRUE(bench.turn_until([&] { return (closed); }));
+	EXPECT_EQ(rec.gone, 2);
+}
+
 /* A target that reads one request and answers with raw bytes. */
 struct raw_target {
 	int listener;
@@ -651,6 +739,35 @@
 	}
 }
 
+TEST_F(target, no_prefix_of_an_answer_is_whole)
+{
+	const std::string answers[] = {
+		ok + "content-length: 5\r\n\r\nhello",
+		ok + te + "\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+	};
+	struct raw_target t;
+	struct brf_target *tg = brf_http_target_new(bench.hl, t.port, 2);
+
+	for (auto &answer : answers) {
+		for (size_t n = 0; n <= answer.size(); n++) {
+			struct run_record r;
+
+			prepare(r);
+			brf_target_run(tg, &r.run);
+			ASSERT_TRUE(asked(t));
+			t.peer.put(answer.substr(0, n / 2));
+			bench.turn(2);
+			t.peer.put(answer.substr(n / 2, n - n / 2));
+			t.peer.drop();
+			EXPECT_TRUE(
+			    bench.turn_until([&] { return (r.ends == 1); }));
+			EXPECT_EQ(r.end == BRF_RUN_ANSWERED, n == answer.size())
+			    << n;
+		}
+	}
+	brf_http_target_free(tg);
+}
+
 TEST_F(target, cancel_closes_the_connection)
 {
 	struct raw_target t;
