--- a/src/wire/handshake.c
+++ b/src/wire/handshake.c
@@ -19,7 +19,7 @@
 };
 
 _Static_assert(sizeof(struct proof_text) ==
-		   LABEL_SIZE + 2 * BRF_XDR_NONCE + 2 * 3 * sizeof(uint64_t),
+		   LABEL_SIZE + 2ul * BRF_XDR_NONCE + 6 * sizeof(uint64_t),
     "no padding goes into the MAC");
 
 static const char *const labels[] = {
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -32,8 +32,9 @@
  */
 
 #define BRF_PEER_GRACE_US (50 * BRF_US_PER_MS)
-#define BRF_PEER_CANCEL_US (1000 * BRF_US_PER_MS) /* wait after brf_cancel() \
-						   */
+#define BRF_PEER_CANCEL_US                                \
+	(1000 * BRF_US_PER_MS) /* wait after brf_cancel() \
+				*/
 #define BRF_PEER_DOCUMENTS_US (5 * BRF_US_PER_S)
 
 #define BRF_FLEET_KEY_MAX 64u
--- a/src/wire/record.h
+++ b/src/wire/record.h
@@ -13,9 +13,10 @@
  * bytes as they come and gives whole records; it does no input itself.
  */
 
-#define BRF_RECORD_MARK 4u	       /* bytes of a fragment's mark */
-#define BRF_RECORD_SLACK (16u * 1024u) /* RPC header, lengths, padding, names \
-					*/
+#define BRF_RECORD_MARK 4u /* bytes of a fragment's mark */
+
+/* Bytes of RPC header, lengths, padding and names. */
+#define BRF_RECORD_SLACK (16u * 1024u)
 
 /* Largest record, bytes: a message at all its bounds. */
 #define BRF_RECORD_MAX \
--- a/test/wire_peer_test.cc
+++ b/test/wire_peer_test.cc
@@ -945,6 +945,8 @@
 	pass(BRF_US_PER_S);
 	EXPECT_EQ(lost.ends, 1);
 	EXPECT_EQ(lost.code, BRF_E_CLOSED);
+	callee->gate.answer(callee->gate.open[0], "");
+	EXPECT_TRUE(run([&] { return (connects.ends == 1); }));
 }
 
 } // namespace
