--- a/src/member/heal.c
+++ b/src/member/heal.c
@@ -10,13 +10,39 @@
  */
 
 void
-brf_heal_verify(struct brf_members *ms, struct brf_entry *e)
+brf_heal_verify(struct brf_members *ms, struct brf_entry *e, bool claim)
 {
 	if (!brf_list_empty(&e->verify))
 		return;
+	e->verify_claim = claim;
+	e->verify_incarnation = e->version.incarnation;
+	e->verify_left = BRF_VERIFY_PINGS;
 	brf_list_append(&ms->verify, &e->verify);
 }
 
+void
+brf_heal_verify_zone(struct brf_members *ms, const struct brf_entry *e)
+{
+	const struct brf_member *self = &ms->table.self->member;
+	uint64_t recent = brf_members_own(ms) - ms->config.period_us;
+	const struct brf_roster *r = &ms->table.rosters[BRF_ROSTER_ALL];
+	size_t looks = r->count;
+	unsigned left = BRF_VERIFY_ZONE;
+	struct brf_entry *other;
+
+	if (strcmp(e->member.zone, self->zone) == 0)
+		return;
+	while (looks-- > 0 && left > 0) {
+		other = brf_roster_any(&ms->table, BRF_ROSTER_ALL);
+		if (other->version.state >= BRF_GOSSIP_SUSPECT ||
+		    other->heard_direct >= recent ||
+		    strcmp(other->member.zone, e->member.zone) != 0)
+			continue;
+		brf_heal_verify(ms, other, false);
+		left--;
+	}
+}
+
 /* A lost member whose address has another life will not come back. */
 static bool
 is_replaced(struct brf_members *ms, const struct brf_entry *e)
@@ -56,39 +82,54 @@
 	}
 }
 
-/* After the ping the member has a period to be heard. */
+static void
+verify(struct brf_members *ms, struct brf_entry *e)
+{
+	brf_list_remove(&e->verify);
+	if (e->verify_incarnation != e->version.incarnation)
+		return; /* it has spoken since */
+	if (e->verify_claim)
+		brf_probe_claim(ms, e, BRF_GOSSIP_FAILED);
+	else
+		brf_probe_claim(ms, e, (enum brf_gossip_state)e->version.state);
+	if (e->version.state >= BRF_GOSSIP_SUSPECT)
+		return;
+	e->verify_at = brf_members_own(ms);
+	e->verify_left--;
+	brf_list_append(&ms->checks, &e->verify);
+}
+
 static void
 verify_step(struct brf_members *ms)
 {
-	struct brf_entry *e;
 	unsigned i;
 
 	for (i = 0; i < BRF_VERIFY_PER_TICK; i++) {
 		if (brf_list_empty(&ms->verify))
 			return;
-		e = brf_list_entry(ms->verify.next, struct brf_entry, verify);
-		brf_list_remove(&e->verify);
-		brf_probe_claim(ms, e, BRF_GOSSIP_FAILED);
-		if (e->version.state >= BRF_GOSSIP_SUSPECT)
-			continue;
-		e->until = brf_members_own(ms) + ms->config.period_us;
-		brf_list_append(&ms->checks, &e->verify);
+		verify(ms,
+		    brf_list_entry(ms->verify.next, struct brf_entry, verify));
 	}
 }
 
+/* All wait equally long, so the first was pinged first. */
 static void
 check_step(struct brf_members *ms)
 {
-	uint64_t now = brf_members_own(ms), period = ms->config.period_us;
+	uint64_t wait = BRF_ACK_TICKS * ms->tick_us * (1 + ms->health);
+	uint64_t now = brf_members_own(ms);
 	struct brf_entry *e;
 
 	while (!brf_list_empty(&ms->checks)) {
 		e = brf_list_entry(ms->checks.next, struct brf_entry, verify);
-		if (e->version.state < BRF_GOSSIP_SUSPECT && e->until > now)
+		if (e->verify_at + wait > now)
 			return;
 		brf_list_remove(&e->verify);
-		if (e->version.state < BRF_GOSSIP_SUSPECT &&
-		    e->heard_direct + period < e->until)
+		if (e->heard_direct >= e->verify_at)
+			continue;
+		if (e->verify_left != 0)
+			brf_list_prepend(&ms->verify, &e->verify);
+		else
 			brf_members_conclude(ms, e, BRF_GOSSIP_SUSPECT);
 	}
 }
--- a/src/member/internal.h
+++ b/src/member/internal.h
@@ -13,22 +13,25 @@
  */
 
 #define BRF_TICKS_PER_PERIOD 10u
-#define BRF_SUSPICION_PERIODS 5u     /* from suspicion to failed */
-#define BRF_HEALTH_WORST 3u	     /* time-outs are at most this + 1 longer */
-#define BRF_NEWS_SENT_MAX 16u	     /* times that news is passed on, at most */
-#define BRF_NEWS_FANOUT 3u	     /* receivers of news in a tick */
-#define BRF_NEWS_BURST 2u	     /* datagrams to one of them, at most */
-#define BRF_RELAYS 3u		     /* asked to probe in our place */
-#define BRF_RELAYED_MAX 64u	     /* probes made for others at once */
-#define BRF_FAR_PROBE_EVERY 4u	     /* one in so many goes to any zone */
-#define BRF_HEAL_PER_TICK 2u	     /* pings to lost members while healing */
-#define BRF_HEAL_PERIODS 5u	     /* healing lasts from the last contact */
-#define BRF_VERIFY_PER_TICK 2u	     /* pings that carry others' claims */
-#define BRF_FORGET_PERIODS 86400u    /* a lost member is remembered for */
+#define BRF_ACK_TICKS 3u	  /* until a ping counts as not answered */
+#define BRF_SUSPICION_PERIODS 5u  /* from suspicion to failed */
+#define BRF_HEALTH_WORST 3u	  /* time-outs are at most this + 1 longer */
+#define BRF_NEWS_SENT_MAX 16u	  /* times that news is passed on, at most */
+#define BRF_NEWS_FANOUT 3u	  /* receivers of news in a tick */
+#define BRF_NEWS_BURST 2u	  /* datagrams to one of them, at most */
+#define BRF_RELAYS 3u		  /* asked to probe in our place */
+#define BRF_RELAYED_MAX 64u	  /* probes made for others at once */
+#define BRF_FAR_PROBE_EVERY 4u	  /* one in so many goes to any zone */
+#define BRF_HEAL_PER_TICK 2u	  /* pings to lost members while healing */
+#define BRF_HEAL_PERIODS 5u	  /* healing lasts from the last contact */
+#define BRF_VERIFY_PER_TICK 2u	  /* pings out of turn */
+#define BRF_VERIFY_PINGS 3u	  /* unheard, before a member is suspect */
+#define BRF_VERIFY_ZONE 8u	  /* members of a zone where one is suspect */
+#define BRF_FORGET_PERIODS 86400u /* a lost member is remembered for */
 #define BRF_FORGET_LEFT_PERIODS 600u /* one that left */
 #define BRF_SYNC_PERIODS 2u	    /* between two syncs, and of quiet before */
 #define BRF_SYNC_LATEST_PERIODS 10u /* sync although it is not quiet */
-#define BRF_SYNC_DATAGRAMS 4u	    /* answer to one sync */
+#define BRF_SYNC_DATAGRAMS 8u	    /* answer to one sync */
 #define BRF_SYNC_SERVED_PER_TICK 4u /* syncs answered */
 #define BRF_SEED_PERIODS 5u	    /* between pings to a seed, once joined */
 #define BRF_CATCH_UP_PERIODS 30u    /* a joiner syncs without a pause */
@@ -172,10 +175,16 @@
 
 /* heal.c */
 void brf_heal_tick(struct brf_members *ms);
-void brf_heal_verify(struct brf_members *ms, struct brf_entry *e);
+/* Ping @e out of turn; with @claim others hold it for failed. */
+void brf_heal_verify(struct brf_members *ms, struct brf_entry *e, bool claim);
+
+/* @e, of another zone, is suspect; look after others there as well. */
+void brf_heal_verify_zone(struct brf_members *ms, const struct brf_entry *e);
 
 /* sync.c */
 void brf_sync_consider(struct brf_members *ms, const struct sockaddr_in *from);
+/* While catching up: ask on, whether or not somebody spoke. */
+void brf_sync_tick(struct brf_members *ms);
 void brf_sync_serve(struct brf_members *ms, const struct sockaddr_in *from);
 
 #endif
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -132,6 +132,7 @@
 	if (!ms->leaving) {
 		brf_probe_tick(ms);
 		brf_heal_tick(ms);
+		brf_sync_tick(ms);
 	}
 	brf_news_spread(ms, BRF_NEWS_FANOUT);
 	update_gauges(ms);
--- a/src/member/merge.c
+++ b/src/member/merge.c
@@ -163,7 +163,7 @@
 	if (full != NULL && full->member.node.hi != e->member.node.hi)
 		return;
 	if (table && differs_on_failure(e, &version)) {
-		brf_heal_verify(ms, e);
+		brf_heal_verify(ms, e, true);
 		return;
 	}
 	if (!brf_gossip_newer(&version, &e->version))
--- a/src/member/probe.c
+++ b/src/member/probe.c
@@ -9,8 +9,6 @@
  * the node accuses another.
  */
 
-#define ACK_TICKS 3u /* until others are asked, of BRF_TICKS_PER_PERIOD */
-
 static uint32_t
 new_number(struct brf_members *ms)
 {
@@ -72,7 +70,7 @@
 	p->key = e->member.node.lo;
 	p->number = new_number(ms);
 	p->began = now;
-	p->until = now + ACK_TICKS * ms->tick_us * (1 + ms->health);
+	p->until = now + BRF_ACK_TICKS * ms->tick_us * (1 + ms->health);
 	ping_member(ms, e, p->number);
 }
 
@@ -110,8 +108,11 @@
 		ms->health++;
 		return;
 	}
-	if (target->heard_direct < p->began)
-		brf_members_conclude(ms, target, BRF_GOSSIP_SUSPECT);
+	if (target->heard_direct >= p->began)
+		return;
+	brf_members_conclude(ms, target, BRF_GOSSIP_SUSPECT);
+	if (!alone)
+		brf_heal_verify_zone(ms, target);
 }
 
 void
--- a/src/member/sync.c
+++ b/src/member/sync.c
@@ -10,12 +10,6 @@
  * hears, until the digests agree.
  */
 
-static bool
-is_catching_up(const struct brf_members *ms, uint64_t now)
-{
-	return (now < ms->catch_up_until);
-}
-
 static void
 ask(struct brf_members *ms, const struct sockaddr_in *to)
 {
@@ -26,6 +20,21 @@
 	brf_members_send(ms, to);
 }
 
+void
+brf_sync_tick(struct brf_members *ms)
+{
+	uint64_t now = brf_members_own(ms);
+	const struct brf_entry *e;
+
+	if (now >= ms->catch_up_until || now < ms->next_sync)
+		return;
+	e = brf_roster_any(&ms->table, BRF_ROSTER_ALL);
+	if (e == NULL)
+		return;
+	ms->next_sync = now + ms->tick_us;
+	ask(ms, &e->member.addr);
+}
+
 void
 brf_sync_consider(struct brf_members *ms, const struct sockaddr_in *from)
 {
@@ -34,18 +43,13 @@
 	bool late = now >= ms->last_sync + BRF_SYNC_LATEST_PERIODS * period;
 
 	if (ms->in.digest == brf_table_digest(&ms->table)) {
-		ms->catch_up_until = 0;
+		if (now >= ms->changed_at + period)
+			ms->catch_up_until = 0;
 		return;
 	}
-	if (now < ms->next_sync)
+	if (now < ms->next_sync || (!quiet && !late))
 		return;
-	if (is_catching_up(ms, now)) {
-		ms->next_sync = now + ms->tick_us;
-	} else {
-		if (!quiet && !late)
-			return;
-		ms->next_sync = now + BRF_SYNC_PERIODS * period;
-	}
+	ms->next_sync = now + BRF_SYNC_PERIODS * period;
 	ms->last_sync = now;
 	ask(ms, from);
 }
--- a/src/member/table.h
+++ b/src/member/table.h
@@ -40,7 +40,12 @@
  * @news_full: it is passed on with all fields
  * @docs_news: in a list of news on documents
  * @docs_sent: times that this news was passed on
- * @verify: in the list of members to be pinged with a claim
+ * @verify: in the list of members to be pinged out of turn, or of those that
+ *	were and have to be heard
+ * @verify_claim: others hold it for failed at @verify_incarnation; the ping
+ *	tells it
+ * @verify_at: own time of the ping
+ * @verify_left: further pings before it is suspect
  * @place: one more than its index in each roster; 0 when it is not in it
  */
 struct brf_entry {
@@ -57,6 +62,10 @@
 	struct brf_list docs_news;
 	unsigned docs_sent;
 	struct brf_list verify;
+	bool verify_claim;
+	uint64_t verify_incarnation;
+	uint64_t verify_at;
+	unsigned verify_left;
 	size_t place[BRF_ROSTER_COUNT];
 };
 
