--- a/src/base/error.h
+++ b/src/base/error.h
@@ -39,6 +39,8 @@
 	X(BRF_E_CONFLICT, "revision_conflict")          \
 	X(BRF_E_STORE, "store_failed")                  \
 	X(BRF_E_STORE_PROTOCOL, "store_answer_invalid") \
+	X(BRF_E_STORE_COMPACTED, "store_compacted")     \
+	X(BRF_E_STORE_BEHIND, "store_gone_back")        \
 	X(BRF_E_WRITE_UNKNOWN, "write_outcome_unknown") \
 	X(BRF_E_LIMIT, "limit_reached")
 
--- /dev/null
+++ b/src/config/sync.c
@@ -0,0 +1,404 @@
+#include <stdlib.h>
+
+#include "base/backoff.h"
+#include "base/log.h"
+#include "config/envelope.h"
+#include "config/sync.h"
+
+#define FOLLOW_US 1000000u	 /* between two looks at should_follow */
+#define CHECK_MIN_US 1500000u	 /* between two looks for a silent watch */
+#define CHECK_SPREAD_US 1000000u /* added at random */
+#define BACKOFF_FIRST_US 500000u
+#define BACKOFF_MOST_US 5000000u
+
+static const char *const state_names[] = { "idle", "reading", "watching",
+	"waiting" };
+
+/**
+ * struct brf_sync - the follower.
+ * @read: the reading of all documents
+ * @check: the look for the newest revision
+ * @tick: asks should_follow
+ * @pause: ends a backoff
+ * @check_timer: starts @check
+ * @newest: highest revision of a document that the store told of since the
+ *	last reading of all
+ * @revision: the store's own, as last heard
+ * @read_floor: @revision when @read was sent
+ * @check_floor: @revision when @check was sent
+ */
+struct brf_sync {
+	struct brf_sync_config config;
+	enum brf_sync_state state;
+	struct brf_store_call read;
+	struct brf_store_call check;
+	struct brf_store_watch watch;
+	bool reading;
+	bool checking;
+	bool watching;
+	struct brf_timer tick;
+	struct brf_timer pause;
+	struct brf_timer check_timer;
+	struct brf_backoff backoff;
+	struct brf_backoff check_backoff;
+	uint64_t newest;
+	uint64_t revision;
+	uint64_t read_floor;
+	uint64_t check_floor;
+	uint64_t heard;
+	size_t behind;
+	struct brf_metric *refused;
+	struct brf_metric *went_back;
+	struct brf_metric *silent;
+	struct brf_metric *readings;
+	struct brf_metric *behind_gauge;
+};
+
+static void read_all(struct brf_timer *timer, void *arg);
+
+const char *
+brf_sync_state_name(enum brf_sync_state state)
+{
+	if ((unsigned)state >= brf_nitems(state_names))
+		return ("invalid");
+	return (state_names[state]);
+}
+
+/* An answer tells at least the revision that was known when it was asked for,
+ * unless the store has gone back. */
+static void
+hear_answer(struct brf_sync *s, uint64_t floor, uint64_t revision)
+{
+	s->heard = brf_now(brf_timers_clock(s->config.timers));
+	if (revision < floor) {
+		s->went_back->value++;
+		brf_log(BRF_LOG_WARN, "store_went_back",
+		    BRF_LU("revision", revision), BRF_LU("was", floor));
+	}
+	if (revision < floor || revision > s->revision)
+		s->revision = revision;
+}
+
+/* An event may be older than an answer that overtook it. */
+static void
+hear_event(struct brf_sync *s, uint64_t revision)
+{
+	s->heard = brf_now(brf_timers_clock(s->config.timers));
+	if (revision > s->revision)
+		s->revision = revision;
+}
+
+static void
+stop_calls(struct brf_sync *s)
+{
+	if (s->reading)
+		brf_store_cancel(s->config.store, &s->read);
+	if (s->checking)
+		brf_store_cancel(s->config.store, &s->check);
+	if (s->watching)
+		brf_store_watch_stop(s->config.store, &s->watch);
+	s->reading = false;
+	s->checking = false;
+	s->watching = false;
+	brf_timer_stop(s->config.timers, &s->pause);
+	brf_timer_stop(s->config.timers, &s->check_timer);
+}
+
+static void
+fail(struct brf_sync *s, const struct brf_error *err)
+{
+	brf_log(BRF_LOG_WARN, "store_failed", BRF_LE(err));
+	stop_calls(s);
+	s->state = BRF_SYNC_WAITING;
+	brf_timer_start(s->config.timers, &s->pause,
+	    brf_backoff_next(&s->backoff, s->config.random));
+}
+
+static void
+refuse(struct brf_sync *s, const char *service, const struct brf_error *err)
+{
+	s->refused->value++;
+	brf_log(BRF_LOG_WARN, "document_refused", BRF_LS("service", service),
+	    BRF_LE(err));
+}
+
+static bool
+open_value(struct brf_sync *s, const char *service,
+    const struct brf_store_kv *kv, struct brf_envelope *envelope,
+    struct brf_error *err)
+{
+	struct brf_keyring *ring = NULL;
+	bool ok;
+
+	if (s->config.keys != NULL)
+		ring = brf_keyring_derive(s->config.keys, service);
+	ok =
+	    brf_envelope_open(ring, service, kv->value, kv->len, envelope, err);
+	brf_keyring_free(ring);
+	return (ok);
+}
+
+/* One key as the store has it. */
+static enum brf_docs_result
+take(struct brf_sync *s, const struct brf_store_kv *kv)
+{
+	const char *service = kv->key + strlen(BRF_DOC_PREFIX);
+	struct brf_error err = { .code = BRF_OK };
+	enum brf_docs_result result;
+	struct brf_envelope envelope;
+
+	if (kv->revision > s->newest)
+		s->newest = kv->revision;
+	if (kv->deleted) {
+		brf_error_set(&err, BRF_E_AUTH, 0, "deletion without a proof");
+		refuse(s, service, &err);
+		return (BRF_DOCS_INVALID);
+	}
+	if (!open_value(s, service, kv, &envelope, &err)) {
+		refuse(s, service, &err);
+		return (BRF_DOCS_INVALID);
+	}
+	result = brf_docs_apply(
+	    s->config.docs, service, kv->revision, envelope.text, envelope.len);
+	brf_envelope_free(&envelope);
+	if (result == BRF_DOCS_INVALID) {
+		brf_error_set(&err, BRF_E_DOCUMENT, 0, "revision %llu",
+		    (unsigned long long)kv->revision);
+		refuse(s, service, &err);
+	}
+	return (result);
+}
+
+static bool
+is_document(const struct brf_store_kv *kv)
+{
+	return (strncmp(kv->key, BRF_DOC_PREFIX, strlen(BRF_DOC_PREFIX)) == 0);
+}
+
+/* Documents in force here that the answer does not hold as they are. */
+struct comparison {
+	const struct brf_store_answer *answer;
+	size_t behind;
+};
+
+static void
+compare_one(const char *service, uint64_t revision, const char *text,
+    size_t len, void *arg)
+{
+	struct comparison *c = arg;
+	const struct brf_store_kv *kv;
+	size_t i;
+
+	for (i = 0; i < c->answer->count; i++) {
+		kv = &c->answer->kvs[i];
+		if (is_document(kv) &&
+		    strcmp(kv->key + strlen(BRF_DOC_PREFIX), service) == 0 &&
+		    kv->revision >= revision)
+			return;
+	}
+	c->behind++;
+	brf_log(BRF_LOG_WARN, "store_behind", BRF_LS("service", service),
+	    BRF_LU("revision", revision));
+}
+
+static void
+watch_event(struct brf_store_watch *watch, const struct brf_store_event *event)
+{
+	struct brf_sync *s = brf_container_of(watch, struct brf_sync, watch);
+	size_t i;
+
+	s->backoff.failures = 0;
+	hear_event(s, event->revision);
+	for (i = 0; i < event->count; i++) {
+		if (is_document(&event->kvs[i]))
+			take(s, &event->kvs[i]);
+	}
+}
+
+static void
+watch_ended(struct brf_store_watch *watch, const struct brf_error *err)
+{
+	struct brf_sync *s = brf_container_of(watch, struct brf_sync, watch);
+
+	s->watching = false;
+	fail(s, err);
+}
+
+static void
+plan_check(struct brf_sync *s)
+{
+	brf_timer_start(s->config.timers, &s->check_timer,
+	    CHECK_MIN_US + brf_random_below(s->config.random, CHECK_SPREAD_US));
+}
+
+static void
+check_done(struct brf_store_call *call, const struct brf_store_answer *answer)
+{
+	struct brf_sync *s = brf_container_of(call, struct brf_sync, check);
+	uint64_t newest = answer->count != 0 ? answer->kvs[0].revision : 0;
+
+	s->checking = false;
+	if (answer->outcome != BRF_STORE_DONE) {
+		brf_timer_start(s->config.timers, &s->check_timer,
+		    brf_backoff_next(&s->check_backoff, s->config.random));
+		return;
+	}
+	s->check_backoff.failures = 0;
+	hear_answer(s, s->check_floor, answer->revision);
+	if (newest == s->newest) {
+		plan_check(s);
+		return;
+	}
+	s->silent->value++;
+	brf_log(BRF_LOG_WARN, "store_watch_silent", BRF_LU("newest", newest),
+	    BRF_LU("had", s->newest));
+	stop_calls(s);
+	read_all(NULL, s);
+}
+
+static void
+check_newest(struct brf_timer *timer, void *arg)
+{
+	struct brf_sync *s = arg;
+
+	s->check.request = (struct brf_store_request){ .op = BRF_STORE_GET,
+		.key = BRF_DOC_PREFIX,
+		.prefix = true,
+		.newest = true };
+	s->check_floor = s->revision;
+	s->check.done = check_done;
+	s->checking = true;
+	brf_store_start(s->config.store, &s->check);
+}
+
+static void
+take_all(struct brf_sync *s, const struct brf_store_answer *answer)
+{
+	struct comparison c = { .answer = answer };
+	size_t i;
+
+	s->newest = 0;
+	brf_docs_each(s->config.docs, compare_one, &c);
+	for (i = 0; i < answer->count; i++) {
+		if (is_document(&answer->kvs[i]) &&
+		    take(s, &answer->kvs[i]) == BRF_DOCS_DIFFERS)
+			c.behind++;
+	}
+	s->behind = c.behind;
+	s->behind_gauge->value = (double)c.behind;
+}
+
+static void
+read_done(struct brf_store_call *call, const struct brf_store_answer *answer)
+{
+	struct brf_sync *s = brf_container_of(call, struct brf_sync, read);
+
+	s->reading = false;
+	if (answer->outcome != BRF_STORE_DONE) {
+		fail(s, &answer->err);
+		return;
+	}
+	hear_answer(s, s->read_floor, answer->revision);
+	take_all(s, answer);
+	s->state = BRF_SYNC_WATCHING;
+	s->watch.prefix = BRF_DOC_PREFIX;
+	s->watch.from = answer->revision + 1;
+	s->watch.event = watch_event;
+	s->watch.ended = watch_ended;
+	s->watching = true;
+	brf_store_watch_start(s->config.store, &s->watch);
+	plan_check(s);
+}
+
+static void
+read_all(struct brf_timer *timer, void *arg)
+{
+	struct brf_sync *s = arg;
+
+	s->state = BRF_SYNC_READING;
+	s->readings->value++;
+	s->read.request = (struct brf_store_request){
+		.op = BRF_STORE_GET, .key = BRF_DOC_PREFIX, .prefix = true
+	};
+	s->read_floor = s->revision;
+	s->read.done = read_done;
+	s->reading = true;
+	brf_store_start(s->config.store, &s->read);
+}
+
+static void
+look_if_chosen(struct brf_timer *timer, void *arg)
+{
+	struct brf_sync *s = arg;
+	bool chosen = s->config.should_follow(s->config.arg);
+
+	brf_timer_start(s->config.timers, timer, FOLLOW_US);
+	if (chosen && s->state == BRF_SYNC_IDLE) {
+		s->state = BRF_SYNC_READING;
+		brf_timer_start(s->config.timers, &s->pause,
+		    brf_random_below(s->config.random, FOLLOW_US));
+	} else if (!chosen && s->state != BRF_SYNC_IDLE) {
+		stop_calls(s);
+		s->state = BRF_SYNC_IDLE;
+	}
+}
+
+static void
+make_metrics(struct brf_sync *s)
+{
+	struct brf_metrics *m = s->config.metrics;
+
+	s->refused = brf_metrics_counter(m, "brf_documents_refused_total",
+	    "Stored documents that were not taken.", "");
+	s->went_back = brf_metrics_counter(m, "brf_store_went_back_total",
+	    "Times the store told a lower revision than before.", "");
+	s->silent = brf_metrics_counter(m, "brf_store_watch_silent_total",
+	    "Watches that were found silent.", "");
+	s->readings = brf_metrics_counter(m, "brf_store_readings_total",
+	    "Readings of all documents from the store.", "");
+	s->behind_gauge = brf_metrics_gauge(m, "brf_store_behind_documents",
+	    "Documents in force here that the store has not, or older.", "");
+}
+
+struct brf_sync *
+brf_sync_new(const struct brf_sync_config *config)
+{
+	struct brf_sync *s = brf_calloc(1, sizeof(*s));
+
+	s->config = *config;
+	s->tick = (struct brf_timer){ .fire = look_if_chosen, .arg = s };
+	s->pause = (struct brf_timer){ .fire = read_all, .arg = s };
+	s->check_timer = (struct brf_timer){ .fire = check_newest, .arg = s };
+	s->backoff = (struct brf_backoff){ .first_us = BACKOFF_FIRST_US,
+		.most_us = BACKOFF_MOST_US };
+	s->check_backoff = s->backoff;
+	s->check_backoff.first_us = CHECK_MIN_US;
+	make_metrics(s);
+	return (s);
+}
+
+void
+brf_sync_free(struct brf_sync *sync)
+{
+	if (sync == NULL)
+		return;
+	stop_calls(sync);
+	brf_timer_stop(sync->config.timers, &sync->tick);
+	free(sync);
+}
+
+void
+brf_sync_start(struct brf_sync *sync)
+{
+	brf_timer_start(sync->config.timers, &sync->tick, 0);
+}
+
+void
+brf_sync_status(const struct brf_sync *sync, struct brf_sync_status *status)
+{
+	*status = (struct brf_sync_status){ .state = sync->state,
+		.revision = sync->revision,
+		.heard = sync->heard,
+		.behind = sync->behind,
+		.refused = (uint64_t)sync->refused->value };
+}
