--- a/src/policy/admission.c
+++ b/src/policy/admission.c
@@ -14,6 +14,8 @@
 /* Longest wait: this, or so many mean service times when that is longer. */
 #define WAIT_MAX_US (250 * BRF_US_PER_MS)
 #define WAIT_MAX_SERVICES 2
+/* Likewise as a factor, for a workspace whose turn comes. */
+#define WAIT_UNDER_SHARE 4
 
 /* With a free slot, one in so many runs that is expected to end too late. */
 #define LATE_PROBE 8u
@@ -106,10 +108,19 @@
 {
 	a->stats.refused[brf_ticket_class(t)]++;
 	a->stats.reasons[reason]++;
-	if (reason == BRF_R_SHARE)
+}
+
+/* Tell the cut of @t, which waits and is refused for lack of capacity. */
+static void
+count_pressure(
+    struct brf_admission *a, struct brf_ticket *t, enum brf_reason reason)
+{
+	if (a->draining != BRF_R_NONE)
+		return;
+	if (reason == BRF_R_SHARE || brf_queue_over_share(a->queue, t))
 		brf_cut_discount(&a->cut, t->rank);
-	if (reason == BRF_R_OVERLOAD)
-		brf_cut_shed(&a->cut);
+	else
+		brf_cut_shed(&a->cut, t->rank);
 }
 
 static void
@@ -125,6 +136,7 @@
 static void
 doom(struct brf_admission *a, struct brf_ticket *t, enum brf_reason reason)
 {
+	count_pressure(a, t, reason);
 	brf_queue_remove(a->queue, t);
 	count_refusal(a, t, reason);
 	t->state = TICKET_DOOMED;
@@ -227,6 +239,8 @@
 {
 	double longest = longest_wait(a, now);
 
+	if (brf_queue_under_share(a->queue, t))
+		longest *= WAIT_UNDER_SHARE;
 	if (expired(a, t, now))
 		doom_unless_observing(a, t, BRF_R_EXPIRED, now);
 	else if (now > later(t->since, longest))
@@ -403,6 +417,7 @@
 		why = BRF_R_NONE;
 	}
 	if (why != BRF_R_NONE || shed_one(a, t, &why)) {
+		count_pressure(a, t, why);
 		brf_queue_remove(a->queue, t);
 		return (refuse_now(a, t, why, out));
 	}
--- a/src/policy/cut.c
+++ b/src/policy/cut.c
@@ -2,8 +2,6 @@
 
 #define STEP_RANKS (BRF_RANK_END / BRF_CUT_STEPS)
 
-/* Arrivals let through for each one served, so that the queue stays filled. */
-#define FILL 1.1
 /* Rise of the cut in a period without refusals. */
 #define RISE (2 * STEP_RANKS)
 /* Periods after which a level that nothing renewed is void. */
@@ -29,9 +27,9 @@
 }
 
 void
-brf_cut_shed(struct brf_cut *c)
+brf_cut_shed(struct brf_cut *c, uint32_t rank)
 {
-	c->shed++;
+	c->shed[step_of(rank)]++;
 }
 
 /* It may have come in an earlier period, which is over. */
@@ -53,25 +51,22 @@
 
 /* The lowest step always passes: some work must show how fast the target is. */
 static uint32_t
-fitting(const struct brf_cut *c)
+lowest_shed(const struct brf_cut *c)
 {
-	double room = c->served * FILL;
-	uint64_t below = 0;
 	uint32_t step;
 
-	for (step = 0; step < BRF_CUT_STEPS; step++) {
-		below += c->arrivals[step];
-		if ((double)below > room)
+	for (step = 1; step < BRF_CUT_STEPS; step++) {
+		if (c->shed[step] > 0 && 2 * c->shed[step] >= c->arrivals[step])
 			break;
 	}
-	return ((step > 0 ? step : 1) * STEP_RANKS);
+	return (step * STEP_RANKS);
 }
 
 static void
 move_cut(struct brf_cut *c)
 {
 	uint32_t raised = c->active ? c->cut + RISE : BRF_RANK_END;
-	uint32_t fits = c->shed > 0 ? fitting(c) : BRF_RANK_END;
+	uint32_t fits = lowest_shed(c);
 
 	c->cut = fits < raised ? fits : raised;
 	c->active = !c->slack && c->cut < BRF_RANK_END;
@@ -91,7 +86,7 @@
 	memset(c->arrivals, 0, sizeof(c->arrivals));
 	c->arrived = 0;
 	c->served = 0;
-	c->shed = 0;
+	memset(c->shed, 0, sizeof(c->shed));
 	c->slack = false;
 	c->started = now;
 	return (true);
--- a/src/policy/cut.h
+++ b/src/policy/cut.h
@@ -6,10 +6,10 @@
 /**
  * DOC: Which ranks a target can serve, for the level on its replies.
  *
- * After DAGOR (SoCC 2018): in each period arrivals are counted by rank, and
- * when some were shed the cut goes where the arrivals below it fill what was
- * served.  Unlike there the cut is not raised step by step when pressure ends:
- * one moment with a free slot and nothing waiting ends it.
+ * After DAGOR (SoCC 2018): in each period arrivals and refusals are counted by
+ * rank, and the cut goes to the lowest step of which most were refused.  Unlike
+ * there the cut is not raised step by step when pressure ends: one moment with
+ * a free slot and nothing waiting ends it.
  *
  * A refusal of a workspace above its share doesn't move the cut, which would
  * shed all workspaces of the class alike.
@@ -27,7 +27,7 @@
 	uint32_t arrivals[BRF_CUT_STEPS];
 	uint32_t arrived;
 	uint32_t served;
-	uint32_t shed;
+	uint32_t shed[BRF_CUT_STEPS];
 	bool slack;
 	bool active;
 	uint32_t cut;
@@ -40,7 +40,7 @@
 void brf_cut_served(struct brf_cut *c);
 
 /* A refusal for lack of capacity. */
-void brf_cut_shed(struct brf_cut *c);
+void brf_cut_shed(struct brf_cut *c, uint32_t rank);
 
 /* A refusal of what is above its share. */
 void brf_cut_discount(struct brf_cut *c, uint32_t rank);
--- a/src/policy/limiter.h
+++ b/src/policy/limiter.h
@@ -9,10 +9,11 @@
  * The limit stands at the announced slots and goes down only on evidence that
  * the target queues inside itself.  Latency is the geometric mean of a window,
  * which long tails hardly move.  When it is over twice the lowest known, the
- * limiter tries a lower limit for one window:
+ * limiter tries a lower limit for one window; so it does every half minute of
+ * unbroken saturation, since it may never have seen the target unloaded:
  *
  * - latency falls along: the attempts had been waiting for one another; the
- *   lower limit stays, and is tried lower again while latency is high;
+ *   lower limit stays, and a yet lower one is tried;
  * - latency stays: something else made the target slow, such as its own
  *   outgoing calls; the former limit returns, and this latency counts as
  *   normal until a lower one is seen.
@@ -31,8 +32,11 @@
  * struct brf_limiter - state of the limit; start with brf_limiter_init().
  * @limit: attempts allowed at once, before the ramp
  * @lowest: natural logarithm of the lowest known latency, microseconds
+ * @last: mean of the logarithms when a trial was last considered
+ * @search: the trial looks for the unloaded latency
  * @former: limit to return to when a trial shows no effect
  * @before: mean of the logarithms before the trial
+ * @skip: samples to pass over, from attempts that began before the trial
  */
 struct brf_limiter {
 	uint32_t slots;
@@ -41,10 +45,14 @@
 	double limit;
 	bool known;
 	double lowest;
+	double last;
 	bool trial;
+	bool search;
 	double former;
 	double before;
-	uint64_t trial_end;
+	uint64_t trial_start;
+	uint64_t next_trial;
+	uint32_t skip;
 	uint64_t window_start;
 	uint32_t count;
 	double sum;
--- a/src/policy/queue.c
+++ b/src/policy/queue.c
@@ -46,6 +46,7 @@
 /**
  * struct rung - one class.
  * @least: least backlog by weight of a lane in use, at the last sample
+ * @most: likewise, the most
  */
 struct rung {
 	struct brf_list active;
@@ -53,6 +54,7 @@
 	uint64_t weights;
 	double time;
 	double least;
+	double most;
 };
 
 struct brf_queue {
@@ -392,6 +394,14 @@
 	return (backlog(lane_of(t), t->flow) > 2 * least + OVER_SHARE_SLACK);
 }
 
+bool
+brf_queue_under_share(const struct brf_queue *q, const struct brf_ticket *t)
+{
+	double most = q->rungs[brf_ticket_class(t)].most;
+
+	return (2 * backlog(lane_of(t), t->flow) < most);
+}
+
 static void
 sample_flow(struct brf_queue *q, struct brf_flow *f)
 {
@@ -408,6 +418,8 @@
 		much = backlog(lane, f);
 		if (much < rung->least)
 			rung->least = much;
+		if (much > rung->most)
+			rung->most = much;
 	}
 }
 
@@ -416,8 +428,10 @@
 {
 	size_t i;
 
-	for (i = 0; i < BRF_CLASSES; i++)
+	for (i = 0; i < BRF_CLASSES; i++) {
 		q->rungs[i].least = DBL_MAX / 4;
+		q->rungs[i].most = 0;
+	}
 	for (i = 0; i < BRF_QUEUE_FLOWS; i++)
 		sample_flow(q, &q->flows[i]);
 	sample_flow(q, &q->rest);
--- a/src/policy/queue.h
+++ b/src/policy/queue.h
@@ -72,9 +72,16 @@
 bool brf_queue_over_share(
     const struct brf_queue *q, const struct brf_ticket *t);
 
+/**
+ * brf_queue_under_share() - whether the flow of @t, a waiting one, has less
+ * than half as much waiting for its weight as the longest of its class.
+ */
+bool brf_queue_under_share(
+    const struct brf_queue *q, const struct brf_ticket *t);
+
 /**
  * brf_queue_sample() - to be called at regular times: look again which flows
- * are in use, and how little waits in them.
+ * are in use, and how much waits in them.
  */
 void brf_queue_sample(struct brf_queue *q);
 
