--- a/include/bulrushford.h
+++ b/include/bulrushford.h
@@ -26,11 +26,14 @@
 #define BRF_H_REQUEST "brf-request"
 
 /* Headers that a node adds to each response. */
-#define BRF_H_OUTCOME "brf-outcome"   /* answered, not_run or unknown */
-#define BRF_H_REASON "brf-reason"     /* see brf_reason_name() */
-#define BRF_H_ID "brf-request-id"     /* root request, 32 hex digits */
+#define BRF_H_OUTCOME "brf-outcome"	    /* answered, not_run or unknown */
+#define BRF_H_REASON "brf-reason"	    /* see brf_reason_name() */
+#define BRF_H_ID "brf-request-id"	    /* root request, 32 hex digits */
 #define BRF_H_RETRY_MS "brf-retry-after-ms" /* when to ask again */
-#define BRF_H_ATTEMPTS "brf-attempts" /* attempts sent for this request */
+#define BRF_H_ATTEMPTS "brf-attempts"	    /* attempts sent for this request */
+
+/* POST here, with the service as host, answers with a request token. */
+#define BRF_TOKEN_PATH "/.well-known/brf/request-token"
 
 /* Fixed bounds; no document and no setting raises them. */
 #define BRF_RETRY_BOUND 3u	      /* extra attempts per root request */
--- a/src/base/idmap.c
+++ b/src/base/idmap.c
@@ -46,7 +46,7 @@
 	map->size *= 2;
 	map->buckets = make_buckets(map->size);
 	for (i = 0; i < old_size; i++) {
-		brf_list_foreach_safe(l, tmp, &old[i]) {
+		brf_list_foreach_safe (l, tmp, &old[i]) {
 			struct brf_idmap_link *entry =
 			    brf_list_entry(l, struct brf_idmap_link, link);
 
@@ -58,8 +58,8 @@
 }
 
 void
-brf_idmap_add(struct brf_idmap *map, struct brf_idmap_link *entry,
-    struct brf_id id)
+brf_idmap_add(
+    struct brf_idmap *map, struct brf_idmap_link *entry, struct brf_id id)
 {
 	if (map->count >= map->size)
 		grow(map);
@@ -83,7 +83,7 @@
 	struct brf_list *l, *head = bucket_of(map, id);
 	struct brf_idmap_link *entry;
 
-	brf_list_foreach(l, head) {
+	brf_list_foreach (l, head) {
 		entry = brf_list_entry(l, struct brf_idmap_link, link);
 		if (brf_id_equal(entry->id, id))
 			return (entry);
--- a/src/base/idmap.h
+++ b/src/base/idmap.h
@@ -32,15 +32,15 @@
 void brf_idmap_free(struct brf_idmap *map);
 
 /* The id must not be in the map yet. */
-void brf_idmap_add(struct brf_idmap *map, struct brf_idmap_link *entry,
-    struct brf_id id);
+void brf_idmap_add(
+    struct brf_idmap *map, struct brf_idmap_link *entry, struct brf_id id);
 
 /* Does nothing when @entry was removed before. */
 void brf_idmap_remove(struct brf_idmap *map, struct brf_idmap_link *entry);
 
 /* NULL when there is none. */
-struct brf_idmap_link *brf_idmap_find(const struct brf_idmap *map,
-    struct brf_id id);
+struct brf_idmap_link *brf_idmap_find(
+    const struct brf_idmap *map, struct brf_id id);
 
 BRF_END_DECLS
 
--- a/src/base/message.c
+++ b/src/base/message.c
@@ -123,8 +123,8 @@
 			m->headers[kept++] = m->headers[i];
 			continue;
 		}
-		m->header_bytes -= strlen(m->headers[i].name) +
-		    strlen(m->headers[i].value);
+		m->header_bytes -=
+		    strlen(m->headers[i].name) + strlen(m->headers[i].value);
 		free((char *)m->headers[i].name);
 	}
 	m->header_count = kept;
--- a/src/config/keys.c
+++ b/src/config/keys.c
@@ -341,7 +341,7 @@
 }
 
 bool
-brf_token_mint(const struct brf_keyring *ring, const char *workspace,
+brf_workspace_token_mint(const struct brf_keyring *ring, const char *workspace,
     struct brf_buf *out, struct brf_error *err)
 {
 	struct brf_mac_input input = token_input(workspace);
@@ -371,7 +371,7 @@
 }
 
 bool
-brf_token_check(const struct brf_keyring *ring, const char *token,
+brf_workspace_token_check(const struct brf_keyring *ring, const char *token,
     char workspace[BRF_NAME_MAX + 1], struct brf_error *err)
 {
 	const char *mac = find_mac(token);
--- a/src/config/keys.h
+++ b/src/config/keys.h
@@ -105,22 +105,23 @@
     const struct brf_mac_input *input, const char *mac, struct brf_error *err);
 
 /**
- * brf_token_mint() - a workspace's token "<workspace>.<key id>.<hex>", whose
- * MAC has the purpose "brf-workspace-v1", the name of the workspace, and no
- * data.
+ * brf_workspace_token_mint() - a workspace's token "<workspace>.<key
+ * id>.<hex>", whose MAC has the purpose "brf-workspace-v1", the name of the
+ * workspace, and no data.
  *
  * Return: false with BRF_E_SETTING_INVALID when @workspace is no name.
  */
-bool brf_token_mint(const struct brf_keyring *ring, const char *workspace,
-    struct brf_buf *out, struct brf_error *err);
+bool brf_workspace_token_mint(const struct brf_keyring *ring,
+    const char *workspace, struct brf_buf *out, struct brf_error *err);
 
 /**
- * brf_token_check() - prove a token and take the workspace's name from it.
+ * brf_workspace_token_check() - prove a token and take the workspace's name
+ * from it.
  *
  * Return: false with BRF_E_AUTH; @workspace is empty then.
  */
-bool brf_token_check(const struct brf_keyring *ring, const char *token,
-    char workspace[BRF_NAME_MAX + 1], struct brf_error *err);
+bool brf_workspace_token_check(const struct brf_keyring *ring,
+    const char *token, char workspace[BRF_NAME_MAX + 1], struct brf_error *err);
 
 BRF_END_DECLS
 
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -49,14 +49,14 @@
 add_document(const char *service, uint64_t revision, const char *text,
     size_t len, void *arg)
 {
-	json_array_append_new(arg,
-	    json_pack("{s:s, s:I, s:b}", "service", service, "revision",
-		(json_int_t)revision, "deleted", text == NULL));
+	json_array_append_new(
+	    arg, json_pack("{s:s, s:I, s:b}", "service", service, "revision",
+		     (json_int_t)revision, "deleted", text == NULL));
 	(void)len;
 }
 
-static const char *const phase_names[] = { "serving", "draining",
-	"lingering", "closed" };
+static const char *const phase_names[] = { "serving", "draining", "lingering",
+	"closed" };
 
 static void
 status(struct brf_node *node, struct brf_http_request *http)
@@ -70,14 +70,13 @@
 	brf_gate_level(node->gate, &level);
 	o = json_pack("{s:o, s:s, s:s, s:s, s:s, s:s, s:s, s:f, s:I}", "node",
 	    id_json(self->node), "version", BRF_VERSION, "zone", self->zone,
-	    "region", self->region, "phase", phase_names[node->phase],
-	    "state", brf_member_state_name(self->state), "service",
-	    self->service, "uptime_s",
-	    (double)(now(node) - node->started) / BRF_US_PER_S, "members",
-	    (json_int_t)brf_members_count(node->members));
+	    "region", self->region, "phase", phase_names[node->phase], "state",
+	    brf_member_state_name(self->state), "service", self->service,
+	    "uptime_s", (double)(now(node) - node->started) / BRF_US_PER_S,
+	    "members", (json_int_t)brf_members_count(node->members));
 	json_object_set_new(o, "documents", docs);
-	json_object_set_new(o, "calls_open",
-	    json_integer((json_int_t)node->caller.open));
+	json_object_set_new(
+	    o, "calls_open", json_integer((json_int_t)node->caller.open));
 	json_object_set_new(o, "attempts_open",
 	    json_integer((json_int_t)brf_gate_open(node->gate)));
 	json_object_set_new(o, "level",
@@ -118,13 +117,13 @@
 		      "s:i, s:s, s:I, s:s}",
 		"node", id_json(m->node), "incarnation",
 		(json_int_t)m->incarnation, "address", address, "gossip_port",
-		ntohs(m->addr.sin_port), "peer_port", m->rpc_port,
-		"entry_port", m->entry_port, "admin_port", m->admin_port,
-		"zone", m->zone, "region", m->region, "service", m->service,
-		"slots", (int)m->slots, "state",
-		brf_member_state_name(m->state), "heard_ms",
-		(json_int_t)((now(l->node) - m->heard) / BRF_US_PER_MS),
-		"why", why_no_work(m)));
+		ntohs(m->addr.sin_port), "peer_port", m->rpc_port, "entry_port",
+		m->entry_port, "admin_port", m->admin_port, "zone", m->zone,
+		"region", m->region, "service", m->service, "slots",
+		(int)m->slots, "state", brf_member_state_name(m->state),
+		"heard_ms",
+		(json_int_t)((now(l->node) - m->heard) / BRF_US_PER_MS), "why",
+		why_no_work(m)));
 	return (true);
 }
 
@@ -142,8 +141,8 @@
 {
 	json_t *v = json_object_get(object, name);
 
-	json_object_set_new(object, name,
-	    json_integer(json_integer_value(v) + by));
+	json_object_set_new(
+	    object, name, json_integer(json_integer_value(v) + by));
 }
 
 static bool
@@ -179,7 +178,7 @@
 	const char *name;
 
 	brf_members_each(node->members, add_to_service, &l);
-	json_object_foreach(l.out, name, o)
+	json_object_foreach (l.out, name, o)
 		json_array_append(list, o);
 	json_decref(l.out);
 	respond(http, list);
@@ -198,8 +197,7 @@
 		brf_respond_json(http, 400, &text);
 		return;
 	}
-	brf_router_explain(node->router, service + strlen("?service="),
-	    &text);
+	brf_router_explain(node->router, service + strlen("?service="), &text);
 	brf_respond_json(http, 200, &text);
 }
 
@@ -209,8 +207,8 @@
 	struct brf_message *m = brf_message_new();
 
 	m->status = 200;
-	brf_message_add_header(m, "content-type", 12,
-	    "text/plain; version=0.0.4", 25, NULL);
+	brf_message_add_header(
+	    m, "content-type", 12, "text/plain; version=0.0.4", 25, NULL);
 	brf_metrics_write(node->metrics, &m->body);
 	brf_http_respond(http, m, NULL, 0);
 	brf_message_unref(m);
@@ -233,7 +231,7 @@
 	size_t len = strlen(page);
 
 	return (strncmp(path, page, len) == 0 &&
-	    (path[len] == '\0' || path[len] == '?'));
+		(path[len] == '\0' || path[len] == '?'));
 }
 
 static void
@@ -250,8 +248,8 @@
 			return;
 		}
 	}
-	brf_buf_printf(&text, "{\"error\":\"%s\"}\n",
-	    brf_error_name(BRF_E_NOT_FOUND));
+	brf_buf_printf(
+	    &text, "{\"error\":\"%s\"}\n", brf_error_name(BRF_E_NOT_FOUND));
 	brf_respond_json(http, 404, &text);
 }
 
--- a/src/node/announce.c
+++ b/src/node/announce.c
@@ -9,8 +9,8 @@
 static bool
 bad_field(struct brf_error *err, const char *name, const char *want)
 {
-	return (brf_error_set(err, BRF_E_ANNOUNCE, 0, "\"%s\" must be %s",
-	    name, want));
+	return (brf_error_set(
+	    err, BRF_E_ANNOUNCE, 0, "\"%s\" must be %s", name, want));
 }
 
 static bool
@@ -29,16 +29,16 @@
 }
 
 static bool
-get_service(const json_t *object, char out[BRF_NAME_MAX + 1],
-    struct brf_error *err)
+get_service(
+    const json_t *object, char out[BRF_NAME_MAX + 1], struct brf_error *err)
 {
 	const char *s = json_string_value(json_object_get(object, "service"));
 	size_t len = s != NULL ? strlen(s) : 0;
 
 	if (len == 0 || len > BRF_NAME_MAX ||
 	    strspn(s, "abcdefghijklmnopqrstuvwxyz0123456789-_") != len)
-		return (bad_field(err, "service",
-		    "1 to 63 of a-z, 0-9, '-' and '_'"));
+		return (bad_field(
+		    err, "service", "1 to 63 of a-z, 0-9, '-' and '_'"));
 	brf_copy_name(out, BRF_NAME_MAX + 1, s);
 	return (true);
 }
@@ -53,8 +53,7 @@
 	if (cold != NULL && !json_is_boolean(cold))
 		return (bad_field(err, "cold", "true or false"));
 	if (json_object_get(object, "heartbeat_ms") != NULL &&
-	    !get_number(object, "heartbeat_ms", 0, HEARTBEAT_MAX_MS, &ms,
-		err))
+	    !get_number(object, "heartbeat_ms", 0, HEARTBEAT_MAX_MS, &ms, err))
 		return (false);
 	upstream->cold = json_is_true(cold);
 	*heartbeat_us = (uint64_t)ms * BRF_US_PER_MS;
@@ -70,8 +69,8 @@
 	if (!get_service(object, upstream->service, err) ||
 	    !get_number(object, "port", 1, UINT16_MAX, &port, err) ||
 	    !get_number(object, "slots", 1, SLOTS_MAX, &slots, err) ||
-	    !get_number(object, "connections", 1, CONNECTIONS_MAX,
-		&connections, err))
+	    !get_number(
+		object, "connections", 1, CONNECTIONS_MAX, &connections, err))
 		return (false);
 	upstream->port = (uint16_t)port;
 	upstream->slots = (uint32_t)slots;
@@ -80,9 +79,8 @@
 }
 
 bool
-brf_announce_parse(const char *text, size_t len,
-    struct brf_upstream *upstream, uint64_t *heartbeat_us,
-    struct brf_error *err)
+brf_announce_parse(const char *text, size_t len, struct brf_upstream *upstream,
+    uint64_t *heartbeat_us, struct brf_error *err)
 {
 	json_error_t je;
 	json_t *object = json_loadb(text, len, JSON_REJECT_DUPLICATES, &je);
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 #include "node/call.h"
+#include "policy/ledger.h"
+#include "policy/token.h"
 
 #define TRIED_MAX (BRF_RETRY_BOUND + 1)
 
@@ -25,6 +27,8 @@
  * @own: extra attempts of a caller's request; an inbound attempt's are shared
  * @doubt: why an earlier attempt may have run; BRF_R_NONE when none may
  * @refusal: why the last attempt did not run
+ * @refused_by_gate: its gate said so
+ * @bound: the one node that may run it, by its request token; zero for any
  * @starting: brf_call_start() still runs, and will free a call that is @over
  */
 struct brf_call {
@@ -40,6 +44,7 @@
 	struct brf_timer timer;
 	struct brf_allotment own;
 	struct brf_id root;
+	struct brf_id bound;
 	struct brf_id tried[TRIED_MAX];
 	uint32_t attempts;
 	uint32_t given;
@@ -51,6 +56,7 @@
 	uint32_t retry_after_ms;
 	bool sent;
 	bool abandoned;
+	bool refused_by_gate;
 	bool starting;
 	bool over;
 };
@@ -73,7 +79,7 @@
 {
 	struct brf_list *l, *tmp;
 
-	brf_list_foreach_safe(l, tmp, &caller->budgets)
+	brf_list_foreach_safe (l, tmp, &caller->budgets)
 		free(brf_list_entry(l, struct service_budget, link));
 	brf_list_init(&caller->budgets);
 }
@@ -85,7 +91,7 @@
 	struct brf_list *l;
 	char labels[BRF_NAME_MAX + 16];
 
-	brf_list_foreach(l, &caller->budgets) {
+	brf_list_foreach (l, &caller->budgets) {
 		sb = brf_list_entry(l, struct service_budget, link);
 		if (strcmp(sb->service, doc->service) == 0) {
 			sb->budget.ratio = doc->retry_ratio;
@@ -96,9 +102,9 @@
 	brf_copy_name(sb->service, sizeof(sb->service), doc->service);
 	brf_retry_budget_init(&sb->budget, doc->retry_ratio);
 	snprintf(labels, sizeof(labels), "service=\"%s\"", doc->service);
-	sb->retries = brf_metrics_counter(caller->metrics,
-	    "brf_call_retries_total", "Attempts beyond a request's first.",
-	    labels);
+	sb->retries =
+	    brf_metrics_counter(caller->metrics, "brf_call_retries_total",
+		"Attempts beyond a request's first.", labels);
 	brf_list_append(&caller->budgets, &sb->link);
 	return (sb);
 }
@@ -115,12 +121,11 @@
 		    "service=\"%s\",class=\"%u\",outcome=\"%s\",reason=\"%s\"",
 		    sb->service, cls, brf_outcome_name(end->outcome),
 		    brf_reason_name(end->reason));
-		sb->ends[cls][end->reason] =
-		    brf_metrics_counter(call->caller->metrics,
-			"brf_call_ends_total",
-			"Requests of callers and of this node's target, by how "
-			"they ended.",
-			labels);
+		sb->ends[cls][end->reason] = brf_metrics_counter(
+		    call->caller->metrics, "brf_call_ends_total",
+		    "Requests of callers and of this node's target, by how "
+		    "they ended.",
+		    labels);
 	}
 	if (sb->duration[cls] == NULL) {
 		snprintf(labels, sizeof(labels), "service=\"%s\",class=\"%u\"",
@@ -130,8 +135,7 @@
 		    labels);
 	}
 	sb->ends[cls][end->reason]->value += 1;
-	brf_histogram_add(sb->duration[cls],
-	    now(call->caller) - call->began);
+	brf_histogram_add(sb->duration[cls], now(call->caller) - call->began);
 }
 
 static struct brf_allotment *
@@ -164,21 +168,22 @@
 {
 	uint32_t least = ms != 0 ? ms : 1;
 
-	return (least +
-	    (uint32_t)brf_random_below(call->caller->random,
-		(uint64_t)least + 1));
+	return (least + (uint32_t)brf_random_below(
+			    call->caller->random, (uint64_t)least + 1));
 }
 
 static void
 finish(struct brf_call *call, enum brf_outcome outcome, enum brf_reason reason,
     struct brf_message *answer)
 {
-	struct brf_call_end end = { .outcome = outcome, .reason = reason,
-		.root = call->root, .attempts = call->attempts,
+	struct brf_call_end end = { .outcome = outcome,
+		.reason = reason,
+		.root = call->root,
+		.attempts = call->attempts,
 		.answer = answer };
 	struct brf_call_request *rq = &call->request;
-	uint32_t hint = brf_router_retry_after_ms(call->caller->router,
-	    rq->service);
+	uint32_t hint =
+	    brf_router_retry_after_ms(call->caller->router, rq->service);
 
 	if (outcome != BRF_ANSWERED) {
 		if (call->retry_after_ms > hint)
@@ -192,10 +197,22 @@
 	call_free(call);
 }
 
+/*
+ * Whether the last word of refusal speaks for earlier copies as well: a gate
+ * remembers them, a node that did not reach the gate doesn't know.
+ */
+static bool
+refusal_is_final(const struct brf_call *call)
+{
+	return (brf_id_is_zero(call->bound) || call->refused_by_gate);
+}
+
 /* There will be no further attempt, and none was answered. */
 static void
 give_up(struct brf_call *call)
 {
+	if (call->doubt == BRF_R_NONE && !refusal_is_final(call))
+		call->doubt = call->refusal;
 	if (call->doubt != BRF_R_NONE)
 		finish(call, BRF_UNKNOWN, call->doubt, NULL);
 	else
@@ -207,8 +224,10 @@
 {
 	if (reply->outcome == BRF_UNKNOWN)
 		call->doubt = reply->reason;
-	if (reply->outcome == BRF_NOT_RUN)
+	if (reply->outcome == BRF_NOT_RUN) {
 		call->refusal = reply->reason;
+		call->refused_by_gate = reply->has_level;
+	}
 	if (reply->retry_after_ms > call->retry_after_ms)
 		call->retry_after_ms = reply->retry_after_ms;
 	if (call->request.inbound != NULL)
@@ -219,21 +238,32 @@
 	    reply->answer != NULL ? reply->answer->body.len : 0);
 }
 
+static bool
+wants_token(const struct brf_call *call)
+{
+	return (strcmp(call->request.request->path, BRF_TOKEN_PATH) == 0);
+}
+
 static void
 consider_retry(struct brf_call *call, const struct brf_reply *reply)
 {
 	struct brf_caller *caller = call->caller;
 	uint64_t t = now(caller), delay = 0;
 	struct brf_retry_case rc = { .reply = reply,
-		.idempotent = call->rule->idempotent,
+		.idempotent = call->rule->idempotent || wants_token(call),
 		.attempts = call->attempts,
 		.left_us = call->deadline > t ? call->deadline - t : 0,
-		.expected_us = brf_router_expected_us(caller->router,
-		    call->request.service) };
+		.expected_us = brf_router_expected_us(
+		    caller->router, call->request.service) };
 	enum brf_retry_verdict verdict;
 
-	verdict = brf_retry_decide(&rc, allotment(call),
-	    &call->budget->budget, caller->random, &delay);
+	/* A gate's refusal is final for a token. */
+	if (!brf_id_is_zero(call->bound) && call->refused_by_gate) {
+		give_up(call);
+		return;
+	}
+	verdict = brf_retry_decide(&rc, allotment(call), &call->budget->budget,
+	    caller->random, &delay);
 	if (verdict != BRF_RETRY_YES) {
 		give_up(call);
 		return;
@@ -276,8 +306,8 @@
 		return (brf_gate_backend(caller->gate));
 	if (backend == NULL) {
 		addr.sin_port = htons(m->rpc_port);
-		backend = brf_peers_backend(caller->peers,
-		    (const struct sockaddr *)&addr, m->node);
+		backend = brf_peers_backend(
+		    caller->peers, (const struct sockaddr *)&addr, m->node);
 		brf_route_node_set_data(node, backend, release_backend);
 	}
 	return (backend);
@@ -320,9 +350,10 @@
 		.rank = brf_rank(call->x.attempt.cls, call->root),
 		.bytes = call->request.request->body.len,
 		.cross_region = call->doc->cross_region,
+		.only = call->bound,
 		.tried = call->tried,
-		.tried_count = call->attempts < TRIED_MAX ? call->attempts :
-							    TRIED_MAX,
+		.tried_count =
+		    call->attempts < TRIED_MAX ? call->attempts : TRIED_MAX,
 	};
 	enum brf_route_result result;
 
@@ -376,9 +407,48 @@
 	return (left);
 }
 
+/*
+ * A key on a request that must not run twice has to be a token: any other
+ * one names no gate that could remember it.
+ *
+ * Return: false when the token was refused, as @reply says.
+ */
+static bool
+bind_token(struct brf_call *call, struct brf_reply *reply)
+{
+	struct brf_attempt *at = &call->x.attempt;
+	const char *key = brf_message_header(call->request.request, BRF_H_KEY);
+	struct brf_token_scope scope = { .service = at->service,
+		.workspace = at->workspace };
+	enum brf_token_verdict verdict;
+	struct brf_token token;
+
+	if (key == NULL || call->rule->idempotent)
+		return (true);
+	verdict = brf_token_parse(call->caller->token_key, key, &scope, &token);
+	if (verdict != BRF_TOKEN_VALID) {
+		brf_token_refusal(verdict, reply);
+		return (false);
+	}
+	brf_copy_name(at->token, sizeof(at->token), key);
+	call->bound = token.node;
+	return (true);
+}
+
+static void
+first_attempt(struct brf_call *call)
+{
+	struct brf_reply reply = { 0 };
+
+	if (bind_token(call, &reply))
+		try_next(&call->timer, call);
+	else
+		finish(call, reply.outcome, reply.reason, NULL);
+}
+
 struct brf_call *
-brf_call_start(struct brf_caller *caller,
-    const struct brf_call_request *request)
+brf_call_start(
+    struct brf_caller *caller, const struct brf_call_request *request)
 {
 	struct brf_call *call = brf_calloc(1, sizeof(*call));
 
@@ -391,8 +461,8 @@
 	call->began = now(caller);
 	call->doc =
 	    brf_document_ref(brf_docs_get(caller->docs, request->service));
-	call->rule = brf_document_rule(call->doc, request->request->method,
-	    request->request->path);
+	call->rule = brf_document_rule(
+	    call->doc, request->request->method, request->request->path);
 	call->budget = find_budget(caller, call->doc);
 	call->own.left = request->tied ? BRF_RETRY_BOUND : 0;
 	fill_attempt(call);
@@ -403,7 +473,7 @@
 		brf_list_append(&request->inbound->calls, &call->link);
 	call->timer.fire = try_next;
 	call->timer.arg = call;
-	try_next(&call->timer, call);
+	first_attempt(call);
 	/* Not freed while starting, which the analyzer can't see. */
 	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
 	call->starting = false;
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -28,6 +28,7 @@
 	struct brf_router *router;
 	struct brf_peers *peers;
 	struct brf_gate *gate;
+	struct brf_token_key *token_key;
 	struct brf_id self;
 	size_t open;
 	struct brf_list budgets;
@@ -82,8 +83,8 @@
  *
  * Return: NULL when it has ended already.
  */
-struct brf_call *brf_call_start(struct brf_caller *caller,
-    const struct brf_call_request *request);
+struct brf_call *brf_call_start(
+    struct brf_caller *caller, const struct brf_call_request *request);
 
 /**
  * brf_call_abandon() - its caller has gone: cancel what is open.  @done is
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -10,18 +10,19 @@
 
 /* Return: false when the caller's proof is wrong, or missing but required. */
 static bool
-find_workspace(const struct brf_node *node,
-    const struct brf_http_request *http, char out[BRF_NAME_MAX + 1])
+find_workspace(const struct brf_node *node, const struct brf_http_request *http,
+    char out[BRF_NAME_MAX + 1])
 {
-	const char *token = brf_message_header(
-	    brf_http_request_message(http), BRF_H_WORKSPACE);
+	const char *token =
+	    brf_message_header(brf_http_request_message(http), BRF_H_WORKSPACE);
 
 	out[0] = '\0';
 	if (token == NULL)
 		return (!node->settings.workspace_required);
 	if (node->workspace_keys == NULL)
 		return (false);
-	return (brf_token_check(node->workspace_keys, token, out, NULL));
+	return (
+	    brf_workspace_token_check(node->workspace_keys, token, out, NULL));
 }
 
 static void
@@ -29,9 +30,9 @@
 {
 	struct brf_node *node = node_of(handler);
 	char service[BRF_NAME_MAX + 1], workspace[BRF_NAME_MAX + 1];
-	struct brf_call_request rq = { .service = service,
-		.workspace = workspace,
-		.tied = true };
+	struct brf_call_request rq = {
+		.service = service, .workspace = workspace, .tied = true
+	};
 
 	if (!brf_pending_service(http, service))
 		brf_pending_refuse(http, BRF_R_NO_SERVICE);
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -5,7 +5,9 @@
 #include "node/gate.h"
 
 #define CLASS_LABEL 16
-#define DEADLINE_SLACK_US 1000ull /* the answer still has to travel */
+#define LEDGER_ATTEMPTS 131072u
+#define LEDGER_TOKENS 65536u
+#define LEDGER_ANSWER_BYTES (16u * 1024 * 1024)
 
 /**
  * struct attached - a target as it announced itself once.
@@ -22,6 +24,7 @@
  * @id: in the gate's map of open attempts
  * @on: where it runs, while @running
  * @running: granted and given to the target
+ * @recorded: not idempotent, and in the ledger
  * @cancelled: its sender has no use for it any more
  */
 struct entry {
@@ -37,6 +40,7 @@
 	struct brf_inbound inbound;
 	uint64_t began;
 	bool running;
+	bool recorded;
 	bool cancelled;
 	char id_text[BRF_ID_TEXT];
 	char root_text[BRF_ID_TEXT];
@@ -58,6 +62,7 @@
 	struct brf_document *doc;
 	struct brf_docs_watcher watcher;
 	struct brf_idmap open;
+	struct brf_ledger *ledger;
 	bool draining;
 	void (*abandon)(struct brf_list *call);
 	struct class_metrics metrics[BRF_CLASSES];
@@ -110,10 +115,11 @@
 refuse(struct brf_gate *gate, struct brf_exchange *x, enum brf_outcome outcome,
     enum brf_reason reason)
 {
-	struct brf_reply reply = { .outcome = outcome, .reason = reason,
+	struct brf_reply reply = { .outcome = outcome,
+		.reason = reason,
 		.retries = x->attempt.retries };
-	uint32_t cls = x->attempt.cls < BRF_CLASSES ? x->attempt.cls :
-						      BRF_CLASSES - 1;
+	uint32_t cls =
+	    x->attempt.cls < BRF_CLASSES ? x->attempt.cls : BRF_CLASSES - 1;
 
 	if (gate->attached != NULL) {
 		reply.has_level = true;
@@ -145,6 +151,20 @@
 	free(e);
 }
 
+/* Write down how a non-idempotent attempt ended, before anybody is told. */
+static void
+record(struct entry *e, struct brf_reply *reply)
+{
+	struct brf_ledger *ledger = e->gate->ledger;
+
+	if (!e->recorded)
+		return;
+	if (reply->outcome != BRF_NOT_RUN)
+		brf_ledger_done(ledger, e->id.id, reply->answer);
+	else if (!brf_ledger_refuse(ledger, e->id.id, reply->reason))
+		reply->outcome = BRF_UNKNOWN;
+}
+
 /* Give the reply to the sender and forget the attempt. */
 static void
 conclude(struct entry *e, struct brf_reply *reply)
@@ -153,6 +173,7 @@
 	struct brf_exchange *x = e->x;
 
 	abandon_calls(e);
+	record(e, reply);
 	reply->retries = e->inbound.allotment.left;
 	reply->wasted_us += e->inbound.wasted_us;
 	reply->has_level = true;
@@ -236,9 +257,8 @@
 	e->on = gate->attached;
 	e->on->refs++;
 	e->began = now(gate);
-	left = e->inbound.deadline > e->began ?
-	    e->inbound.deadline - e->began :
-	    0;
+	left =
+	    e->inbound.deadline > e->began ? e->inbound.deadline - e->began : 0;
 	brf_id_format(e->id.id, e->id_text);
 	brf_id_format(e->inbound.root, e->root_text);
 	snprintf(e->timeout_text, sizeof(e->timeout_text), "%llu",
@@ -312,8 +332,8 @@
 	e->x = x;
 	e->doc = brf_document_ref(
 	    brf_docs_get(gate->config.docs, gate->upstream.service));
-	e->rule = brf_document_rule(e->doc, at->request->method,
-	    at->request->path);
+	e->rule =
+	    brf_document_rule(e->doc, at->request->method, at->request->path);
 	cls = at->cls > e->rule->cls ? at->cls : e->rule->cls;
 	e->inbound.root = at->root;
 	e->inbound.depth = at->depth;
@@ -335,17 +355,65 @@
 	return (e);
 }
 
+/* Return: false when the token does not let the attempt go on. */
+static bool
+check_token(struct brf_gate *gate, const struct brf_attempt *at,
+    struct brf_token *token, struct brf_reply *reply)
+{
+	struct brf_token_scope scope = { .service = at->service,
+		.workspace = at->workspace };
+	enum brf_token_verdict verdict;
+
+	verdict =
+	    brf_token_parse(gate->config.token_key, at->token, &scope, token);
+	if (verdict == BRF_TOKEN_VALID)
+		verdict = brf_token_check(token, gate->config.self,
+		    gate->config.incarnation, now(gate));
+	if (verdict == BRF_TOKEN_VALID)
+		return (true);
+	brf_token_refusal(verdict, reply);
+	return (false);
+}
+
+/*
+ * Remember a non-idempotent attempt before anything can happen to it.  One
+ * that was here before, by its id or its token, ends with what is known.
+ */
+static bool
+begin_record(struct entry *e, struct brf_reply *reply)
+{
+	const struct brf_attempt *at = &e->x->attempt;
+	struct brf_ledger_request request = { .attempt = at->id,
+		.timeout_us = at->timeout_us };
+	struct brf_token token;
+
+	if (e->rule->idempotent)
+		return (true);
+	if (at->token[0] != '\0') {
+		if (!check_token(e->gate, at, &token, reply))
+			return (false);
+		request.token = &token;
+		request.checksum = brf_message_checksum(at->request);
+	}
+	e->recorded = brf_ledger_begin(e->gate->ledger, &request, reply);
+	return (e->recorded);
+}
+
 static void
 submit(struct entry *e)
 {
 	struct brf_reply reply = { .outcome = BRF_NOT_RUN };
 	uint64_t start = now(e->gate);
 
+	if (!begin_record(e, &reply)) {
+		conclude(e, &reply);
+		return;
+	}
 	if (e->inbound.deadline > start)
 		brf_timer_start(e->gate->config.timers, &e->deadline,
 		    e->inbound.deadline - start);
-	switch (brf_admission_submit(e->gate->admission, &e->ticket,
-	    &reply.reason)) {
+	switch (brf_admission_submit(
+	    e->gate->admission, &e->ticket, &reply.reason)) {
 	case BRF_ADMISSION_RUN:
 		start_run(e);
 		break;
@@ -357,6 +425,35 @@
 	}
 }
 
+/* A gate mints for itself alone, since it alone can judge the token. */
+static void
+mint_token(struct brf_gate *gate, struct brf_exchange *x)
+{
+	struct brf_token_scope scope = { .service = x->attempt.service,
+		.workspace = x->attempt.workspace };
+	struct brf_reply reply = { .outcome = BRF_ANSWERED,
+		.retries = x->attempt.retries };
+	char text[BRF_TOKEN_SIZE];
+
+	brf_token_mint(gate->config.token_key, gate->config.self,
+	    gate->config.incarnation, &scope, now(gate), gate->config.random,
+	    text);
+	reply.answer = brf_message_new();
+	reply.answer->status = 201;
+	brf_message_add_header(
+	    reply.answer, "content-type", 12, "text/plain", 10, NULL);
+	brf_buf_puts(&reply.answer->body, text);
+	x->done(x, &reply);
+	brf_message_unref(reply.answer);
+}
+
+static bool
+wants_token(const struct brf_message *m)
+{
+	return (strcmp(m->path, BRF_TOKEN_PATH) == 0 &&
+		strcmp(m->method, "POST") == 0);
+}
+
 static void
 gate_send(struct brf_backend *backend, struct brf_exchange *x)
 {
@@ -366,7 +463,7 @@
 	if (gate->draining)
 		refuse(gate, x, BRF_NOT_RUN, BRF_R_DRAINING);
 	else if (gate->attached == NULL ||
-	    strcmp(at->service, gate->upstream.service) != 0)
+		 strcmp(at->service, gate->upstream.service) != 0)
 		refuse(gate, x, BRF_NOT_RUN, BRF_R_NO_TARGET);
 	else if (at->depth > BRF_DEPTH_MAX)
 		refuse(gate, x, BRF_NOT_RUN, BRF_R_DEPTH);
@@ -374,6 +471,8 @@
 		refuse(gate, x, BRF_NOT_RUN, BRF_R_MALFORMED);
 	else if (brf_idmap_find(&gate->open, at->id) != NULL)
 		refuse(gate, x, BRF_UNKNOWN, BRF_R_DUPLICATE);
+	else if (wants_token(at->request))
+		mint_token(gate, x);
 	else
 		submit(entry_new(gate, x));
 }
@@ -463,11 +562,16 @@
 {
 	struct brf_gate *gate = brf_calloc(1, sizeof(*gate));
 	struct brf_admission_config none = { .slots = 1 };
+	struct brf_ledger_config ledger = { .attempts = LEDGER_ATTEMPTS,
+		.tokens = LEDGER_TOKENS,
+		.answer_bytes = LEDGER_ANSWER_BYTES };
 
 	gate->backend.vt = &gate_vt;
 	gate->config = *config;
 	gate->admission = brf_admission_new(config->timers, &none);
 	brf_idmap_init(&gate->open);
+	gate->ledger =
+	    brf_ledger_new(brf_timers_clock(config->timers), &ledger);
 	make_metrics(gate);
 	gate->watcher.changed = document_changed;
 	brf_docs_watch(config->docs, &gate->watcher);
@@ -492,6 +596,7 @@
 	brf_admission_free(gate->admission);
 	brf_document_unref(gate->doc);
 	brf_idmap_free(&gate->open);
+	brf_ledger_free(gate->ledger);
 	free(gate);
 }
 
@@ -513,8 +618,8 @@
 	on->refs = 1;
 	detach(gate);
 	gate->attached = on;
-	brf_admission_drain(gate->admission,
-	    gate->draining ? BRF_R_DRAINING : BRF_R_NONE);
+	brf_admission_drain(
+	    gate->admission, gate->draining ? BRF_R_DRAINING : BRF_R_NONE);
 	brf_gate_update(gate, upstream);
 }
 
@@ -536,8 +641,8 @@
 brf_gate_refuse(struct brf_gate *gate, bool refuse)
 {
 	gate->draining = refuse;
-	brf_admission_drain(gate->admission,
-	    refuse ? BRF_R_DRAINING : BRF_R_NONE);
+	brf_admission_drain(
+	    gate->admission, refuse ? BRF_R_DRAINING : BRF_R_NONE);
 }
 
 size_t
@@ -559,8 +664,8 @@
 }
 
 void
-brf_gate_on_abandon(struct brf_gate *gate,
-    void (*abandon)(struct brf_list *call))
+brf_gate_on_abandon(
+    struct brf_gate *gate, void (*abandon)(struct brf_list *call))
 {
 	gate->abandon = abandon;
 }
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -5,6 +5,7 @@
 #include "config/docs.h"
 #include "http/client.h"
 #include "policy/admission.h"
+#include "policy/ledger.h"
 #include "policy/retry.h"
 
 /**
@@ -20,11 +21,18 @@
 
 /**
  * struct brf_gate_config - what brf_gate_new() needs; all outlive the gate.
+ * @token_key: under which request tokens are minted and checked
+ * @self: named in the tokens that this gate mints
+ * @incarnation: as well
  */
 struct brf_gate_config {
 	struct brf_timers *timers;
+	struct brf_random *random;
 	struct brf_metrics *metrics;
 	struct brf_docs *docs;
+	struct brf_token_key *token_key;
+	struct brf_id self;
+	uint64_t incarnation;
 };
 
 /**
@@ -84,8 +92,8 @@
     void (*release)(struct brf_target *target));
 
 /* The attached target announced other bounds. */
-void brf_gate_update(struct brf_gate *gate,
-    const struct brf_upstream *upstream);
+void brf_gate_update(
+    struct brf_gate *gate, const struct brf_upstream *upstream);
 
 /* The target is withdrawn: new attempts are refused. */
 void brf_gate_detach(struct brf_gate *gate);
@@ -103,8 +111,8 @@
 struct brf_inbound *brf_gate_inbound(struct brf_gate *gate, struct brf_id id);
 
 /* Called for each open outgoing call when its inbound attempt has ended. */
-void brf_gate_on_abandon(struct brf_gate *gate,
-    void (*abandon)(struct brf_list *call));
+void brf_gate_on_abandon(
+    struct brf_gate *gate, void (*abandon)(struct brf_list *call));
 
 void brf_gate_level(const struct brf_gate *gate, struct brf_level *level);
 
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -31,8 +31,8 @@
 }
 
 static void
-respond_error(struct brf_http_request *http, int status,
-    const struct brf_error *err)
+respond_error(
+    struct brf_http_request *http, int status, const struct brf_error *err)
 {
 	struct brf_buf text = { 0 };
 
@@ -68,8 +68,8 @@
 same_target(const struct brf_node *node, const struct brf_upstream *up)
 {
 	return (node->announced && node->upstream.port == up->port &&
-	    node->upstream.connections == up->connections &&
-	    strcmp(node->upstream.service, up->service) == 0);
+		node->upstream.connections == up->connections &&
+		strcmp(node->upstream.service, up->service) == 0);
 }
 
 /* A repeated announcement must not start the warm-up again. */
@@ -77,8 +77,8 @@
 accept_target(struct brf_node *node, const struct brf_upstream *up)
 {
 	bool same = same_target(node, up);
-	bool changed = !same || up->slots != node->upstream.slots ||
-	    node->target_draining;
+	bool changed =
+	    !same || up->slots != node->upstream.slots || node->target_draining;
 
 	if (!changed)
 		return;
@@ -87,10 +87,10 @@
 	if (same) {
 		brf_gate_update(node->gate, up);
 	} else {
-		node->target = brf_http_target_new(node->http, up->port,
-		    up->connections);
-		brf_gate_attach(node->gate, node->target, up,
-		    brf_http_target_free);
+		node->target =
+		    brf_http_target_new(node->http, up->port, up->connections);
+		brf_gate_attach(
+		    node->gate, node->target, up, brf_http_target_free);
 	}
 	node->announced = true;
 	brf_gate_refuse(node->gate, node->phase != BRF_PHASE_SERVING);
@@ -181,8 +181,8 @@
 static void
 outgoing_call(struct brf_node *node, struct brf_http_request *http)
 {
-	const char *text = brf_message_header(brf_http_request_message(http),
-	    BRF_H_REQUEST);
+	const char *text =
+	    brf_message_header(brf_http_request_message(http), BRF_H_REQUEST);
 	char service[BRF_NAME_MAX + 1];
 	struct brf_call_request rq = { .service = service, .workspace = "" };
 	struct brf_id id;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -61,7 +61,8 @@
 endpoint(struct in_addr address, uint16_t port)
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET,
-		.sin_addr = address, .sin_port = htons(port) };
+		.sin_addr = address,
+		.sin_port = htons(port) };
 
 	return (sin);
 }
@@ -86,22 +87,25 @@
 }
 
 static void
-make_gate(struct brf_node *node)
+make_gate(struct brf_node *node, const struct brf_member *self)
 {
 	struct brf_gate_config config = { .timers = node->timers,
-		.metrics = node->metrics };
+		.random = node->random,
+		.metrics = node->metrics,
+		.token_key = node->token_key,
+		.self = self->node };
 
 	node->docs = brf_docs_new();
 	config.docs = node->docs;
 	node->gate = brf_gate_new(&config);
 	brf_gate_on_abandon(node->gate, brf_call_abandon_link);
-	node->http = brf_http_loop_new(&node->loop, node->timers,
-	    node->metrics);
+	node->http =
+	    brf_http_loop_new(&node->loop, node->timers, node->metrics);
 }
 
 static bool
-make_peers(struct brf_node *node, struct brf_member *self,
-    struct brf_error *err)
+make_peers(
+    struct brf_node *node, struct brf_member *self, struct brf_error *err)
 {
 	const struct brf_settings *set = &node->settings;
 	struct sockaddr_in addr = endpoint(set->address, set->peer_port);
@@ -117,8 +121,8 @@
 
 	memcpy(config.key, set->fleet_key, set->fleet_key_len);
 	node->peers = brf_peers_new(&config);
-	return (brf_peers_listen(node->peers, (struct sockaddr *)&addr,
-	    &self->rpc_port, err));
+	return (brf_peers_listen(
+	    node->peers, (struct sockaddr *)&addr, &self->rpc_port, err));
 }
 
 static bool
@@ -134,24 +138,24 @@
 	brf_entry_init(node);
 	brf_local_init(node);
 	brf_admin_init(node);
-	node->entry = brf_http_server_new(node->http, "entry",
-	    (struct sockaddr *)&entry, &node->entry_handler,
-	    &self->entry_port, err);
+	node->entry =
+	    brf_http_server_new(node->http, "entry", (struct sockaddr *)&entry,
+		&node->entry_handler, &self->entry_port, err);
 	if (node->entry == NULL)
 		return (false);
 	node->local = brf_http_server_new(node->http, "local",
 	    (struct sockaddr *)&local, &node->local_handler, local_port, err);
 	if (node->local == NULL)
 		return (false);
-	node->admin = brf_http_server_new(node->http, "admin",
-	    (struct sockaddr *)&admin, &node->admin_handler,
-	    &self->admin_port, err);
+	node->admin =
+	    brf_http_server_new(node->http, "admin", (struct sockaddr *)&admin,
+		&node->admin_handler, &self->admin_port, err);
 	return (node->admin != NULL);
 }
 
 static bool
-make_members(struct brf_node *node, struct brf_member *self,
-    struct brf_error *err)
+make_members(
+    struct brf_node *node, struct brf_member *self, struct brf_error *err)
 {
 	const struct brf_settings *set = &node->settings;
 	struct sockaddr_in addr = endpoint(set->address, set->gossip_port);
@@ -162,8 +166,8 @@
 		.key_len = set->fleet_key_len,
 		.period_us = PROBE_PERIOD_US };
 
-	node->udp = brf_udp_new(&node->loop, node->metrics, &addr,
-	    &self->addr, err);
+	node->udp =
+	    brf_udp_new(&node->loop, node->metrics, &addr, &self->addr, err);
 	if (node->udp == NULL)
 		return (false);
 	config.datagrams = brf_udp_datagrams(node->udp);
@@ -171,8 +175,8 @@
 	memcpy(config.seeds, set->seeds, sizeof(config.seeds));
 	memcpy(config.key, set->fleet_key, set->fleet_key_len);
 	node->members = brf_members_new(&config);
-	node->router = brf_router_new(node->members, node->timers,
-	    node->random, node->metrics);
+	node->router = brf_router_new(
+	    node->members, node->timers, node->random, node->metrics);
 	return (brf_udp_start(node->udp, node->members, err));
 }
 
@@ -186,6 +190,7 @@
 		.router = node->router,
 		.peers = node->peers,
 		.gate = node->gate,
+		.token_key = node->token_key,
 		.self = brf_members_self(node->members)->node };
 	brf_caller_init(&node->caller);
 }
@@ -193,11 +198,14 @@
 static bool
 make_keys(struct brf_node *node, struct brf_error *err)
 {
+	node->token_key = brf_token_key_new(
+	    node->settings.fleet_key, node->settings.fleet_key_len, err);
+	if (node->token_key == NULL)
+		return (false);
 	if (node->settings.workspace_keys[0] == '\0')
 		return (true);
-	node->workspace_keys =
-	    brf_keyring_parse(node->settings.workspace_keys,
-		strlen(node->settings.workspace_keys), err);
+	node->workspace_keys = brf_keyring_parse(node->settings.workspace_keys,
+	    strlen(node->settings.workspace_keys), err);
 	return (node->workspace_keys != NULL);
 }
 
@@ -237,8 +245,10 @@
 
 	brf_copy_name(self.zone, sizeof(self.zone), set->zone);
 	brf_copy_name(self.region, sizeof(self.region), set->region);
-	make_gate(node);
-	if (!make_keys(node, err) || !make_peers(node, &self, err) ||
+	if (!make_keys(node, err))
+		return (false);
+	make_gate(node, &self);
+	if (!make_peers(node, &self, err) ||
 	    !make_listeners(node, &self, &local_port, err) ||
 	    !make_members(node, &self, err))
 		return (false);
@@ -305,7 +315,7 @@
 left(const struct brf_node *node)
 {
 	return (node->caller.open + brf_gate_open(node->gate) +
-	    brf_peers_open_calls(node->peers));
+		brf_peers_open_calls(node->peers));
 }
 
 static bool
@@ -333,7 +343,7 @@
 		    BRF_LU("left", left(node)));
 		close_all(node);
 	} else if (node->phase == BRF_PHASE_LINGERING && left(node) == 0 &&
-	    now(node) - node->phase_since >= node->settings.linger_us) {
+		   now(node) - node->phase_since >= node->settings.linger_us) {
 		brf_log(BRF_LOG_INFO, "drained");
 		close_all(node);
 	}
@@ -379,6 +389,7 @@
 	brf_http_loop_free(node->http);
 	brf_docs_free(node->docs);
 	brf_keyring_free(node->workspace_keys);
+	brf_token_key_free(node->token_key);
 	brf_metrics_free(node->metrics);
 	brf_timers_free(node->timers);
 	free(node);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -41,6 +41,7 @@
 	struct brf_random *random;
 	struct brf_metrics *metrics;
 	struct brf_docs *docs;
+	struct brf_token_key *token_key;
 	struct brf_gate *gate;
 	struct brf_http_loop *http;
 	struct brf_peers *peers;
@@ -76,8 +77,8 @@
  *
  * Return: NULL with @err when a part can't start.
  */
-struct brf_node *brf_node_start(const struct brf_settings *settings,
-    struct brf_error *err);
+struct brf_node *brf_node_start(
+    const struct brf_settings *settings, struct brf_error *err);
 
 /**
  * brf_node_run() - serve until a signal asks to stop and all is finished.
--- a/src/node/pending.c
+++ b/src/node/pending.c
@@ -20,18 +20,17 @@
 }
 
 static struct brf_message *
-refusal_message(enum brf_outcome outcome, enum brf_reason reason,
-    uint32_t retry_after_ms)
+refusal_message(
+    enum brf_outcome outcome, enum brf_reason reason, uint32_t retry_after_ms)
 {
 	struct brf_message *m = brf_message_new();
 
 	m->status = brf_reason_status(reason);
-	brf_message_add_header(m, "content-type", 12, "application/json", 16,
-	    NULL);
+	brf_message_add_header(
+	    m, "content-type", 12, "application/json", 16, NULL);
 	brf_buf_printf(&m->body,
 	    "{\"outcome\":\"%s\",\"reason\":\"%s\",\"retry_after_ms\":%u}\n",
-	    brf_outcome_name(outcome), brf_reason_name(reason),
-	    retry_after_ms);
+	    brf_outcome_name(outcome), brf_reason_name(reason), retry_after_ms);
 	return (m);
 }
 
@@ -148,23 +147,21 @@
 void
 brf_pending_refuse(struct brf_http_request *http, enum brf_reason reason)
 {
-	struct brf_call_end end = { .outcome = BRF_NOT_RUN,
-		.reason = reason };
+	struct brf_call_end end = { .outcome = BRF_NOT_RUN, .reason = reason };
 
 	answer(http, &end, NULL);
 }
 
 bool
-brf_pending_service(const struct brf_http_request *http,
-    char out[BRF_NAME_MAX + 1])
+brf_pending_service(
+    const struct brf_http_request *http, char out[BRF_NAME_MAX + 1])
 {
 	const char *host = brf_http_request_host(http);
 	size_t i;
 
 	for (i = 0; host[i] != '\0' && host[i] != '.'; i++) {
-		if (i == BRF_NAME_MAX ||
-		    (!isalnum((unsigned char)host[i]) && host[i] != '-' &&
-			host[i] != '_'))
+		if (i == BRF_NAME_MAX || (!isalnum((unsigned char)host[i]) &&
+					     host[i] != '-' && host[i] != '_'))
 			return (false);
 		out[i] = (char)tolower((unsigned char)host[i]);
 	}
@@ -173,16 +170,16 @@
 }
 
 void
-brf_respond_json(struct brf_http_request *http, int status,
-    struct brf_buf *text)
+brf_respond_json(
+    struct brf_http_request *http, int status, struct brf_buf *text)
 {
 	struct brf_message *m = brf_message_new();
 
 	m->status = status;
 	m->body = *text;
 	memset(text, 0, sizeof(*text));
-	brf_message_add_header(m, "content-type", 12, "application/json", 16,
-	    NULL);
+	brf_message_add_header(
+	    m, "content-type", 12, "application/json", 16, NULL);
 	brf_http_respond(http, m, NULL, 0);
 	brf_message_unref(m);
 }
--- a/src/node/pending.h
+++ b/src/node/pending.h
@@ -15,8 +15,8 @@
  * @rq: service, workspace, inbound and tied are filled; the rest is read from
  *	the request's fields, which are then removed
  */
-void brf_pending_start(struct brf_caller *caller,
-    struct brf_http_request *http, struct brf_call_request *rq);
+void brf_pending_start(struct brf_caller *caller, struct brf_http_request *http,
+    struct brf_call_request *rq);
 
 /* For brf_http_handler_vt.gone. */
 void brf_pending_gone(struct brf_http_request *http);
@@ -24,8 +24,7 @@
 /**
  * brf_pending_refuse() - answer at once that nothing was run, and why.
  */
-void brf_pending_refuse(struct brf_http_request *http,
-    enum brf_reason reason);
+void brf_pending_refuse(struct brf_http_request *http, enum brf_reason reason);
 
 /**
  * brf_pending_service() - service that @http is for: the first label of its
@@ -33,15 +32,15 @@
  *
  * Return: false when it is no name of a service.
  */
-bool brf_pending_service(const struct brf_http_request *http,
-    char out[BRF_NAME_MAX + 1]);
+bool brf_pending_service(
+    const struct brf_http_request *http, char out[BRF_NAME_MAX + 1]);
 
 /**
  * brf_respond_json() - answer with a JSON body.
  * @text: taken over, and emptied
  */
-void brf_respond_json(struct brf_http_request *http, int status,
-    struct brf_buf *text);
+void brf_respond_json(
+    struct brf_http_request *http, int status, struct brf_buf *text);
 
 BRF_END_DECLS
 
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -83,10 +83,9 @@
 	size_t len = strlen(text);
 
 	if (len == 0 || len > BRF_NAME_MAX ||
-	    strspn(text,
-		"abcdefghijklmnopqrstuvwxyz0123456789-_.") != len)
-		return (invalid(s,
-		    "1 to 63 of a-z, 0-9, '-', '_' and '.'", err));
+	    strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789-_.") != len)
+		return (
+		    invalid(s, "1 to 63 of a-z, 0-9, '-', '_' and '.'", err));
 	brf_copy_name(field, BRF_NAME_MAX + 1, text);
 	return (true);
 }
@@ -169,17 +168,15 @@
 /* Comma-separated endpoints; an empty text is an empty list. */
 static bool
 parse_endpoints(const struct setting *s, const char *text,
-    struct sockaddr_in *list, size_t most, size_t *count,
-    struct brf_error *err)
+    struct sockaddr_in *list, size_t most, size_t *count, struct brf_error *err)
 {
 	size_t len;
 
 	for (*count = 0; *text != '\0'; text += len + (text[len] == ',')) {
 		len = strcspn(text, ",");
-		if (*count == most || !parse_endpoint(text, len,
-		    &list[*count]))
-			return (invalid(s,
-			    "a short list of ADDRESS:PORT,...", err));
+		if (*count == most || !parse_endpoint(text, len, &list[*count]))
+			return (invalid(
+			    s, "a short list of ADDRESS:PORT,...", err));
 		(*count)++;
 	}
 	return (true);
@@ -189,22 +186,22 @@
 parse_seeds(const struct setting *s, const char *text, void *field,
     struct brf_error *err)
 {
-	struct brf_settings *set = brf_container_of(field,
-	    struct brf_settings, seeds);
+	struct brf_settings *set =
+	    brf_container_of(field, struct brf_settings, seeds);
 
-	return (parse_endpoints(s, text, set->seeds, BRF_SEEDS_MAX,
-	    &set->seed_count, err));
+	return (parse_endpoints(
+	    s, text, set->seeds, BRF_SEEDS_MAX, &set->seed_count, err));
 }
 
 static bool
 parse_stores(const struct setting *s, const char *text, void *field,
     struct brf_error *err)
 {
-	struct brf_settings *set = brf_container_of(field,
-	    struct brf_settings, stores);
+	struct brf_settings *set =
+	    brf_container_of(field, struct brf_settings, stores);
 
-	return (parse_endpoints(s, text, set->stores, BRF_STORES_MAX,
-	    &set->store_count, err));
+	return (parse_endpoints(
+	    s, text, set->stores, BRF_STORES_MAX, &set->store_count, err));
 }
 
 #define FIELD(name) offsetof(struct brf_settings, name)
@@ -240,8 +237,8 @@
 	    "least level that is logged (info)", parse_level,
 	    FIELD(log_level) },
 	{ "drain-limit-ms", "BRF_DRAIN_LIMIT_MS", "0", "MS",
-	    "most time a graceful stop may take; 0 for no limit (0)",
-	    parse_ms, FIELD(drain_limit_us) },
+	    "most time a graceful stop may take; 0 for no limit (0)", parse_ms,
+	    FIELD(drain_limit_us) },
 	{ "linger-ms", "BRF_LINGER_MS", "3000", "MS",
 	    "go on refusing work this long while others learn that this node "
 	    "leaves (3000)",
@@ -357,13 +354,12 @@
 {
 	const char *what = end->argval[0] != NULL ? end->argval[0] : "";
 
-	return (brf_error_set(err, BRF_E_SETTING_UNKNOWN, 0,
-	    "command line, at '%s'", what));
+	return (brf_error_set(
+	    err, BRF_E_SETTING_UNKNOWN, 0, "command line, at '%s'", what));
 }
 
 static bool
-read_parsed(struct brf_settings *settings, void **args,
-    struct brf_error *err)
+read_parsed(struct brf_settings *settings, void **args, struct brf_error *err)
 {
 	size_t i;
 
@@ -390,8 +386,8 @@
 
 	memset(settings, 0, sizeof(*settings));
 	for (i = 0; i < SETTINGS; i++)
-		args[i] = arg_str0(NULL, table[i].flag, table[i].value,
-		    table[i].help);
+		args[i] = arg_str0(
+		    NULL, table[i].flag, table[i].value, table[i].help);
 	args[SETTINGS] = check;
 	args[SETTINGS + 1] = help;
 	args[SETTINGS + 2] = version;
@@ -415,8 +411,7 @@
 brf_settings_wipe(struct brf_settings *settings)
 {
 	OPENSSL_cleanse(settings->fleet_key, sizeof(settings->fleet_key));
-	OPENSSL_cleanse(settings->workspace_keys,
-	    sizeof(settings->workspace_keys));
-	OPENSSL_cleanse(settings->operator_key,
-	    sizeof(settings->operator_key));
+	OPENSSL_cleanse(
+	    settings->workspace_keys, sizeof(settings->workspace_keys));
+	OPENSSL_cleanse(settings->operator_key, sizeof(settings->operator_key));
 }
--- a/src/route/router.c
+++ b/src/route/router.c
@@ -168,6 +168,22 @@
 		brf_link_take(&r->link, c->request->bytes, c->now);
 }
 
+/* A request that is bound to one node goes there even while it is suspect. */
+static struct brf_route_node *
+find_only(const struct brf_service *service, struct brf_id id)
+{
+	struct brf_route_node *node;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &service->nodes) {
+		node = brf_list_entry(l, struct brf_route_node, link);
+		if (brf_id_equal(node->member.node, id) &&
+		    node->member.state != BRF_MEMBER_GONE)
+			return (node);
+	}
+	return (NULL);
+}
+
 enum brf_route_result
 brf_router_pick(struct brf_router *r, const struct brf_route_request *request,
     struct brf_route_node **chosen)
@@ -189,7 +205,10 @@
 		rings = BRF_RING_COUNT;
 	else
 		budget = far;
-	*chosen = find(&c, rings);
+	if (brf_id_is_zero(request->only))
+		*chosen = find(&c, rings);
+	else
+		*chosen = find_only(c.service, request->only);
 	if (*chosen == NULL)
 		return (refuse(r, &c, budget));
 	take(&c, *chosen);
--- a/src/route/router.h
+++ b/src/route/router.h
@@ -21,6 +21,7 @@
  * @rank: brf_rank() of the request
  * @bytes: size of the request, for the budget of the link between regions
  * @cross_region: the callee's document allows the other region
+ * @only: the one node it may go to, whatever its load; zero for any
  * @tried: nodes already tried for this request; avoided while others exist
  * @tried_count: number of nodes in @tried
  */
@@ -30,6 +31,7 @@
 	uint32_t rank;
 	size_t bytes;
 	bool cross_region;
+	struct brf_id only;
 	const struct brf_id *tried;
 	size_t tried_count;
 };
--- a/test/keys_test.cc
+++ b/test/keys_test.cc
@@ -42,7 +42,7 @@
 	struct brf_buf out = {};
 	std::string token;
 
-	if (brf_token_mint(keys.r, workspace, &out, nullptr))
+	if (brf_workspace_token_mint(keys.r, workspace, &out, nullptr))
 		token = out.data;
 	brf_buf_free(&out);
 	return (token);
@@ -148,8 +148,8 @@
 		char workspace[BRF_NAME_MAX + 1];
 		struct brf_error err = {};
 
-		EXPECT_EQ(
-		    brf_token_check(c.keys.r, c.token.c_str(), workspace, &err),
+		EXPECT_EQ(brf_workspace_token_check(
+			      c.keys.r, c.token.c_str(), workspace, &err),
 		    c.want)
 		    << c.name;
 		EXPECT_STREQ(workspace, c.want ? "team.a" : "") << c.name;
@@ -162,7 +162,8 @@
 	ring keys(old_key);
 	char workspace[BRF_NAME_MAX + 1];
 
-	RC_ASSERT(!brf_token_check(keys.r, text.c_str(), workspace, nullptr));
+	RC_ASSERT(!brf_workspace_token_check(
+	    keys.r, text.c_str(), workspace, nullptr));
 	RC_ASSERT(workspace[0] == '\0');
 }
 
