--- a/test/wire_peer_test.cc
+++ b/test/wire_peer_test.cc
@@ -113,6 +113,7 @@
 struct raw {
 	int fd = -1;
 	bool eof = false;
+	size_t bytes_sent = 0;
 	struct brf_record_reader reader = {};
 	std::string got;
 
@@ -126,6 +127,7 @@
 	void
 	send(const std::string &bytes)
 	{
+		bytes_sent += bytes.size();
 		EXPECT_EQ(::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
 		    (ssize_t)bytes.size());
 	}
@@ -841,6 +843,65 @@
 	}
 }
 
+/* A callee that stops reading: the kernel takes some of the calls, the last of
+ * these perhaps in part, and the others are proved not to have left. */
+TEST_F(wire, only_calls_that_the_kernel_took_are_unknown)
+{
+	const struct broken_callee script = { "stops reading", AFTER_CALL,
+		BRF_RPC_SUCCESS, nullptr, BRF_UNKNOWN, BRF_R_NONE, BRF_OK };
+	std::vector<std::unique_ptr<sent>> all;
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	size_t unknown = 0, not_sent = 0, size;
+	struct raw r;
+
+	uv_ip4_addr("127.0.0.1", 0, &addr);
+	int lfd = socket(AF_INET, SOCK_STREAM, 0);
+	ASSERT_EQ(bind(lfd, (struct sockaddr *)&addr, len), 0);
+	ASSERT_EQ(listen(lfd, 1), 0);
+	getsockname(lfd, (struct sockaddr *)&addr, &len);
+	struct brf_backend *stuck = to(ntohs(addr.sin_port), callee_id);
+	for (size_t i = 0; i < 10000; i++) {
+		all.emplace_back(
+		    new sent(i, std::string(1000, 'x'), 600 * BRF_US_PER_S));
+		brf_send(stuck, &all[i]->x);
+	}
+	for (bool on = true; on;) {
+		uv_run(&loop, UV_RUN_NOWAIT);
+		if (r.fd < 0)
+			r.fd = accept(lfd, nullptr, nullptr);
+		if (r.poll())
+			on = play(&r, script);
+	}
+	size = r.got.size() + BRF_RECORD_MARK;
+	uint64_t before = 0, now = 1;
+	for (int still = 0; still < 50; still = before == now ? still + 1 : 0) {
+		uv_run(&loop, UV_RUN_NOWAIT);
+		before = now;
+		now = brf_peers_bytes(stuck);
+	}
+	close(r.fd);
+	r.fd = -1;
+	close(lfd);
+	ASSERT_TRUE(run([&] { return (all.back()->ends == 1); }));
+	for (auto &s : all) {
+		EXPECT_EQ(s->ends, 1);
+		unknown += s->reply.reason == BRF_R_CONNECTION_LOST;
+		not_sent += s->reply.reason == BRF_R_NOT_SENT;
+	}
+	EXPECT_EQ(unknown + not_sent, all.size());
+	EXPECT_GT(not_sent, 0);
+	uint64_t calls =
+	    brf_peers_bytes(stuck) - r.bytes_sent -
+	    call_bytes(1, BRF_PEER_HELLO,
+		[](XDR *x) { return (xdr_setpos(x, xdr_getpos(x) + 40)); })
+		.size() -
+	    call_bytes(2, BRF_PEER_PROVE, [](XDR *x) {
+		    return (xdr_setpos(x, xdr_getpos(x) + 32));
+	    }).size();
+	EXPECT_EQ(unknown, (calls + size - 1) / size);
+}
+
 /* Documents that the callee has: one over the bound of a record together. */
 struct two_documents {
 	struct brf_document_source source;
