--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -13,7 +13,8 @@
  * Two bounds hold together.  The hard one is a number of extra attempts that
  * the root request gets (BRF_RETRY_BOUND) and that is conserved in the whole
  * call tree: a share that goes down with an attempt is taken from the sender,
- * and what is left of it comes back with the reply.  The soft one is a budget
+ * and what is left of it comes back with the reply.  A node that lies about
+ * what it used gets no more back than went down.  The soft one is a budget
  * per callee service, a fraction of its recent successes.
  */
 
