Test edits and following against a store that loses what it is told

Cause: an edit must be stored at most once and its end told truly, and a follower must end at the newest revision whatever the store does. Sealing a deletion no longer reads a length without a text. Store client takes up to four addresses in turn.

--- a/src/config/envelope.c
+++ b/src/config/envelope.c
@@ -13,7 +13,7 @@
 	    .names = { service, edit, text != NULL ? "document" : "deleted" },
 	    .name_count = 3,
 	    .data = text,
-	    .len = len });
+	    .len = text != NULL ? len : 0 });
 }
 
 bool
@@ -27,8 +27,8 @@
 
 	brf_mac_make(ring, &input, mac);
 	root = json_pack("{s:s%, s:b, s:s, s:s}", "document",
-	    text != NULL ? text : "", len, "deleted", text == NULL, "edit",
-	    edit, "mac", mac);
+	    text != NULL ? text : "", input.len, "deleted", text == NULL,
+	    "edit", edit, "mac", mac);
 	if (root != NULL)
 		dump = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
@@ -59,7 +59,7 @@
 		    err, BRF_E_JSON, 0, "stored value of %s", service));
 	if (deleted)
 		text = NULL;
-	input = envelope_input(service, edit, text, deleted ? 0 : len);
+	input = envelope_input(service, edit, text, len);
 	if (ring != NULL && !brf_mac_check(ring, &input, mac, err))
 		return (false);
 	brf_copy_name(out->edit, sizeof(out->edit), edit);
--- a/src/config/store_client.c
+++ b/src/config/store_client.c
@@ -43,6 +43,7 @@
 	struct brf_list refused;
 	struct brf_list open;
 	size_t waiting_count;
+	size_t addr;
 	double tokens;
 	uint64_t filled;
 	struct brf_timer pump;
@@ -78,6 +79,12 @@
 	brf_store_answer_free(answer);
 }
 
+static void
+take_next_address(struct client *c)
+{
+	c->addr = (c->addr + 1) % c->config.addr_count;
+}
+
 static void
 call_done(
     void *arg, const struct brf_error *err, const struct brf_fetch_answer *got)
@@ -87,6 +94,7 @@
 
 	if (err != NULL) {
 		answer.err = *err;
+		take_next_address(job->client);
 		if (err->code == BRF_E_CONNECT)
 			answer.outcome = BRF_STORE_REFUSED;
 	} else {
@@ -170,7 +178,7 @@
 		"application/json" };
 	struct client *c = job->client;
 	struct brf_fetch_call call = {
-		.addr = (struct sockaddr *)&c->config.addr,
+		.addr = (struct sockaddr *)&c->config.addrs[c->addr],
 		.method = "POST",
 		.path = job->path,
 		.headers = &type,
--- a/src/config/store_client.h
+++ b/src/config/store_client.h
@@ -15,11 +15,14 @@
  * with BRF_E_LIMIT.  A watch counts as a call when it is opened.
  */
 
+#define BRF_STORE_ADDRS_MAX 4u
+
 struct brf_http_loop;
 
 /**
  * struct brf_store_client_config - what brf_store_client_new() needs.
- * @addr: of the store
+ * @addrs: @addr_count addresses of the store, at least one; the next one is
+ *	taken after a call that failed
  * @calls_per_s: cap
  * @burst: calls that may go at once after a pause
  * @timeout_us: bound of one call, its time in line left out
@@ -28,7 +31,8 @@
 	struct brf_http_loop *http;
 	struct brf_timers *timers;
 	struct brf_metrics *metrics;
-	struct sockaddr_storage addr;
+	struct sockaddr_storage addrs[BRF_STORE_ADDRS_MAX];
+	size_t addr_count;
 	double calls_per_s;
 	double burst;
 	uint64_t timeout_us;
--- a/src/config/sync.c
+++ b/src/config/sync.c
@@ -9,7 +9,7 @@
 #define CHECK_MIN_US 1500000u	 /* between two looks for a silent watch */
 #define CHECK_SPREAD_US 1000000u /* added at random */
 #define BACKOFF_FIRST_US 500000u
-#define BACKOFF_MOST_US 5000000u
+#define BACKOFF_MOST_US 3000000u
 
 static const char *const state_names[] = { "idle", "reading", "watching",
 	"waiting" };
--- /dev/null
+++ b/test/store_fake.h
@@ -0,0 +1,299 @@
+#ifndef BRF_STORE_FAKE_H
+#define BRF_STORE_FAKE_H
+
+#include <algorithm>
+#include <list>
+#include <string>
+#include <vector>
+
+#include "config/store.h"
+
+/* What becomes of a call. */
+enum fate {
+	DELIVER,
+	LOSE_REQUEST, /* no effect, no answer */
+	LOSE_ANSWER,  /* takes effect, no answer */
+	DELAY,	      /* no answer; may take effect later, see run_late() */
+	NOT_SENT,
+	FATES
+};
+
+/* The store in memory; nothing happens until the test says so. */
+struct fake_store {
+	struct change {
+		uint64_t revision;
+		std::string key;
+		std::string value;
+	};
+
+	struct job {
+		struct brf_store_call *call;
+		struct brf_store_request request;
+		std::string key;
+		std::string value;
+	};
+
+	struct open_watch {
+		struct brf_store_watch *watch;
+		std::string prefix;
+		uint64_t from;
+	};
+
+	struct brf_store store;
+	uint64_t revision = 1;
+	uint64_t compacted = 0;
+	std::vector<change> log;
+	std::list<job> waiting;
+	std::list<job> late;
+	std::list<open_watch> watches;
+	bool silent = false;
+	bool ignores_compare = false; /* a broken store, to prove oracles */
+	uint64_t reads = 0;
+	uint64_t opened = 0;
+
+	fake_store()
+	{
+		static const struct brf_store_vt vt = { start, cancel,
+			watch_start, watch_stop };
+
+		store.vt = &vt;
+	}
+
+	static fake_store *
+	of(struct brf_store *store)
+	{
+		return (reinterpret_cast<fake_store *>(store));
+	}
+
+	static void
+	start(struct brf_store *store, struct brf_store_call *call)
+	{
+		const struct brf_store_request &r = call->request;
+		job j = { call, r, r.key, "" };
+
+		if (r.value != nullptr)
+			j.value.assign(r.value, r.len);
+		of(store)->waiting.push_back(j);
+	}
+
+	static void
+	cancel(struct brf_store *store, struct brf_store_call *call)
+	{
+		of(store)->waiting.remove_if(
+		    [call](const job &j) { return (j.call == call); });
+	}
+
+	static void
+	watch_start(struct brf_store *store, struct brf_store_watch *watch)
+	{
+		of(store)->watches.push_back(
+		    { watch, watch->prefix, watch->from });
+		of(store)->opened++;
+	}
+
+	static void
+	watch_stop(struct brf_store *store, struct brf_store_watch *watch)
+	{
+		of(store)->watches.remove_if([watch](const open_watch &w) {
+			return (w.watch == watch);
+		});
+	}
+
+	const change *
+	get(const std::string &key, uint64_t at) const
+	{
+		for (auto c = log.rbegin(); c != log.rend(); c++) {
+			if (c->key == key && c->revision <= at)
+				return (&*c);
+		}
+		return (nullptr);
+	}
+
+	uint64_t
+	put(const std::string &key, const std::string &value)
+	{
+		log.push_back({ ++revision, key, value });
+		return (revision);
+	}
+
+	void
+	go_back(uint64_t to)
+	{
+		while (!log.empty() && log.back().revision > to)
+			log.pop_back();
+		revision = std::min(revision, to);
+	}
+
+	/* Return: false when the key was at another revision. */
+	bool
+	apply(const job &j)
+	{
+		const change *now = get(j.key, revision);
+
+		if (j.request.compare && !ignores_compare &&
+		    j.request.expect != (now != nullptr ? now->revision : 0))
+			return (false);
+		put(j.key, j.value);
+		return (true);
+	}
+
+	void
+	run_late()
+	{
+		for (const job &j : late) {
+			if (j.request.op == BRF_STORE_PUT)
+				apply(j);
+		}
+		late.clear();
+	}
+
+	static void
+	fail(const job &j, enum brf_store_outcome outcome, enum brf_errc code)
+	{
+		struct brf_store_answer answer = {};
+
+		answer.outcome = outcome;
+		answer.err.code = code;
+		j.call->done(j.call, &answer);
+	}
+
+	std::vector<const change *>
+	find(const job &j) const
+	{
+		std::vector<const change *> found;
+		uint64_t at =
+		    j.request.at_revision ? j.request.at_revision : revision;
+
+		for (const change &c : log) {
+			bool fits =
+			    j.request.prefix
+				? c.key.compare(0, j.key.size(), j.key) == 0
+				: c.key == j.key;
+			if (fits && get(c.key, at) == &c)
+				found.push_back(&c);
+		}
+		if (j.request.newest && found.size() > 1)
+			found.erase(found.begin(), found.end() - 1);
+		return (found);
+	}
+
+	void
+	answer_with(const job &j, enum brf_store_outcome outcome)
+	{
+		struct brf_store_answer answer = {};
+		std::vector<struct brf_store_kv> kvs;
+
+		for (const change *c : find(j)) {
+			struct brf_store_kv kv = {};
+
+			kv.key = const_cast<char *>(c->key.c_str());
+			kv.value = const_cast<char *>(c->value.data());
+			kv.len = j.request.newest ? 0 : c->value.size();
+			kv.revision = c->revision;
+			kvs.push_back(kv);
+		}
+		answer.outcome = outcome;
+		answer.revision = revision;
+		if (outcome == BRF_STORE_CONFLICT)
+			answer.err.code = BRF_E_CONFLICT;
+		answer.kvs = kvs.data();
+		answer.count = kvs.size();
+		j.call->done(j.call, &answer);
+	}
+
+	void
+	deliver(const job &j)
+	{
+		if (j.request.op == BRF_STORE_PUT) {
+			bool ok = apply(j);
+
+			answer_with(
+			    j, ok ? BRF_STORE_DONE : BRF_STORE_CONFLICT);
+			return;
+		}
+		reads++;
+		if (j.request.at_revision != 0 &&
+		    j.request.at_revision < compacted)
+			fail(j, BRF_STORE_REFUSED, BRF_E_STORE_COMPACTED);
+		else
+			answer_with(j, BRF_STORE_DONE);
+	}
+
+	/* Let the first waiting call meet its fate. */
+	void
+	step(enum fate fate)
+	{
+		if (waiting.empty())
+			return;
+		job j = waiting.front();
+
+		waiting.pop_front();
+		if (fate == DELAY)
+			late.push_back(j);
+		if (fate == LOSE_ANSWER && j.request.op == BRF_STORE_PUT)
+			apply(j);
+		if (fate == DELIVER)
+			deliver(j);
+		else if (fate == NOT_SENT)
+			fail(j, BRF_STORE_REFUSED, BRF_E_CONNECT);
+		else
+			fail(j, BRF_STORE_UNKNOWN, BRF_E_CLOSED);
+	}
+
+	/* Tell watches what they have not heard. */
+	void
+	tell()
+	{
+		std::vector<struct brf_store_watch *> open;
+
+		for (const open_watch &w : watches)
+			open.push_back(w.watch);
+		for (struct brf_store_watch *watch : open)
+			tell_one(watch);
+	}
+
+	void
+	tell_one(struct brf_store_watch *watch)
+	{
+		for (open_watch &w : watches) {
+			if (w.watch != watch || silent)
+				continue;
+			std::vector<struct brf_store_kv> kvs;
+
+			for (const change &c : log) {
+				struct brf_store_kv kv = {};
+
+				if (c.revision < w.from ||
+				    c.key.compare(
+					0, w.prefix.size(), w.prefix) != 0)
+					continue;
+				kv.key = const_cast<char *>(c.key.c_str());
+				kv.value = const_cast<char *>(c.value.data());
+				kv.len = c.value.size();
+				kv.revision = c.revision;
+				kvs.push_back(kv);
+			}
+			if (w.from <= revision)
+				w.from = revision + 1;
+			struct brf_store_event event = { revision, kvs.data(),
+				kvs.size() };
+			watch->event(watch, &event);
+			return;
+		}
+	}
+
+	void
+	break_watches(enum brf_errc code)
+	{
+		while (!watches.empty()) {
+			struct brf_store_watch *watch = watches.front().watch;
+			struct brf_error err = {};
+
+			err.code = code;
+			watches.pop_front();
+			watch->ended(watch, &err);
+		}
+	}
+};
+
+#endif
