Test admission in virtual time and against a state model

Each scenario's oracle fails on a planted fault (no classes, no workspaces, fewer slots, limit stuck), the state model on three (a slot more, classes upside down, refusal lost).

--- a/src/policy/admission.c
+++ b/src/policy/admission.c
@@ -86,11 +86,11 @@
     const struct brf_admission *a, const struct brf_ticket *t, uint64_t now)
 {
 	uint32_t limit = limit_of(a, now);
-	double ahead = brf_queue_ahead(a->queue, t);
+	double turns = brf_queue_ahead(a->queue, t) + 1.0;
 
 	if (limit == 0)
 		return (0);
-	return (ahead * brf_estimate_mean(&a->service, now) / limit);
+	return (turns * brf_estimate_mean(&a->service, now) / limit);
 }
 
 static double
--- a/src/policy/queue.c
+++ b/src/policy/queue.c
@@ -126,7 +126,10 @@
 	return (NULL);
 }
 
-/* The flow that was idle for longest changes hands. */
+/*
+ * The flow that was idle for longest changes hands.  Its tags stay: otherwise
+ * whoever takes a new name for each request would never have been served yet.
+ */
 static struct brf_flow *
 claim_flow(struct brf_queue *q, const char *workspace, uint64_t hash)
 {
@@ -140,10 +143,8 @@
 	brf_copy_name(f->workspace, sizeof(f->workspace), workspace);
 	f->hash = hash;
 	f->weight = 1;
-	for (i = 0; i < BRF_CLASSES; i++) {
-		f->lanes[i].tag = 0;
+	for (i = 0; i < BRF_CLASSES; i++)
 		f->lanes[i].used = 0;
-	}
 	brf_list_append(&q->chains[hash % CHAINS], &f->chain);
 	return (f);
 }
--- /dev/null
+++ b/test/admission_test.cc
@@ -0,0 +1,711 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <rapidcheck/state.h>
+
+#include "admission_fake.h"
+#include "policy/limiter.h"
+
+namespace
+{
+
+/*
+ * Scenarios in virtual time.  Each is an oracle over a figure; a planted fault
+ * spoils what the controller decides on, and the oracle must notice.
+ */
+enum plant {
+	PLANT_NONE,
+	PLANT_NO_CLASSES,    /* all requests look alike */
+	PLANT_NO_WORKSPACES, /* likewise, their workspaces */
+	PLANT_FEW_SLOTS,     /* a fifth of the slots is never used */
+	PLANT_STUCK	     /* the limit stays low after a slow spell */
+};
+
+struct setting {
+	uint32_t slots, servers;
+	uint64_t service_us;
+	bool exponential, early;
+};
+
+const struct setting settings[] = {
+	{ 120, 120, 50 * MS, true, false }, { 120, 120, 50 * MS, true, true },
+	{ 120, 120, 20 * MS, false, true }, { 25, 25, 40 * MS, true, true },
+	{ 40, 10, 20 * MS, true, false },  /* announces too many slots */
+	{ 100, 10, 20 * MS, false, true }, /* far too many */
+};
+
+struct brf_admission_config
+config_for(uint32_t slots, uint64_t warmup_us = 0)
+{
+	struct brf_admission_config c = { slots, 256, warmup_us, false };
+
+	return (c);
+}
+
+double
+share(const struct source &s)
+{
+	return ((double)s.good / (double)s.offered);
+}
+
+struct surge_result {
+	double goodput, important, second;
+};
+
+/* Three times what fits, with clients that ask three times. */
+struct surge_result
+surge(const struct setting &s, enum plant plant)
+{
+	uint32_t slots = plant == PLANT_FEW_SLOTS ? s.slots * 4 / 5 : s.slots;
+	simulation sim(config_for(slots),
+	    { s.servers, (double)s.service_us, s.exponential, nullptr }, 1);
+	double fits = sim.capacity();
+	const double loads[] = { 0.4, 0.4, 1.2, 1.0 };
+
+	sim.early = s.early;
+	sim.measure_from = 2 * S;
+	sim.measure_to = 21 * S;
+	for (uint32_t c = 0; c < BRF_CLASSES; c++)
+		sim.add({ std::string(1, (char)('a' + c)),
+		    plant == PLANT_NO_CLASSES ? 2 : c, loads[c] * fits, S, 3 });
+	sim.run(22 * S);
+	return { sim.goodput(2 * S, 22 * S) / fits, share(sim.sources[0]),
+		share(sim.sources[1]) };
+}
+
+double
+slow_spell(uint64_t now)
+{
+	return (now >= 3 * S && now < 8 * S ? 10 : 1);
+}
+
+/* Goodput from one second after the spell's end, over that before it. */
+double
+recovery(const struct setting &s, double load, enum plant plant)
+{
+	simulation sim(config_for(s.slots),
+	    { s.servers, (double)s.service_us, s.exponential, slow_spell }, 2);
+
+	sim.early = s.early;
+	sim.add({ "a", 0, 0.2 * load * sim.capacity(), S, 3 });
+	sim.add({ "b", 2, 0.8 * load * sim.capacity(), S, 3 });
+	sim.run(8 * S);
+	if (plant == PLANT_STUCK) {
+		struct brf_admission_config c = config_for(s.slots / 2);
+		brf_admission_configure(sim.admission, &c);
+	}
+	sim.run(12 * S);
+	return (sim.goodput(9 * S, 12 * S) / sim.goodput(1 * S, 3 * S));
+}
+
+/* Least share answered of workspaces beside one at ten times its share. */
+double
+least_of_others(const struct setting &s, enum plant plant)
+{
+	simulation sim(config_for(s.slots),
+	    { s.servers, (double)s.service_us, s.exponential, nullptr }, 3);
+	double least = 1;
+
+	sim.early = s.early;
+	sim.measure_from = 2 * S;
+	sim.measure_to = 11 * S;
+	for (int i = 0; i < 5; i++)
+		sim.add(
+		    { plant == PLANT_NO_WORKSPACES ? "all" : std::to_string(i),
+			1, (i == 0 ? 2.0 : 0.17) * sim.capacity(), S, 3 });
+	sim.run(12 * S);
+	for (int i = 1; i < 5; i++)
+		least = std::min(least, share(sim.sources[i]));
+	return (least);
+}
+
+} // namespace
+
+TEST(admission, surge_keeps_capacity_and_what_is_important)
+{
+	for (auto &s : settings) {
+		struct surge_result r = surge(s, PLANT_NONE);
+		EXPECT_GE(r.goodput, 0.95) << s.slots << "/" << s.servers;
+		EXPECT_GE(r.important, 0.999) << s.slots << "/" << s.servers;
+		EXPECT_GE(r.second, 0.98) << s.slots << "/" << s.servers;
+	}
+	EXPECT_LT(surge(settings[0], PLANT_NO_CLASSES).important, 0.999);
+	EXPECT_LT(surge(settings[0], PLANT_FEW_SLOTS).goodput, 0.95);
+}
+
+TEST(admission, slow_spell_is_over_within_a_second)
+{
+	for (auto &s : settings) {
+		for (double load : { 0.8, 3.0 })
+			EXPECT_GE(recovery(s, load, PLANT_NONE), 0.95)
+			    << s.slots << "/" << s.servers << " at " << load;
+	}
+	EXPECT_LT(recovery(settings[0], 3.0, PLANT_STUCK), 0.95);
+}
+
+TEST(admission, greedy_workspace_costs_the_others_nothing)
+{
+	for (auto &s : settings)
+		EXPECT_GE(least_of_others(s, PLANT_NONE), 0.98)
+		    << s.slots << "/" << s.servers;
+	EXPECT_LT(least_of_others(settings[0], PLANT_NO_WORKSPACES), 0.98);
+}
+
+TEST(admission, invented_workspaces_share_one_flow)
+{
+	simulation sim(config_for(50), { 50, 20.0 * MS, true, nullptr }, 4);
+
+	brf_admission_set_weight(sim.admission, "known", 4);
+	sim.measure_from = 2 * S;
+	sim.measure_to = 7 * S;
+	sim.add({ "known", 1, 0.02 * sim.capacity(), S, 3 });
+	for (int i = 0; i < 1000; i++)
+		sim.add({ "invented-" + std::to_string(i), 1,
+		    0.01 * sim.capacity(), S, 2 });
+	sim.run(8 * S);
+	EXPECT_GE(share(sim.sources[0]), 0.98);
+	EXPECT_GE(sim.goodput(2 * S, 8 * S), 0.95 * sim.capacity());
+}
+
+TEST(admission, cold_target_gets_a_rising_limit)
+{
+	simulation sim(
+	    config_for(100, 4 * S), { 100, 20.0 * MS, true, nullptr }, 5);
+	struct brf_level level;
+	uint32_t last = 0;
+
+	sim.add({ "a", 1, 3 * sim.capacity(), S, 1 });
+	for (uint64_t t = 0; t <= 4; t++) {
+		sim.run(t * S + 100 * MS);
+		brf_admission_level(sim.admission, &level);
+		EXPECT_GT(level.limit, last);
+		EXPECT_LE(level.limit, 13 + 23 * t);
+		EXPECT_LE(level.in_flight, level.limit);
+		last = level.limit;
+	}
+	EXPECT_EQ(last, 100u);
+}
+
+TEST(admission, level_cuts_under_pressure_and_opens_when_it_ends)
+{
+	simulation sim(config_for(50), { 50, 20.0 * MS, true, nullptr }, 6);
+	struct brf_level level;
+
+	sim.add({ "a", 0, 0.5 * sim.capacity(), S, 1 });
+	sim.add({ "b", 1, 2.5 * sim.capacity(), S, 1 });
+	sim.run(2 * S);
+	brf_admission_level(sim.admission, &level);
+	EXPECT_GE(level.cut, BRF_RANK_CLASS);
+	EXPECT_LT(level.cut, 2 * BRF_RANK_CLASS);
+	EXPECT_GT(brf_admission_retry_after_ms(sim.admission), 20u);
+	brf_timer_stop(sim.timers, sim.arrivals[1].get());
+	sim.run(2 * S + 300 * MS);
+	brf_admission_level(sim.admission, &level);
+	EXPECT_EQ(level.cut, BRF_RANK_END);
+	EXPECT_EQ(level.waiting, 0u);
+}
+
+TEST(admission, observe_mode_counts_and_refuses_nothing)
+{
+	struct brf_admission_config c = { 10, 4, 0, true };
+	simulation sim(c, { 10, 20.0 * MS, true, nullptr }, 7);
+
+	sim.add({ "a", 1, 3 * sim.capacity(), UINT64_MAX, 1 });
+	sim.run(2 * S);
+	const auto *st = brf_admission_stats(sim.admission);
+	EXPECT_EQ(st->refused[1], 0u);
+	EXPECT_GT(st->would_refuse[BRF_R_OVERLOAD], 100u);
+	EXPECT_LE(sim.most_running, 10u);
+}
+
+namespace
+{
+
+struct lone_ticket {
+	struct brf_ticket ticket;
+	int granted;
+	enum brf_reason refused;
+};
+
+void
+lone_grant(struct brf_ticket *t)
+{
+	brf_container_of(t, struct lone_ticket, ticket)->granted++;
+}
+
+void
+lone_refuse(struct brf_ticket *t, enum brf_reason reason)
+{
+	brf_container_of(t, struct lone_ticket, ticket)->refused = reason;
+}
+
+struct lone_ticket
+lone(uint64_t deadline, uint32_t cls = 1)
+{
+	struct lone_ticket l = {};
+
+	l.ticket.cls = cls;
+	l.ticket.rank = cls < BRF_CLASSES ? cls * BRF_RANK_CLASS : UINT32_MAX;
+	l.ticket.deadline = deadline;
+	l.ticket.grant = lone_grant;
+	l.ticket.refuse = lone_refuse;
+	return (l);
+}
+
+} // namespace
+
+TEST(admission, deadlines_past_absent_and_overflowing)
+{
+	struct {
+		uint64_t deadline;
+		bool slot_free;
+		enum brf_admission_result want;
+	} cases[] = {
+		{ 0, true, BRF_ADMISSION_REFUSE },
+		{ 5 * S, true, BRF_ADMISSION_REFUSE },
+		{ 5 * S + 1, true, BRF_ADMISSION_REFUSE },
+		{ 6 * S, true, BRF_ADMISSION_RUN },
+		{ UINT64_MAX - 1, true, BRF_ADMISSION_RUN },
+		{ UINT64_MAX, true, BRF_ADMISSION_RUN },
+		{ 0, false, BRF_ADMISSION_REFUSE },
+		{ 5 * S + 15 * MS, false, BRF_ADMISSION_REFUSE },
+		{ 6 * S, false, BRF_ADMISSION_WAIT },
+		{ UINT64_MAX - 1, false, BRF_ADMISSION_WAIT },
+		{ UINT64_MAX, false, BRF_ADMISSION_WAIT },
+	};
+
+	for (auto &c : cases) {
+		struct brf_admission_config config = config_for(1);
+		struct brf_clock_manual clock;
+		struct lone_ticket taught = lone(UINT64_MAX),
+				   busy = lone(UINT64_MAX),
+				   l = lone(c.deadline);
+		enum brf_reason reason = BRF_R_NONE;
+
+		brf_clock_manual_init(&clock, 5 * S - 10 * MS);
+		struct brf_timers *ts = brf_timers_new(&clock.clock);
+		struct brf_admission *a = brf_admission_new(ts, &config);
+		brf_admission_submit(a, &taught.ticket, &reason);
+		clock.now = 5 * S; /* an attempt takes 10 ms */
+		brf_admission_finish(a, &taught.ticket, true);
+		if (!c.slot_free)
+			brf_admission_submit(a, &busy.ticket, &reason);
+		EXPECT_EQ(brf_admission_submit(a, &l.ticket, &reason), c.want)
+		    << c.deadline << " " << c.slot_free;
+		EXPECT_EQ(reason, c.want == BRF_ADMISSION_REFUSE
+				      ? BRF_R_DEADLINE
+				      : BRF_R_NONE);
+		brf_admission_free(a);
+		brf_timers_free(ts);
+	}
+}
+
+TEST(admission, expires_before_it_costs_a_slot)
+{
+	struct brf_admission_config config = config_for(1);
+	struct brf_clock_manual clock;
+	struct lone_ticket busy = lone(UINT64_MAX), l = lone(S + 30 * MS),
+			   odd = lone(UINT64_MAX, 99);
+	enum brf_reason reason = BRF_R_NONE;
+
+	brf_clock_manual_init(&clock, S);
+	struct brf_timers *ts = brf_timers_new(&clock.clock);
+	struct brf_admission *a = brf_admission_new(ts, &config);
+	brf_admission_submit(a, &busy.ticket, &reason);
+	EXPECT_EQ(
+	    brf_admission_submit(a, &l.ticket, &reason), BRF_ADMISSION_WAIT);
+	odd.ticket.workspace = nullptr;
+	EXPECT_EQ(
+	    brf_admission_submit(a, &odd.ticket, &reason), BRF_ADMISSION_WAIT);
+	clock.now = S + 30 * MS;
+	brf_admission_finish(a, &busy.ticket, true);
+	brf_timers_run(ts);
+	EXPECT_EQ(l.granted, 0);
+	EXPECT_EQ(l.refused, BRF_R_EXPIRED);
+	EXPECT_EQ(odd.granted, 1);
+	brf_admission_drain(a, BRF_R_DRAINING);
+	EXPECT_EQ(
+	    brf_admission_submit(a, &l.ticket, &reason), BRF_ADMISSION_REFUSE);
+	EXPECT_EQ(reason, BRF_R_DRAINING);
+	brf_admission_free(a);
+	brf_timers_free(ts);
+}
+
+/* A rise that a lower limit does not cure must leave the limit where it was. */
+TEST(limiter, slowness_from_elsewhere_does_not_hold_it_down)
+{
+	for (bool queueing : { false, true }) {
+		struct brf_limiter l;
+		uint64_t now = 0;
+		double least = 100;
+
+		brf_limiter_init(&l, 100, 0, 0);
+		for (int i = 0; i < 20000; i++) {
+			uint32_t limit = brf_limiter_get(&l, now);
+			double took = 10.0 * MS;
+			if (queueing && limit > 20)
+				took *= limit / 20.0;
+			else if (!queueing && i > 2000 && i < 10000)
+				took *= 10;
+			else if (queueing && i < 200)
+				took = 10.0 * MS;
+			now += (uint64_t)(took / limit);
+			brf_limiter_sample(&l, (uint64_t)took, true, now);
+			least = std::min(least, (double)limit);
+		}
+		if (queueing)
+			EXPECT_LE(brf_limiter_get(&l, now), 50u);
+		else
+			EXPECT_EQ(brf_limiter_get(&l, now), 100u);
+		/* two trials of 0.7 below what the target runs at once */
+		EXPECT_GE(least, queueing ? 9 : 49);
+	}
+}
+
+/*
+ * Commands in any order against a model that only knows which tickets are out
+ * and how each ended.
+ */
+namespace
+{
+
+enum model_plant {
+	MODEL_TRUE,
+	MODEL_EXTRA_SLOT,   /* the controller believes in one slot more */
+	MODEL_UPSIDE_DOWN,  /* the least important class goes first */
+	MODEL_LOSES_REFUSAL /* a refusal does not reach its ticket */
+};
+
+enum model_plant planted = MODEL_TRUE;
+
+struct entry {
+	struct brf_ticket ticket;
+	struct sut *sut;
+	uint32_t cls;
+	std::string workspace;
+	bool waiting, running;
+	int ended;
+};
+
+struct sut {
+	struct brf_clock_manual clock;
+	struct brf_timers *timers;
+	struct brf_admission *admission;
+	uint32_t slots = 3, queue = 4;
+	std::vector<std::unique_ptr<struct entry>> entries;
+	std::vector<struct entry *> evicted;
+	uint32_t running = 0;
+	uint64_t submitted = 0;
+	const char *violation = nullptr;
+
+	sut()
+	{
+		struct brf_admission_config c = config();
+
+		brf_clock_manual_init(&clock, 1000);
+		timers = brf_timers_new(&clock.clock);
+		admission = brf_admission_new(timers, &c);
+	}
+	~sut()
+	{
+		brf_admission_free(admission);
+		brf_timers_free(timers);
+	}
+	struct brf_admission_config
+	config() const
+	{
+		return { slots + (planted == MODEL_EXTRA_SLOT ? 1 : 0), queue,
+			0, false };
+	}
+	void
+	fail_if(bool bad, const char *what)
+	{
+		if (bad && violation == nullptr)
+			violation = what;
+	}
+	/* In the queue, not only waiting for the word of its refusal. */
+	static bool
+	queued(const struct entry &e)
+	{
+		return (e.waiting && !brf_list_empty(&e.ticket.age));
+	}
+	uint32_t
+	worst_waiting() const
+	{
+		uint32_t worst = 0;
+
+		for (auto &e : entries) {
+			if (queued(*e))
+				worst = std::max(worst, e->cls);
+		}
+		return (worst);
+	}
+	struct entry *
+	pick(uint32_t n, bool entry::*which)
+	{
+		for (size_t i = 0; i < entries.size(); i++) {
+			auto &e = entries[(n + i) % entries.size()];
+			if ((*e).*which)
+				return (e.get());
+		}
+		return (nullptr);
+	}
+	void
+	started(struct entry *e)
+	{
+		e->waiting = false;
+		e->running = true;
+		running++;
+		fail_if(running > slots, "over the limit");
+		for (auto &o : entries)
+			fail_if(queued(*o) && o->cls < e->cls,
+			    "granted before a more important one");
+	}
+	void
+	over(struct entry *e)
+	{
+		e->waiting = e->running = false;
+		fail_if(++e->ended != 1, "ended twice");
+	}
+	void
+	check()
+	{
+		const auto *st = brf_admission_stats(admission);
+		uint64_t ended = st->withdrawn, waiting = 0;
+		struct brf_level level;
+
+		for (uint32_t c = 0; c < BRF_CLASSES; c++)
+			ended += st->granted[c] + st->refused[c];
+		for (auto &e : entries)
+			waiting += e->waiting;
+		brf_admission_level(admission, &level);
+		if (violation != nullptr)
+			RC_FAIL(violation);
+		RC_ASSERT(level.in_flight == running);
+		RC_ASSERT(level.waiting == waiting);
+		RC_ASSERT(level.waiting <= queue);
+		RC_ASSERT(ended + waiting == submitted);
+	}
+};
+
+void
+on_grant(struct brf_ticket *t)
+{
+	struct entry *e = brf_container_of(t, struct entry, ticket);
+
+	e->sut->fail_if(!e->waiting, "granted without waiting");
+	e->sut->started(e);
+}
+
+void
+on_refuse(struct brf_ticket *t, enum brf_reason reason)
+{
+	struct entry *e = brf_container_of(t, struct entry, ticket);
+
+	e->sut->fail_if(!e->waiting, "refused without waiting");
+	if (planted == MODEL_LOSES_REFUSAL)
+		return;
+	e->sut->over(e);
+	if (reason == BRF_R_OVERLOAD || reason == BRF_R_SHARE)
+		e->sut->evicted.push_back(e);
+}
+
+struct model {
+};
+
+using command = rc::state::Command<model, sut>;
+
+struct submit : command {
+	uint32_t cls = *rc::gen::inRange<uint32_t>(0, BRF_CLASSES);
+	uint32_t workspace = *rc::gen::inRange<uint32_t>(0, 3);
+	uint32_t hash = *rc::gen::inRange<uint32_t>(0, BRF_RANK_CLASS);
+	bool hurried = *rc::gen::arbitrary<bool>();
+
+	void
+	run(const model &, sut &s) const override
+	{
+		auto e = std::make_unique<struct entry>();
+		enum brf_reason reason = BRF_R_NONE;
+
+		e->sut = &s;
+		e->cls = cls;
+		e->workspace = std::string(1, (char)('a' + workspace));
+		e->ticket.cls =
+		    planted == MODEL_UPSIDE_DOWN ? BRF_CLASSES - 1 - cls : cls;
+		e->ticket.rank = cls * BRF_RANK_CLASS + hash;
+		e->ticket.workspace = e->workspace.c_str();
+		e->ticket.deadline =
+		    hurried ? s.clock.now + 40 * MS : UINT64_MAX;
+		e->ticket.grant = on_grant;
+		e->ticket.refuse = on_refuse;
+		s.submitted++;
+		s.evicted.clear();
+		switch (
+		    brf_admission_submit(s.admission, &e->ticket, &reason)) {
+		case BRF_ADMISSION_RUN:
+			s.started(e.get());
+			break;
+		case BRF_ADMISSION_WAIT:
+			e->waiting = true;
+			break;
+		case BRF_ADMISSION_REFUSE:
+			s.over(e.get());
+			s.fail_if(
+			    reason != BRF_R_DEADLINE && s.worst_waiting() > cls,
+			    "refused before a less important one");
+			break;
+		}
+		s.entries.push_back(std::move(e));
+		brf_timers_run(s.timers);
+		for (auto *v : s.evicted)
+			s.fail_if(v->cls < s.worst_waiting(),
+			    "evicted before a less important one");
+		s.check();
+	}
+	void
+	show(std::ostream &os) const override
+	{
+		os << "submit(" << cls << ", " << workspace << ", " << hash
+		   << ", " << hurried << ")";
+	}
+};
+
+struct finish : command {
+	uint32_t n = *rc::gen::inRange<uint32_t>(0, 100);
+	bool useful = *rc::gen::arbitrary<bool>();
+
+	void
+	run(const model &, sut &s) const override
+	{
+		struct entry *e = s.pick(n, &entry::running);
+
+		if (e == nullptr)
+			return;
+		s.running--;
+		s.over(e);
+		brf_admission_finish(s.admission, &e->ticket, useful);
+		brf_timers_run(s.timers);
+		s.check();
+	}
+	void
+	show(std::ostream &os) const override
+	{
+		os << "finish(" << n << ", " << useful << ")";
+	}
+};
+
+struct withdraw : command {
+	uint32_t n = *rc::gen::inRange<uint32_t>(0, 100);
+
+	void
+	run(const model &, sut &s) const override
+	{
+		struct entry *e = s.pick(n, &entry::waiting);
+		struct entry *r = s.pick(n, &entry::running);
+
+		if (r != nullptr)
+			RC_ASSERT(
+			    !brf_admission_withdraw(s.admission, &r->ticket));
+		if (e == nullptr)
+			return;
+		RC_ASSERT(brf_admission_withdraw(s.admission, &e->ticket));
+		s.over(e);
+		s.check();
+	}
+	void
+	show(std::ostream &os) const override
+	{
+		os << "withdraw(" << n << ")";
+	}
+};
+
+struct advance : command {
+	uint32_t us = *rc::gen::inRange<uint32_t>(0, 60000);
+
+	void
+	run(const model &, sut &s) const override
+	{
+		s.clock.now += us;
+		brf_timers_run(s.timers);
+		brf_timers_run(s.timers);
+		s.check();
+	}
+	void
+	show(std::ostream &os) const override
+	{
+		os << "advance(" << us << ")";
+	}
+};
+
+struct reconfigure : command {
+	uint32_t slots = *rc::gen::inRange<uint32_t>(1, 5);
+	uint32_t queue = *rc::gen::inRange<uint32_t>(0, 7);
+
+	void
+	run(const model &, sut &s) const override
+	{
+		s.slots = std::max(slots, s.running);
+		s.queue = queue;
+		struct brf_admission_config c = s.config();
+		brf_admission_configure(s.admission, &c);
+		brf_timers_run(s.timers);
+		brf_timers_run(s.timers);
+		s.check();
+	}
+	void
+	show(std::ostream &os) const override
+	{
+		os << "reconfigure(" << slots << ", " << queue << ")";
+	}
+};
+
+/* Nothing is left behind once all that runs has ended. */
+void
+drain_empty(sut &s)
+{
+	for (int i = 0; i < 200; i++) {
+		struct entry *e = s.pick(0, &entry::running);
+		if (e != nullptr) {
+			s.running--;
+			s.over(e);
+			brf_admission_finish(s.admission, &e->ticket, true);
+		}
+		s.clock.now += 5 * MS;
+		brf_timers_run(s.timers);
+		brf_timers_run(s.timers);
+		s.check();
+	}
+	for (auto &e : s.entries)
+		RC_ASSERT(e->ended == 1);
+}
+
+void
+admission_matches_model()
+{
+	sut s;
+	auto commands = *rc::state::gen::commands(
+	    model(), rc::state::gen::execOneOfWithArgs<submit, submit, submit,
+			 finish, withdraw, advance, reconfigure>());
+
+	rc::state::runAll(commands, model(), s);
+	drain_empty(s);
+}
+
+} // namespace
+
+RC_GTEST_PROP(admission, state_model, ())
+{
+	admission_matches_model();
+}
+
+TEST(admission, planted_faults_break_the_state_model)
+{
+	for (auto p :
+	    { MODEL_EXTRA_SLOT, MODEL_UPSIDE_DOWN, MODEL_LOSES_REFUSAL }) {
+		planted = p;
+		testing::internal::CaptureStderr();
+		bool held = rc::check(admission_matches_model);
+		testing::internal::GetCapturedStderr();
+		planted = MODEL_TRUE;
+		EXPECT_FALSE(held) << "fault " << p;
+	}
+}
