--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -58,6 +58,22 @@
 static const char *const phase_names[] = { "serving", "draining", "lingering",
 	"closed" };
 
+static json_t *
+store_json(const struct brf_node *node)
+{
+	struct brf_sync_status st;
+
+	if (node->sync == NULL)
+		return (json_null());
+	brf_sync_status(node->sync, &st);
+	return (json_pack("{s:s, s:I, s:f, s:i, s:I}", "state",
+	    brf_sync_state_name(st.state), "revision",
+	    (json_int_t)st.revision, "heard_s",
+	    st.heard != 0 ? (double)(now(node) - st.heard) / BRF_US_PER_S :
+			    -1.0,
+	    "behind", (int)st.behind, "refused", (json_int_t)st.refused));
+}
+
 static void
 status(struct brf_node *node, struct brf_http_request *http)
 {
@@ -75,6 +91,7 @@
 	    "uptime_s", (double)(now(node) - node->started) / BRF_US_PER_S,
 	    "members", (json_int_t)brf_members_count(node->members));
 	json_object_set_new(o, "documents", docs);
+	json_object_set_new(o, "store", store_json(node));
 	json_object_set_new(
 	    o, "calls_open", json_integer((json_int_t)node->caller.open));
 	json_object_set_new(o, "attempts_open",
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "config/keys.h"
+#include "config/store_client.h"
 #include "member/udp.h"
 #include "node/node.h"
 
@@ -11,6 +12,9 @@
 #define PROBE_PERIOD_US BRF_US_PER_S
 #define PEER_IDLE_US (60 * BRF_US_PER_S)
 #define PEER_CONNECT_US (1 * BRF_US_PER_S)
+#define STORE_TIMEOUT_US (2 * BRF_US_PER_S)
+#define STORE_CALLS_PER_S 5.0
+#define STORE_BURST 5.0
 
 static uint64_t
 now(const struct brf_node *node)
@@ -96,6 +100,7 @@
 		.self = self->node };
 
 	node->docs = brf_docs_new();
+	node->spread = brf_spread_new(node->docs);
 	config.docs = node->docs;
 	node->gate = brf_gate_new(&config);
 	brf_gate_on_abandon(node->gate, brf_call_abandon_link);
@@ -114,6 +119,7 @@
 		.random = node->random,
 		.metrics = node->metrics,
 		.gate = brf_gate_backend(node->gate),
+		.documents = brf_spread_source(node->spread),
 		.self = { .node = self->node },
 		.key_len = set->fleet_key_len,
 		.idle_us = PEER_IDLE_US,
@@ -195,18 +201,103 @@
 	brf_caller_init(&node->caller);
 }
 
+static bool
+parse_keys(const char *text, struct brf_keyring **ring, struct brf_error *err)
+{
+	if (text[0] == '\0')
+		return (true);
+	*ring = brf_keyring_parse(text, strlen(text), err);
+	return (*ring != NULL);
+}
+
 static bool
 make_keys(struct brf_node *node, struct brf_error *err)
 {
-	node->token_key = brf_token_key_new(
-	    node->settings.fleet_key, node->settings.fleet_key_len, err);
+	const struct brf_settings *set = &node->settings;
+
+	node->token_key =
+	    brf_token_key_new(set->fleet_key, set->fleet_key_len, err);
 	if (node->token_key == NULL)
 		return (false);
-	if (node->settings.workspace_keys[0] == '\0')
-		return (true);
-	node->workspace_keys = brf_keyring_parse(node->settings.workspace_keys,
-	    strlen(node->settings.workspace_keys), err);
-	return (node->workspace_keys != NULL);
+	return (parse_keys(set->workspace_keys, &node->workspace_keys, err) &&
+		parse_keys(set->operator_key, &node->operator_keys, err));
+}
+
+static void
+documents_changed(struct brf_docs_watcher *w, const char *service)
+{
+	struct brf_node *node =
+	    brf_container_of(w, struct brf_node, docs_watcher);
+
+	brf_log(BRF_LOG_INFO, "document_in_force", BRF_LS("service", service),
+	    BRF_LU("revision",
+		brf_docs_get(node->docs, service)->revision));
+	brf_node_publish(node);
+}
+
+static bool
+follows_store(void *arg)
+{
+	struct brf_node *node = arg;
+
+	return (node->phase == BRF_PHASE_SERVING &&
+		brf_spread_is_follower(node->members));
+}
+
+/* Each node has one of the store's addresses, spread over the fleet. */
+static void
+make_store(struct brf_node *node)
+{
+	const struct brf_settings *set = &node->settings;
+	struct brf_store_client_config client = { .http = node->http,
+		.timers = node->timers,
+		.metrics = node->metrics,
+		.calls_per_s = STORE_CALLS_PER_S,
+		.burst = STORE_BURST,
+		.timeout_us = STORE_TIMEOUT_US };
+	struct brf_sync_config config = { .timers = node->timers,
+		.random = node->random,
+		.metrics = node->metrics,
+		.docs = node->docs,
+		.keys = node->operator_keys,
+		.should_follow = follows_store,
+		.arg = node };
+	size_t i;
+
+	if (set->store_count == 0)
+		return;
+	i = (size_t)brf_random_below(node->random, set->store_count);
+	memcpy(&client.addr, &set->stores[i], sizeof(set->stores[i]));
+	node->store = brf_store_client_new(&client);
+	config.store = node->store;
+	node->sync = brf_sync_new(&config);
+	brf_sync_start(node->sync);
+}
+
+static void
+make_documents(struct brf_node *node)
+{
+	struct brf_spread_config config = { .timers = node->timers,
+		.random = node->random,
+		.members = node->members,
+		.peers = node->peers };
+
+	node->docs_watcher.changed = documents_changed;
+	brf_docs_watch(node->docs, &node->docs_watcher);
+	brf_spread_start(node->spread, &config);
+	make_store(node);
+}
+
+static void
+stop_documents(struct brf_node *node)
+{
+	if (node->sync != NULL) {
+		brf_sync_free(node->sync);
+		brf_store_client_free(node->store);
+		node->sync = NULL;
+		node->store = NULL;
+	}
+	brf_spread_stop(node->spread);
 }
 
 static bool
@@ -253,6 +344,7 @@
 	    !make_members(node, &self, err))
 		return (false);
 	make_caller(node);
+	make_documents(node);
 	brf_settings_wipe(&node->settings);
 	brf_members_start(node->members);
 	return (write_ports(node, &self, local_port, err));
@@ -303,6 +395,7 @@
 {
 	node->phase = BRF_PHASE_CLOSED;
 	node->closing = 5;
+	stop_documents(node);
 	brf_members_leave(node->members);
 	brf_http_server_close(node->entry, one_closed, node);
 	brf_http_server_close(node->local, one_closed, node);
@@ -387,8 +480,11 @@
 	brf_members_free(node->members);
 	brf_gate_free(node->gate);
 	brf_http_loop_free(node->http);
+	brf_docs_unwatch(&node->docs_watcher);
 	brf_docs_free(node->docs);
+	brf_spread_free(node->spread);
 	brf_keyring_free(node->workspace_keys);
+	brf_keyring_free(node->operator_keys);
 	brf_token_key_free(node->token_key);
 	brf_metrics_free(node->metrics);
 	brf_timers_free(node->timers);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,8 +5,10 @@
 
 #include "http/server.h"
 #include "member/members.h"
+#include "config/sync.h"
 #include "node/call.h"
 #include "node/settings.h"
+#include "node/spread.h"
 
 /**
  * DOC: The parts of the daemon joined on one loop.
@@ -50,6 +52,11 @@
 	struct brf_router *router;
 	struct brf_caller caller;
 	struct brf_keyring *workspace_keys;
+	struct brf_keyring *operator_keys;
+	struct brf_spread *spread;
+	struct brf_store *store;
+	struct brf_sync *sync;
+	struct brf_docs_watcher docs_watcher;
 	struct brf_http_server *entry;
 	struct brf_http_server *local;
 	struct brf_http_server *admin;
