--- a/src/node/node.c
+++ b/src/node/node.c
@@ -244,7 +244,7 @@
 		brf_spread_is_follower(node->members));
 }
 
-/* Each node has one of the store's addresses, spread over the fleet. */
+/* Nodes begin with different addresses of the store. */
 static void
 make_store(struct brf_node *node)
 {
@@ -262,12 +262,16 @@
 		.keys = node->operator_keys,
 		.should_follow = follows_store,
 		.arg = node };
-	size_t i;
+	size_t i, first;
 
 	if (set->store_count == 0)
 		return;
-	i = (size_t)brf_random_below(node->random, set->store_count);
-	memcpy(&client.addr, &set->stores[i], sizeof(set->stores[i]));
+	first = (size_t)brf_random_below(node->random, set->store_count);
+	for (i = 0; i < set->store_count; i++)
+		memcpy(&client.addrs[i],
+		    &set->stores[(first + i) % set->store_count],
+		    sizeof(set->stores[0]));
+	client.addr_count = set->store_count;
 	node->store = brf_store_client_new(&client);
 	config.store = node->store;
 	node->sync = brf_sync_new(&config);
--- a/test/e2e/test_stop.py
+++ b/test/e2e/test_stop.py
@@ -10,10 +10,11 @@
 RATE = 200
 
 
-def stream(nodes, **more):
-    return {"to": [f"{fleet.HOST}:{n.ports['entry']}" for n in nodes],
-            "service": "factors", "rate": RATE, "path": "/", "method": "GET",
-            "timeout_ms": 5000, "connections": 64, **more}
+def start_load(nodes, **more):
+    stream = {"name": "callers", "service": "factors", "rate": RATE,
+              "timeout_ms": 5000, **more}
+    return fleet.start_load([n.ports["entry"] for n in nodes], [stream],
+                            connections=64)
 
 
 class Stop(unittest.TestCase):
@@ -28,7 +29,7 @@
         """Callers stay at nodes that live; a target's node stops."""
         with fleet.Fleet() as f:
             nodes = self.start(f)
-            running = fleet.start_load([stream(nodes[:2], seconds=4)])
+            running = start_load(nodes[:2], seconds=4)
             time.sleep(1)
             self.assertEqual(nodes[3].stop(), 0)
             report = fleet.finish_load(running)["streams"][0]
@@ -40,8 +41,7 @@
             slow = [{"service_ms": 800}]
             for t in f.targets:
                 fleet.request(t.port, "POST", "/control", json.dumps(slow[0]))
-            running = fleet.start_load(
-                [stream(nodes[:1], seconds=0.3, rate=20)])
+            running = start_load(nodes[:1], seconds=0.3, rate=20)
             time.sleep(0.6)
             self.assertEqual(nodes[0].stop(), 0)
             report = fleet.finish_load(running)["streams"][0]
@@ -53,7 +53,7 @@
         with fleet.Fleet() as f:
             callers = f.add_node("callers", "zone-0")
             nodes = self.start(f, 3)
-            running = fleet.start_load([stream([callers], seconds=14)])
+            running = start_load([callers], seconds=14)
             for i, old in enumerate(nodes):
                 fresh = f.add_node(f"r{i}", old.zone)
                 f.add_target(fresh, "factors", "--slots", 8, "--service-ms",
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -203,21 +203,21 @@
         until(ready, seconds, "members and targets to be known")
 
 
-def load(streams, seconds=None, report_ms=None, seed=1):
-    """Run brf-load over a list of streams; returns its JSON report."""
-    proc = start_load(streams, seconds, report_ms, seed)
-    return finish_load(proc)
+def load(to, streams, **more):
+    """Run brf-load to the end; returns its JSON report."""
+    return finish_load(start_load(to, streams, **more))
 
 
-def start_load(streams, seconds=None, report_ms=None, seed=1):
+def start_load(to, streams, connections=256, report_ms=0, seed=1):
+    """Streams are dicts of brf-load's flags; to is a list of ports."""
     mix = tempfile.NamedTemporaryFile("w", suffix=".json", delete=False)
-    json.dump(streams, mix)
+    json.dump([{k.replace("_", "-"): v for k, v in s.items()}
+               for s in streams], mix)
     mix.close()
-    argv = [BIN / "brf-load", "--mix", mix.name, "--seed", seed]
-    if seconds:
-        argv += ["--seconds", seconds]
-    if report_ms:
-        argv += ["--report-ms", report_ms]
+    argv = [BIN / "brf-load", "--mix", mix.name, "--seed", seed,
+            "--connections", connections, "--report-ms", report_ms]
+    for port in to:
+        argv += ["--to", f"{HOST}:{port}"]
     proc = Process(argv)
     proc.mix = mix.name
     return proc
