http: report outgoing calls that can't be sent; rules of HTTP/2 in tests

A call with an invalid path or field went out without it; it now ends with headers_invalid and nothing is sent.

--- a/fuzz/http_server.c
+++ b/fuzz/http_server.c
@@ -112,6 +112,7 @@
 		uv_run(&loop, UV_RUN_NOWAIT);
 }
 
+/* NOLINTNEXTLINE(readability-identifier-naming): libFuzzer's name */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 int
--- a/src/http/fetch.c
+++ b/src/http/fetch.c
@@ -4,6 +4,7 @@
 #include "bulrushford.h"
 #include "http/call.h"
 #include "http/fetch.h"
+#include "http/fields.h"
 
 #define IDLE_US (2u * BRF_US_PER_S) /* unused connections are closed */
 
@@ -18,6 +19,7 @@
  * @starting: brf_fetch_start() has not returned
  * @dropped: cancelled by the owner, who hears no more of it
  * @task: reports an end that came before brf_fetch_start() returned
+ * @peer: for messages; the pool's
  */
 struct brf_fetch {
 	struct brf_http_call call;
@@ -25,10 +27,11 @@
 	struct brf_timer timer;
 	struct brf_http_task task;
 	uint64_t timeout_us;
-	enum brf_run_end end;
+	enum brf_errc code;
 	brf_fetch_chunk_cb chunk;
 	brf_fetch_done_cb done;
 	void *arg;
+	const char *peer;
 	bool starting;
 	bool dropped;
 };
@@ -101,9 +104,8 @@
 	};
 	struct brf_error err = { .code = BRF_OK };
 
-	if (f->end != BRF_RUN_ANSWERED) {
-		brf_error_set(&err, end_errors[f->end], 0, "HTTP call to %s",
-		    brf_http_pool_authority(f->call.pool));
+	if (f->code != BRF_OK) {
+		brf_error_set(&err, f->code, 0, "HTTP call to %s", f->peer);
 	} else if (f->chunk == NULL) {
 		answer.body = m->body.len != 0 ? m->body.data : "";
 		answer.body_len = m->body.len;
@@ -127,7 +129,7 @@
 	struct brf_fetch *f = brf_container_of(call, struct brf_fetch, call);
 
 	brf_timer_stop(f->hl->timers, &f->timer);
-	f->end = end;
+	f->code = end_errors[end];
 	if (f->starting) { /* connecting failed at once */
 		brf_http_task_post(f->hl, &f->task);
 		return;
@@ -155,28 +157,34 @@
 	brf_http_call_cancel(&f->call);
 }
 
-static struct brf_message *
-make_request(const struct brf_fetch_call *call)
+/* Return: false when a field or the path can't be sent. */
+static bool
+fill_request(struct brf_message *m, const struct brf_fetch_call *call)
 {
-	struct brf_message *m = brf_message_new();
+	const struct brf_header *h;
 	size_t i;
 
+	if (!brf_http_path_is_valid(call->path, strlen(call->path)) ||
+	    !brf_message_set_path(m, call->path, strlen(call->path), NULL))
+		return (false);
 	brf_copy_name(m->method, sizeof(m->method), call->method);
-	brf_message_set_path(m, call->path, strlen(call->path), NULL);
-	for (i = 0; i < call->header_count; i++)
-		brf_message_add_header(m, call->headers[i].name,
-		    strlen(call->headers[i].name), call->headers[i].value,
-		    strlen(call->headers[i].value), NULL);
+	for (i = 0; i < call->header_count; i++) {
+		h = &call->headers[i];
+		if (!brf_message_add_header(m, h->name, strlen(h->name),
+			h->value, strlen(h->value), NULL))
+			return (false);
+	}
 	if (call->body_len != 0)
 		brf_buf_add(&m->body, call->body, call->body_len);
-	return (m);
+	return (true);
 }
 
 struct brf_fetch *
 brf_fetch_start(struct brf_http_loop *hl, const struct brf_fetch_call *call)
 {
 	struct brf_fetch *f = brf_calloc(1, sizeof(*f));
-	struct brf_message *request = make_request(call);
+	struct brf_http_pool *pool = find_pool(hl, call->addr);
+	struct brf_message *request = brf_message_new();
 
 	f->hl = hl;
 	f->chunk = call->chunk;
@@ -189,12 +197,17 @@
 	f->call.host = call->host;
 	f->call.chunk = call->chunk != NULL ? call_chunk : NULL;
 	f->call.body_max = call->body_max != 0 ? call->body_max : BRF_BODY_MAX;
-	if (f->timeout_us != 0)
-		brf_timer_start(hl->timers, &f->timer, f->timeout_us);
-	f->starting = true;
-	brf_http_call_start(
-	    &f->call, find_pool(hl, call->addr), request, NULL, 0);
-	f->starting = false;
+	f->peer = brf_http_pool_authority(pool);
+	if (fill_request(request, call)) {
+		f->starting = true;
+		if (f->timeout_us != 0)
+			brf_timer_start(hl->timers, &f->timer, f->timeout_us);
+		brf_http_call_start(&f->call, pool, request, NULL, 0);
+		f->starting = false;
+	} else {
+		f->code = BRF_E_HEADERS;
+		brf_http_task_post(hl, &f->task);
+	}
 	brf_message_unref(request);
 	return (f);
 }
--- a/src/http/fetch.h
+++ b/src/http/fetch.h
@@ -35,7 +35,8 @@
  * before brf_fetch_start() returns, and not after brf_fetch_cancel().
  * @err: NULL on success (any status), else BRF_E_CONNECT (nothing was sent),
  *	BRF_E_TIMEOUT, BRF_E_CLOSED (the answer was lost; the call may have
- *	taken effect), BRF_E_HTTP (broken answer) or BRF_E_TOO_LARGE
+ *	taken effect), BRF_E_HTTP (broken answer; likewise), BRF_E_TOO_LARGE or
+ *	BRF_E_HEADERS (the path or a field can't be sent; nothing was)
  * @answer: never NULL; valid during the call
  */
 typedef void (*brf_fetch_done_cb)(void *arg, const struct brf_error *err,
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -380,6 +380,52 @@
 	EXPECT_EQ(rec.handled, 1);
 }
 
+TEST_F(server, http2_requests_keep_to_the_same_rules)
+{
+	const std::string literal_path("\x04", 1);
+	std::string many;
+
+	for (int i = 0; i < 65; i++)
+		many += std::string("\0\1f\1v", 5);
+	const struct {
+		const char *name;
+		std::string block;
+		char status; /* index of HPACK's static table */
+	} cases[] = {
+		{ "path without slash",
+		    "\x82\x86\x41\x01"
+		    "a" +
+			literal_path + "\x01p",
+		    '\x8c' },
+		{ "line break in the path",
+		    "\x82\x86\x41\x01"
+		    "a" +
+			literal_path + "\x04/\r\nx",
+		    '\x8c' },
+		{ "too many fields",
+		    "\x82\x86\x84\x41\x01"
+		    "a" +
+			many,
+		    '\0' },
+	};
+
+	for (auto &c : cases) {
+		struct raw_peer p;
+
+		p.connect_to(port);
+		p.put(h2_preface + frame(1, 5, 1, c.block));
+		EXPECT_TRUE(bench.turn_until([&] {
+			p.get();
+			return (frames(p.got).find("/1 ") != std::string::npos);
+		})) << c.name;
+		EXPECT_EQ(rec.handled, 0) << c.name;
+		if (c.status != '\0') {
+			EXPECT_NE(p.got.find(c.status), std::string::npos)
+			    << c.name << frames(p.got);
+		}
+	}
+}
+
 const struct leave_case {
 	const char *name;
 	std::string request;
@@ -979,6 +1025,27 @@
 	EXPECT_EQ(r.status, 0);
 }
 
+TEST_F(target, fetch_refuses_what_it_cannot_send)
+{
+	struct raw_target t;
+	struct sockaddr_in addr = loopback(t.port);
+	struct brf_header injected = { "a", "b\r\nc: d" };
+	struct fetch_record r = {};
+	struct brf_fetch_call call = {};
+
+	call.addr = (struct sockaddr *)&addr;
+	call.method = "GET";
+	call.path = "/";
+	call.headers = &injected;
+	call.header_count = 1;
+	call.done = fetch_done;
+	call.arg = &r;
+	brf_fetch_start(bench.hl, &call);
+	EXPECT_TRUE(bench.turn_until([&] { return (r.ends == 1); }));
+	EXPECT_EQ(r.code, BRF_E_HEADERS);
+	EXPECT_FALSE(t.accepts());
+}
+
 TEST_F(target, fetch_cancelled_from_its_chunk_is_silent)
 {
 	struct raw_target t;
