http: watch for disconnects in one epoll set, not by a second descriptor

Each connection of a caller took two descriptors and a libuv handle. Now all of them stand in one epoll set that libuv polls: one descriptor in all.

--- a/src/http/loop.c
+++ b/src/http/loop.c
@@ -5,6 +5,7 @@
 
 #include "http/loop.h"
 #include "http/server.h"
+#include "http/watch.h"
 
 /**
  * struct after_close - a close that comes after others.
@@ -53,6 +54,7 @@
 	brf_list_init(&hl->pools);
 	uv_idle_init(loop, &hl->idle);
 	hl->idle.data = hl;
+	brf_http_watches_init(hl);
 	/* libuv writes by write(2), which raises it when a peer has gone */
 	signal(SIGPIPE, SIG_IGN);
 	/* h2o would move large buffers to files, and there is no disk */
@@ -60,19 +62,15 @@
 	return (hl);
 }
 
-static void
-free_loop(uv_handle_t *handle)
-{
-	free(handle->data);
-}
-
 void
 brf_http_loop_free(struct brf_http_loop *hl)
 {
 	if (hl == NULL)
 		return;
 	brf_fetch_pools_free(hl);
-	uv_close((uv_handle_t *)&hl->idle, free_loop);
+	brf_http_watches_close(hl);
+	uv_close((uv_handle_t *)&hl->idle, NULL);
+	brf_http_after_close(hl, free, hl);
 }
 
 void
--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -31,6 +31,8 @@
 	struct brf_metrics *metrics;
 	uv_idle_t idle;
 	struct brf_list tasks;
+	uv_poll_t watches; /* see watch.h */
+	int watch_fd;
 	struct brf_list pools; /* struct fetch_pool of fetch.c */
 };
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,7 +1,4 @@
-#include <errno.h>
-#include <fcntl.h>
 #include <stdlib.h>
-#include <unistd.h>
 
 #include <h2o.h>
 
@@ -11,16 +8,17 @@
 #include "http/fields.h"
 #include "http/loop.h"
 #include "http/server.h"
+#include "http/watch.h"
 
 /**
  * DOC: How the caller's disconnect is noticed.
  *
  * h2o 2.2 doesn't read an HTTP/1 connection while a request is in progress,
- * so each connection has a second descriptor (dup) that libuv watches for the
- * peer's FIN or RST alone.  Reading ahead would do it as well, but h2o keeps
- * pointers into its input buffer, and pipelined bytes would have to be
- * bounded; peeking on a timer is late or costs calls while nothing happens.
- * The watch costs nothing per request.
+ * so the end of the caller's stream is watched for apart from it, see
+ * watch.h.  Reading ahead would do it as well, but h2o keeps pointers into its
+ * input buffer, and pipelined bytes would have to be bounded; peeking on a
+ * timer is late, or costs calls while nothing happens.  The watch costs one
+ * system call per connection and none per request.
  *
  * A caller that closes only its sending side counts as gone: TCP shows both
  * alike, HTTP has no use for a half-closed client, and RFC 9112, section 9.5,
@@ -39,17 +37,14 @@
 /**
  * struct conn - one connection of a caller.
  * @sock: h2o's view of @tcp; NULL once it is closed
- * @watch: polls @watch_fd for the end of the caller's stream
- * @handles: libuv handles that are not closed yet
+ * @watch: tells the end of the caller's stream
  * @h2: requests came by HTTP/2
  * @gone: the caller closed its side
  * @requests: requests that are with the handler
  */
 struct conn {
 	uv_tcp_t tcp;
-	uv_poll_t watch;
-	int watch_fd;
-	unsigned handles;
+	struct brf_http_watch watch;
 	struct brf_http_server *server;
 	h2o_socket_t *sock;
 	struct brf_list link;
@@ -426,15 +421,11 @@
 static void server_try_dispose(struct brf_http_server *server);
 
 static void
-conn_handle_closed(uv_handle_t *handle)
+conn_closed(uv_handle_t *handle)
 {
-	struct conn *c = uv_handle_get_type(handle) == UV_POLL
-			     ? brf_container_of(handle, struct conn, watch)
-			     : brf_container_of(handle, struct conn, tcp);
+	struct conn *c = brf_container_of(handle, struct conn, tcp);
 	struct brf_http_server *server = c->server;
 
-	if (--c->handles != 0)
-		return;
 	brf_list_remove(&c->link);
 	free(c);
 	server->conn_count--;
@@ -442,16 +433,6 @@
 	server_try_dispose(server);
 }
 
-static void
-stop_watch(struct conn *c)
-{
-	if (c->watch_fd == -1)
-		return;
-	uv_close((uv_handle_t *)&c->watch, conn_handle_closed);
-	close(c->watch_fd);
-	c->watch_fd = -1;
-}
-
 /* Called by h2o when it closes its socket. */
 static void
 conn_sock_closed(void *arg)
@@ -459,11 +440,10 @@
 	struct conn *c = arg;
 
 	c->sock = NULL;
-	stop_watch(c);
 }
 
 static void
-peer_gone(uv_poll_t *watch, int status, int events)
+peer_gone(struct brf_http_watch *watch)
 {
 	struct conn *c = brf_container_of(watch, struct conn, watch);
 	struct brf_http_request *r;
@@ -471,7 +451,6 @@
 	struct brf_list *l, *next;
 
 	c->gone = true;
-	uv_poll_stop(watch);
 	brf_list_foreach_safe (l, next, &c->requests) {
 		r = brf_list_entry(l, struct brf_http_request, link);
 		if (r->req->version >= 0x200)
@@ -488,23 +467,13 @@
 }
 
 static bool
-start_watch(struct conn *c)
+accept_conn(struct conn *c, uv_stream_t *listener)
 {
 	uv_os_fd_t fd;
 
-	c->watch_fd = -1;
-	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0)
-		return (false);
-	c->watch_fd = fcntl(fd, F_DUPFD_CLOEXEC, 0);
-	if (c->watch_fd == -1)
-		return (false);
-	if (uv_poll_init(c->server->hl->loop, &c->watch, c->watch_fd) != 0) {
-		close(c->watch_fd);
-		c->watch_fd = -1;
-		return (false);
-	}
-	c->handles++;
-	return (uv_poll_start(&c->watch, UV_DISCONNECT, peer_gone) == 0);
+	return (uv_accept(listener, (uv_stream_t *)&c->tcp) == 0 &&
+		uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0 &&
+		brf_http_watch_start(c->server->hl, &c->watch, fd));
 }
 
 static void
@@ -517,22 +486,18 @@
 		return;
 	c = brf_calloc(1, sizeof(*c));
 	c->server = server;
-	c->watch_fd = -1;
+	c->watch.ended = peer_gone;
 	brf_list_init(&c->requests);
 	uv_tcp_init(server->hl->loop, &c->tcp);
-	c->handles = 1;
 	brf_list_append(&server->conns, &c->link);
 	server->conn_count++;
 	server->connections->value++;
-	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0 ||
-	    !start_watch(c)) {
-		stop_watch(c);
-		uv_close((uv_handle_t *)&c->tcp, conn_handle_closed);
+	if (!accept_conn(c, listener)) {
+		uv_close((uv_handle_t *)&c->tcp, conn_closed);
 		return;
 	}
 	uv_tcp_nodelay(&c->tcp, 1);
-	c->sock =
-	    h2o_uv_socket_create((uv_stream_t *)&c->tcp, conn_handle_closed);
+	c->sock = h2o_uv_socket_create((uv_stream_t *)&c->tcp, conn_closed);
 	c->sock->on_close.cb = conn_sock_closed;
 	c->sock->on_close.data = c;
 	h2o_accept(&server->accept, c->sock);
