--- a/fuzz/attempt.c
+++ b/fuzz/attempt.c
@@ -2,6 +2,7 @@
 
 #include "wire/codec.h"
 
+/* libFuzzer's name. NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 /* What is accepted can be sent on, and is within its bounds. */
--- a/fuzz/record.c
+++ b/fuzz/record.c
@@ -2,6 +2,7 @@
 
 #include "wire/rpc.h"
 
+/* libFuzzer's name. NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 /* The first byte tells in what pieces the rest is fed. */
--- a/standin/brf-load/load.h
+++ b/standin/brf-load/load.h
@@ -82,8 +82,8 @@
 /**
  * struct load_quantiles - durations in buckets less than 2 % apart.
  */
-#define LOAD_STEPS 64u
-#define LOAD_BUCKETS (36u * LOAD_STEPS)
+#define LOAD_STEPS ((size_t)64)
+#define LOAD_BUCKETS (36 * LOAD_STEPS)
 
 struct load_quantiles {
 	uint64_t buckets[LOAD_BUCKETS];
--- a/standin/brf-load/main.c
+++ b/standin/brf-load/main.c
@@ -5,8 +5,10 @@
 
 #include "load.h"
 
-#define WAKE_LEAST_US 20u /* microseconds between two wake-ups */
-#define AFTER_MS 2000u	  /* milliseconds beyond all timeouts */
+#define WAKE_LEAST_US 20u   /* microseconds between two wake-ups */
+#define WAKE_MOST_US 10000u /* with nothing to begin */
+#define AFTER_MS 2000u	    /* milliseconds beyond all timeouts */
+#define INTERVALS_MAX 100000u
 
 /* The loop's own timers count whole milliseconds, too coarse for arrivals. */
 static void
@@ -18,8 +20,8 @@
 	if (brf_timers_next(load->timers) < next)
 		next = brf_timers_next(load->timers);
 	wait = next > now + WAKE_LEAST_US ? next - now : WAKE_LEAST_US;
-	if (next == UINT64_MAX)
-		wait = BRF_US_PER_S;
+	if (load->next == UINT64_MAX && wait > WAKE_MOST_US)
+		wait = WAKE_MOST_US;
 	spec.it_value.tv_sec = (time_t)(wait / BRF_US_PER_S);
 	spec.it_value.tv_nsec = (long)(wait % BRF_US_PER_S) * 1000;
 	timerfd_settime(load->wake_fd, 0, &spec, NULL);
@@ -102,6 +104,8 @@
 	brf_list_init(&load->pausing);
 	if (set->report_ms != 0)
 		load->intervals = most / set->report_ms + 1;
+	if (load->intervals > INTERVALS_MAX)
+		load->intervals = INTERVALS_MAX;
 	load->start = load_now();
 	load_streams_init(load);
 	load->deadline.fire = on_deadline;
