Stop reading by what waits in both buffers; name the timeout in replies

A large write that the kernel took in part left the second buffer empty, so a connection whose far end does not read was never paused. The test that has answers of 12 MiB waiting now needs the reading to begin again; with that taken out by hand it fails. An attempt whose time was up ended as cancelled when the other gate confirmed it; it is expired or timed out now.

--- a/src/wire/client.c
+++ b/src/wire/client.c
@@ -179,6 +179,17 @@
 	end_attempt(call, &reply);
 }
 
+/* The gate only knows that it was asked to cancel, not that time was up. */
+static void
+name_timeout(const struct brf_call *call, struct brf_reply *reply)
+{
+	if (call->state != BRF_CALL_CANCELLED || call->why != BRF_R_TIMEOUT ||
+	    reply->reason != BRF_R_CANCELLED)
+		return;
+	reply->reason =
+	    reply->outcome == BRF_NOT_RUN ? BRF_R_EXPIRED : BRF_R_TIMEOUT;
+}
+
 static void
 attempt_got(struct brf_call *call, XDR *xdr, const struct brf_record *record)
 {
@@ -200,6 +211,7 @@
 	}
 	if (reply.retries > a->retries)
 		reply.retries = a->retries;
+	name_timeout(call, &reply);
 	answer = reply.answer;
 	end_attempt(call, &reply);
 	brf_message_unref(answer);
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -191,7 +191,9 @@
 static void
 set_paused(struct brf_conn *conn)
 {
-	bool pause = conn->busy && conn->out.len > OUT_HIGH;
+	size_t waiting = conn->out.len + uv_stream_get_write_queue_size(
+					     (uv_stream_t *)&conn->tcp);
+	bool pause = conn->busy && waiting > OUT_HIGH;
 
 	if (pause == conn->paused)
 		return;
@@ -231,7 +233,8 @@
 }
 
 /* A node that is cut off without a word is noticed by what it leaves
- * unacknowledged (RFC 5482), one that is only paused is not. */
+ * unacknowledged (RFC 5482); one that is only paused still acknowledges, until
+ * its buffers are full. */
 static void
 set_options(struct brf_conn *conn)
 {
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -23,7 +23,8 @@
  *
  * An attempt whose time is up is cancelled at the other gate.  When no word
  * comes within BRF_PEER_GRACE_US it ends with BRF_UNKNOWN and BRF_R_TIMEOUT.
- * One that was not written yet ends with BRF_NOT_RUN and BRF_R_EXPIRED.
+ * One that was not written yet, or that the gate cancelled before it began,
+ * ends with BRF_NOT_RUN and BRF_R_EXPIRED.
  *
  * A reply that says that the callee did not take the call ends it with
  * BRF_NOT_RUN (BRF_R_MALFORMED when it could not be decoded there, else
--- a/test/wire_peer_test.cc
+++ b/test/wire_peer_test.cc
@@ -346,6 +346,11 @@
 		    << i;
 	}
 	EXPECT_EQ(caller->connections(), 1);
+	/* the callee had stopped reading, and reads again */
+	struct sent next(n, "more", 60 * BRF_US_PER_S);
+	ASSERT_NO_FATAL_FAILURE(reach_gate(&next));
+	callee->gate.answer(callee->gate.open[0], "more");
+	EXPECT_TRUE(run([&] { return (next.ends == 1); }));
 	EXPECT_GT(brf_peers_bytes(backend), 2 * n * (BRF_BODY_MAX - n));
 }
 
@@ -437,6 +442,7 @@
 	EXPECT_EQ(told.ends, 0);
 	ASSERT_TRUE(run([&] { return (told.ends == 1); }));
 	EXPECT_EQ(told.reply.outcome, BRF_NOT_RUN);
+	EXPECT_EQ(told.reply.reason, BRF_R_EXPIRED);
 
 	callee->gate.deaf = true;
 	reach_gate(&s);
