--- a/src/member/heal.c
+++ b/src/member/heal.c
@@ -184,12 +184,16 @@
 		return;
 	if (ms->table.rosters[BRF_ROSTER_ALL].count != 0) {
 		ms->next_seed = now + BRF_SEED_PERIODS * period;
+		ms->seed_wait = 0;
 		i = ms->seed_turn++ % ms->config.seed_count;
 		brf_members_contact(ms, &ms->config.seeds[i]);
 		return;
 	}
-	ms->next_seed = now + period / 2 +
-			brf_random_below(ms->config.random, period / 2 + 1);
+	ms->seed_wait += 2 * ms->tick_us;
+	if (ms->seed_wait > period)
+		ms->seed_wait = period;
+	ms->next_seed = now + ms->seed_wait / 2 +
+			brf_random_below(ms->config.random, ms->seed_wait);
 	for (i = 0; i < ms->config.seed_count; i++)
 		ping_seed(ms, &ms->config.seeds[i]);
 }
--- a/src/member/internal.h
+++ b/src/member/internal.h
@@ -21,7 +21,7 @@
 #define BRF_NEWS_BURST 2u	  /* datagrams to one of them, at most */
 #define BRF_RELAYS 3u		  /* asked to probe in our place */
 #define BRF_RELAYED_MAX 64u	  /* probes made for others at once */
-#define BRF_FAR_PROBE_EVERY 4u	  /* one in so many goes to any zone */
+#define BRF_FAR_PROBE_EVERY 4u	  /* one in so many leaves the own zone */
 #define BRF_HEAL_PER_TICK 2u	  /* pings to lost members while healing */
 #define BRF_HEAL_PERIODS 5u	  /* healing lasts from the last contact */
 #define BRF_VERIFY_PER_TICK 2u	  /* pings out of turn */
@@ -105,6 +105,7 @@
 	uint64_t healing_until;
 	uint64_t next_heal;
 	uint64_t next_seed;
+	uint64_t seed_wait; /* grows while none answers */
 	size_t seed_turn;
 	uint64_t changed_at; /* own time of the last change of the table */
 	uint64_t next_sync;
--- a/src/member/merge.c
+++ b/src/member/merge.c
@@ -51,8 +51,7 @@
 	uint64_t now = brf_members_own(ms), period = ms->config.period_us;
 
 	if (e->version.state == BRF_GOSSIP_SUSPECT)
-		e->until =
-		    now + BRF_SUSPICION_PERIODS * period * (1 + ms->health);
+		e->until = now + BRF_SUSPICION_PERIODS * period;
 	else if (e->version.state == BRF_GOSSIP_FAILED)
 		e->until = now + BRF_FORGET_PERIODS * period;
 	else if (e->version.state == BRF_GOSSIP_LEFT)
@@ -156,8 +155,11 @@
 	struct brf_gossip_version version = *news;
 
 	if (e == NULL) {
+		/* what a table shows to a joiner is no news to others */
 		if (full != NULL)
-			meet(ms, full, !table);
+			meet(ms, full,
+			    !table ||
+				brf_members_own(ms) >= ms->catch_up_until);
 		return;
 	}
 	if (full != NULL && full->member.node.hi != e->member.node.hi)
@@ -243,7 +245,6 @@
 		return;
 	e->heard_direct = brf_members_own(ms);
 	e->member.heard = brf_now(brf_timers_clock(ms->config.timers));
-	merge_docs(ms, e, g->docs_count, g->docs_digest, false);
 }
 
 static void
@@ -255,6 +256,17 @@
 		merge_docs(ms, e, d->count, d->digest, true);
 }
 
+/* After the items: one of them may be the same news, to be passed on. */
+static void
+hear_docs_of_sender(struct brf_members *ms)
+{
+	struct brf_gossip *g = &ms->in;
+	struct brf_entry *e = brf_table_find(&ms->table, g->sender.lo);
+
+	if (e != NULL)
+		merge_docs(ms, e, g->docs_count, g->docs_digest, false);
+}
+
 /* Who seems gone is heard on itself and on us, and on nobody else: after a
  * partition its view of our side is old. */
 static bool
@@ -292,4 +304,5 @@
 	}
 	for (i = 0; all && i < g->docs_items; i++)
 		hear_docs(ms, &g->docs[i]);
+	hear_docs_of_sender(ms);
 }
--- a/src/member/news.c
+++ b/src/member/news.c
@@ -3,11 +3,11 @@
 /**
  * DOC: News that wait to be passed on, by the times they were.
  *
- * News goes out log2(n) + 2 times, what was sent least often first, so that
+ * News goes out log2(n) + 4 times, what was sent least often first, so that
  * each datagram stays bounded and new news is not held up by old.
  */
 
-#define NEWS_EXTRA 2u
+#define NEWS_EXTRA 4u
 
 void
 brf_news_init(struct brf_members *ms)
--- a/src/member/probe.c
+++ b/src/member/probe.c
@@ -1,7 +1,8 @@
 #include "member/internal.h"
 
 /**
- * DOC: Probes: one a period, by turns over the own zone, each few over all.
+ * DOC: Probes: one a period, by turns over the own zone, each few over the
+ * others.
  *
  * No ack in time: other nodes are asked to ping it.  No word from the member
  * through them either: it is suspect.  When not even those nodes are heard,
@@ -55,12 +56,11 @@
 {
 	struct brf_probe *p = &ms->probe;
 	bool far = ++ms->probes % BRF_FAR_PROBE_EVERY == 0;
-	struct brf_entry *e = NULL;
 	uint64_t now = brf_members_own(ms);
+	struct brf_entry *e;
 
 	ms->next_probe = now + ms->config.period_us;
-	if (!far)
-		e = brf_roster_next(&ms->table, BRF_ROSTER_ZONE);
+	e = brf_roster_next(&ms->table, far ? BRF_ROSTER_FAR : BRF_ROSTER_ZONE);
 	if (e == NULL)
 		e = brf_roster_next(&ms->table, BRF_ROSTER_ALL);
 	if (e == NULL)
@@ -124,13 +124,15 @@
 static void
 end_suspicions(struct brf_members *ms)
 {
+	uint64_t more =
+	    ms->health * BRF_SUSPICION_PERIODS * ms->config.period_us;
 	uint64_t now = brf_members_own(ms);
 	struct brf_list *l, *tmp;
 	struct brf_entry *e;
 
 	brf_list_foreach_safe (l, tmp, &ms->table.suspects) {
 		e = brf_list_entry(l, struct brf_entry, link);
-		if (e->until <= now)
+		if (e->until + more <= now)
 			brf_members_conclude(ms, e, BRF_GOSSIP_FAILED);
 	}
 }
--- a/src/member/table.c
+++ b/src/member/table.c
@@ -173,6 +173,8 @@
 place(struct brf_table *t, struct brf_entry *e)
 {
 	const struct brf_member *self = &t->self->member;
+	bool same = strcmp(e->member.zone, self->zone) == 0;
+	size_t near = same ? BRF_ROSTER_ZONE : BRF_ROSTER_FAR;
 	bool gone = brf_entry_gone(e);
 
 	brf_list_remove(&e->link);
@@ -184,11 +186,10 @@
 		brf_list_append(&t->suspects, &e->link);
 	if (gone) {
 		roster_remove(t, BRF_ROSTER_ALL, e);
-		roster_remove(t, BRF_ROSTER_ZONE, e);
+		roster_remove(t, near, e);
 	} else {
 		roster_add(t, BRF_ROSTER_ALL, e);
-		if (strcmp(e->member.zone, self->zone) == 0)
-			roster_add(t, BRF_ROSTER_ZONE, e);
+		roster_add(t, near, e);
 	}
 	if (e->version.state == BRF_GOSSIP_FAILED)
 		roster_add(t, BRF_ROSTER_LOST, e);
--- a/src/member/table.h
+++ b/src/member/table.h
@@ -18,11 +18,13 @@
  * enum brf_roster_id - rosters of a table.
  * @BRF_ROSTER_ALL: not gone, this node left out
  * @BRF_ROSTER_ZONE: those of @BRF_ROSTER_ALL in the own zone
+ * @BRF_ROSTER_FAR: those of @BRF_ROSTER_ALL in other zones
  * @BRF_ROSTER_LOST: declared failed, and remembered to heal
  */
 enum brf_roster_id {
 	BRF_ROSTER_ALL,
 	BRF_ROSTER_ZONE,
+	BRF_ROSTER_FAR,
 	BRF_ROSTER_LOST,
 	BRF_ROSTER_COUNT
 };
@@ -32,7 +34,8 @@
  * @member: what users see
  * @version: what orders news of it
  * @docs_count: see struct brf_gossip_docs
- * @until: own time at which a suspicion ends, or a gone member is forgotten
+ * @until: own time at which a suspicion ends (later while this node's health
+ *	is bad), or a gone member is forgotten
  * @heard_direct: own time of its last datagram
  * @link: in the table's list of suspects, or of gone ones
  * @news: in a list of news to be passed on
