--- a/standin/brf-store/main.c
+++ b/standin/brf-store/main.c
@@ -99,6 +99,7 @@
 {
 	req->res.status = status;
 	req->res.reason = status < 400 ? "OK" : "Error";
+	req->res.content_length = strlen(text);
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
 	    NULL, H2O_STRLIT("application/json"));
 	h2o_send_inline(req, text, strlen(text));
