--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,8 +5,10 @@
 
 #include "http/server.h"
 #include "member/members.h"
+#include "config/sync.h"
 #include "node/call.h"
 #include "node/settings.h"
+#include "node/spread.h"
 
 /**
  * DOC: The parts of the daemon joined on one loop.
@@ -41,6 +43,7 @@
 	struct brf_random *random;
 	struct brf_metrics *metrics;
 	struct brf_docs *docs;
+	struct brf_token_key *token_key;
 	struct brf_gate *gate;
 	struct brf_http_loop *http;
 	struct brf_peers *peers;
@@ -49,6 +52,11 @@
 	struct brf_router *router;
 	struct brf_caller caller;
 	struct brf_keyring *workspace_keys;
+	struct brf_keyring *operator_keys;
+	struct brf_spread *spread;
+	struct brf_store *store;
+	struct brf_sync *sync;
+	struct brf_docs_watcher docs_watcher;
 	struct brf_http_server *entry;
 	struct brf_http_server *local;
 	struct brf_http_server *admin;
@@ -76,8 +84,8 @@
  *
  * Return: NULL with @err when a part can't start.
  */
-struct brf_node *brf_node_start(const struct brf_settings *settings,
-    struct brf_error *err);
+struct brf_node *brf_node_start(
+    const struct brf_settings *settings, struct brf_error *err);
 
 /**
  * brf_node_run() - serve until a signal asks to stop and all is finished.
