Account slot time by what came of the root request

Cause: a gate counted its own work as useful although the request above it failed later, so that wasted work read as none. Change: replies carry useful and wasted slot time of the tree below; the root decides.

--- a/src/base/exchange.h
+++ b/src/base/exchange.h
@@ -62,7 +62,9 @@
  * @retry_after_ms: when asking this gate again makes sense; 0 for no word
  * @retries: unused extra attempts that come back
  * @level: the gate's admission level; valid when @has_level
- * @wasted_us: slot time spent below on work that came to nothing
+ * @useful_us: slot time of this attempt and of all calls below it, as far as
+ *	their answers were of use to the one above, microseconds
+ * @wasted_us: slot time of the rest: work that came to nothing
  * @answer: with BRF_ANSWERED, whole; else NULL.  The receiver of the reply
  *	takes a reference when it keeps it beyond the callback.
  */
@@ -73,6 +75,7 @@
 	uint32_t retries;
 	bool has_level;
 	struct brf_level level;
+	uint64_t useful_us;
 	uint64_t wasted_us;
 	struct brf_message *answer;
 };
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -51,6 +51,8 @@
 	uint64_t began;
 	uint64_t sent_at;
 	uint64_t deadline;
+	uint64_t useful_us;
+	uint64_t wasted_us;
 	enum brf_reason doubt;
 	enum brf_reason refusal;
 	uint32_t retry_after_ms;
@@ -71,6 +73,13 @@
 brf_caller_init(struct brf_caller *caller)
 {
 	caller->open = 0;
+	caller->useful_seconds = brf_metrics_counter(caller->metrics,
+	    "brf_root_slot_useful_seconds_total",
+	    "Slot time, in the whole call tree, of requests that succeeded.",
+	    "");
+	caller->wasted_seconds = brf_metrics_counter(caller->metrics,
+	    "brf_root_slot_wasted_seconds_total",
+	    "Slot time, in the whole call tree, that came to nothing.", "");
 	brf_list_init(&caller->budgets);
 }
 
@@ -172,6 +181,25 @@
 			    call->caller->random, (uint64_t)least + 1));
 }
 
+/* Slot time of a whole call tree, told apart by what its root came to. */
+static void
+account(struct brf_call *call, const struct brf_call_end *end)
+{
+	struct brf_caller *caller = call->caller;
+	bool useful = end->outcome == BRF_ANSWERED && !call->abandoned &&
+		      end->answer->status < 500;
+	uint64_t wasted = call->wasted_us;
+
+	if (call->request.inbound != NULL)
+		return;
+	if (useful)
+		caller->useful_seconds->value +=
+		    (double)call->useful_us / BRF_US_PER_S;
+	else
+		wasted += call->useful_us;
+	caller->wasted_seconds->value += (double)wasted / BRF_US_PER_S;
+}
+
 static void
 finish(struct brf_call *call, enum brf_outcome outcome, enum brf_reason reason,
     struct brf_message *answer)
@@ -191,6 +219,7 @@
 		end.retry_after_ms = with_jitter(call, hint);
 	}
 	count_end(call, &end);
+	account(call, &end);
 	brf_list_remove(&call->link);
 	if (!call->abandoned)
 		rq->done(rq->arg, &end);
@@ -230,8 +259,12 @@
 	}
 	if (reply->retry_after_ms > call->retry_after_ms)
 		call->retry_after_ms = reply->retry_after_ms;
-	if (call->request.inbound != NULL)
+	if (call->request.inbound != NULL) {
+		call->request.inbound->useful_us += reply->useful_us;
 		call->request.inbound->wasted_us += reply->wasted_us;
+	}
+	call->useful_us += reply->useful_us;
+	call->wasted_us += reply->wasted_us;
 	brf_allotment_return(allotment(call), call->given, reply->retries);
 	brf_router_done(call->caller->router, call->node, reply,
 	    now(call->caller) - call->sent_at,
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -31,6 +31,8 @@
 	struct brf_token_key *token_key;
 	struct brf_id self;
 	size_t open;
+	struct brf_metric *useful_seconds;
+	struct brf_metric *wasted_seconds;
 	struct brf_list budgets;
 };
 
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -175,6 +175,7 @@
 	abandon_calls(e);
 	record(e, reply);
 	reply->retries = e->inbound.allotment.left;
+	reply->useful_us += e->inbound.useful_us;
 	reply->wasted_us += e->inbound.wasted_us;
 	reply->has_level = true;
 	brf_admission_level(gate->admission, &reply->level);
@@ -186,23 +187,42 @@
 	x->done(x, reply);
 }
 
+/*
+ * Slot time by what came of it.  What an attempt and the calls below it did
+ * is wasted when its own answer is a failure (a status of 500 or above), is
+ * not whole, or nobody waits for it any more.
+ */
+static void
+account(struct entry *e, struct brf_reply *reply, uint64_t took)
+{
+	struct brf_gate *gate = e->gate;
+	bool useful = reply->outcome == BRF_ANSWERED && !e->cancelled &&
+		      reply->answer->status < 500;
+
+	if (reply->outcome == BRF_NOT_RUN)
+		return;
+	if (useful) {
+		gate->useful_seconds->value += (double)took / BRF_US_PER_S;
+		reply->useful_us += took;
+		return;
+	}
+	gate->wasted_seconds->value += (double)took / BRF_US_PER_S;
+	reply->wasted_us += took + e->inbound.useful_us;
+	e->inbound.useful_us = 0;
+}
+
 static void
 run_ended(struct entry *e, struct brf_reply *reply)
 {
 	struct brf_gate *gate = e->gate;
 	uint64_t took = now(gate) - e->began;
-	bool useful = reply->outcome == BRF_ANSWERED && !e->cancelled;
+	bool in_time = reply->outcome == BRF_ANSWERED && !e->cancelled;
 
 	e->running = false;
 	attached_unref(e->on);
 	brf_histogram_add(gate->metrics[e->ticket.cls].duration, took);
-	if (useful)
-		gate->useful_seconds->value += (double)took / BRF_US_PER_S;
-	else if (reply->outcome != BRF_NOT_RUN)
-		gate->wasted_seconds->value += (double)took / BRF_US_PER_S;
-	if (!useful && reply->outcome != BRF_NOT_RUN)
-		reply->wasted_us += took;
-	brf_admission_finish(gate->admission, &e->ticket, useful);
+	account(e, reply, took);
+	brf_admission_finish(gate->admission, &e->ticket, in_time);
 	conclude(e, reply);
 }
 
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -60,6 +60,8 @@
  * @workspace: proved name, empty when none
  * @deadline: clock time
  * @allotment: extra attempts that its outgoing calls share
+ * @useful_us: slot time of its outgoing calls that were answered
+ * @wasted_us: slot time of the others
  * @calls: outgoing calls that are open; see node/call.h
  */
 struct brf_inbound {
@@ -70,6 +72,7 @@
 	uint64_t deadline;
 	struct brf_allotment allotment;
 	struct brf_list calls;
+	uint64_t useful_us;
 	uint64_t wasted_us;
 };
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -230,8 +230,7 @@
 	    brf_container_of(w, struct brf_node, docs_watcher);
 
 	brf_log(BRF_LOG_INFO, "document_in_force", BRF_LS("service", service),
-	    BRF_LU("revision",
-		brf_docs_get(node->docs, service)->revision));
+	    BRF_LU("revision", brf_docs_get(node->docs, service)->revision));
 	brf_node_publish(node);
 }
 
--- a/src/node/spread.c
+++ b/src/node/spread.c
@@ -65,10 +65,9 @@
 {
 	struct brf_spread *s =
 	    brf_container_of(source, struct brf_spread, source);
-	struct offer o = { .known = known,
-		.count = count,
-		.emit = emit,
-		.arg = arg };
+	struct offer o = {
+		.known = known, .count = count, .emit = emit, .arg = arg
+	};
 
 	brf_docs_each(s->docs, offer_one, &o);
 }
@@ -269,8 +268,8 @@
 rank_one(const struct brf_member *m, void *arg)
 {
 	struct ranking *r = arg;
-	bool takes_part = m->state == BRF_MEMBER_READY ||
-			  m->state == BRF_MEMBER_STARTING;
+	bool takes_part =
+	    m->state == BRF_MEMBER_READY || m->state == BRF_MEMBER_STARTING;
 
 	if (takes_part && strcmp(m->zone, r->self->zone) == 0 &&
 	    follower_hash(m) > r->hash)
--- a/src/wire/codec.c
+++ b/src/wire/codec.c
@@ -283,6 +283,7 @@
 		.retry_after_ms = r->retry_after_ms,
 		.retries = r->retries,
 		.level = r->has_level ? &level : NULL,
+		.useful_us = r->useful_us,
 		.wasted_us = r->wasted_us,
 	};
 
@@ -345,6 +346,7 @@
 	r->reason = (enum brf_reason)x->reason;
 	r->retry_after_ms = x->retry_after_ms;
 	r->retries = x->retries;
+	r->useful_us = x->useful_us;
 	r->wasted_us = x->wasted_us;
 	take_level(r, x->level);
 	if (x->answer == NULL)
--- a/src/wire/proto.h
+++ b/src/wire/proto.h
@@ -102,6 +102,7 @@
 	u_int retry_after_ms;
 	u_int retries;
 	brf_xdr_level *level;
+	u_quad_t useful_us;
 	u_quad_t wasted_us;
 	brf_xdr_message *answer;
 };
--- a/src/wire/proto.x
+++ b/src/wire/proto.x
@@ -63,6 +63,7 @@
 	unsigned int retry_after_ms;
 	unsigned int retries;
 	brf_xdr_level *level;
+	unsigned hyper useful_us;
 	unsigned hyper wasted_us;
 	brf_xdr_message *answer;
 };
--- a/src/wire/proto_xdr.c
+++ b/src/wire/proto_xdr.c
@@ -232,6 +232,8 @@
 		}
 		 if (!xdr_pointer (xdrs, (char **)&objp->level, sizeof (brf_xdr_level), (xdrproc_t) xdr_brf_xdr_level))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->useful_us))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->wasted_us))
 			 return FALSE;
 		 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (brf_xdr_message), (xdrproc_t) xdr_brf_xdr_message))
@@ -259,6 +261,8 @@
 		}
 		 if (!xdr_pointer (xdrs, (char **)&objp->level, sizeof (brf_xdr_level), (xdrproc_t) xdr_brf_xdr_level))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->useful_us))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->wasted_us))
 			 return FALSE;
 		 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (brf_xdr_message), (xdrproc_t) xdr_brf_xdr_message))
@@ -278,6 +282,8 @@
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->level, sizeof (brf_xdr_level), (xdrproc_t) xdr_brf_xdr_level))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->useful_us))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->wasted_us))
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (brf_xdr_message), (xdrproc_t) xdr_brf_xdr_message))
