brf-target: list counts by tag up to a bound; http: test large requests

With more tags than one answer holds /statz gave an error in place of its counters. Two tests cover requests larger than the socket's buffer.

--- a/standin/brf-target/admin.c
+++ b/standin/brf-target/admin.c
@@ -51,12 +51,24 @@
 	respond_buf(request, 200, &b);
 }
 
+#define KEYS_BYTES_MAX (BRF_BODY_MAX / 2) /* of the tags that are listed */
+
+struct run_list {
+	struct brf_buf text;
+	uint64_t left_out;
+};
+
 static void
 put_run(void *arg, const char *tag, uint32_t count)
 {
-	struct brf_buf *b = arg;
+	struct run_list *list = arg;
+	struct brf_buf *b = &list->text;
 
-	if (b->data[b->len - 1] != '{')
+	if (b->len > KEYS_BYTES_MAX) {
+		list->left_out++;
+		return;
+	}
+	if (b->len != 0)
 		brf_buf_putc(b, ',');
 	brf_buf_putc(b, '"');
 	brf_buf_put_json(b, tag, strlen(tag));
@@ -64,29 +76,41 @@
 }
 
 static void
-show_stats(struct target *t, struct brf_http_request *request)
+put_stats(const struct target *t, struct brf_buf *b)
 {
 	const struct stats *s = &t->stats;
+	const struct {
+		const char *name;
+		uint64_t value;
+	} numbers[] = { { "started", s->started }, { "finished", s->finished },
+		{ "cancelled", s->cancelled }, { "shed", s->shed },
+		{ "failed", s->failed }, { "calls", s->calls },
+		{ "calls_failed", s->calls_failed },
+		{ "in_flight", t->load.in_flight },
+		{ "waiting", t->load.waiting },
+		{ "max_in_flight", s->max_in_flight } };
+	size_t i;
+
+	for (i = 0; i < brf_nitems(numbers); i++)
+		brf_buf_printf(b, "\"%s\":%llu,", numbers[i].name,
+		    (unsigned long long)numbers[i].value);
+}
+
+static void
+show_stats(struct target *t, struct brf_http_request *request)
+{
+	struct run_list list = { .left_out = 0 };
 	struct brf_buf b = { .len = 0 };
 
-	brf_buf_printf(&b,
-	    "{\"started\":%llu,\"finished\":%llu,\"cancelled\":%llu,"
-	    "\"shed\":%llu,\"failed\":%llu,\"calls\":%llu,"
-	    "\"calls_failed\":%llu,\"in_flight\":%u,\"waiting\":%u,"
-	    "\"max_in_flight\":%u,\"runs_by_key\":{",
-	    (unsigned long long)s->started, (unsigned long long)s->finished,
-	    (unsigned long long)s->cancelled, (unsigned long long)s->shed,
-	    (unsigned long long)s->failed, (unsigned long long)s->calls,
-	    (unsigned long long)s->calls_failed, t->load.in_flight,
-	    t->load.waiting, s->max_in_flight);
-	runs_each(t->runs, put_run, &b);
-	brf_buf_puts(&b, "}}");
-	if (b.len > BRF_BODY_MAX) { /* more keys than one answer holds */
-		brf_buf_clear(&b);
-		brf_buf_puts(&b, "{\"error\":\"too_large\"}");
-		respond_buf(request, 500, &b);
-		return;
-	}
+	runs_each(t->runs, put_run, &list);
+	brf_buf_putc(&b, '{');
+	put_stats(t, &b);
+	brf_buf_puts(&b, "\"runs_by_key\":{");
+	if (list.text.len != 0)
+		brf_buf_add(&b, list.text.data, list.text.len);
+	brf_buf_printf(
+	    &b, "},\"keys_left_out\":%llu}", (unsigned long long)list.left_out);
+	brf_buf_free(&list.text);
 	respond_buf(request, 200, &b);
 }
 
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -814,6 +814,61 @@
 	brf_http_target_free(tg);
 }
 
+TEST_F(target, a_body_larger_than_the_socket_buffer_arrives_whole)
+{
+	struct raw_target t;
+	struct run_record r;
+	struct brf_target *tg = brf_http_target_new(bench.hl, t.port, 1);
+	std::string body;
+
+	for (int i = 0; body.size() < BRF_BODY_MAX; i++)
+		body += std::to_string(i) + ",";
+	body.resize(BRF_BODY_MAX);
+	brf_buf_clear(&request->body);
+	brf_buf_add(&request->body, body.data(), body.size());
+	prepare(r);
+	brf_target_run(tg, &r.run);
+	ASSERT_TRUE(bench.turn_until([&] { return (t.accepts()); }));
+	bench.turn(20); /* the socket fills up meanwhile */
+	EXPECT_TRUE(bench.turn_until([&] {
+		t.peer.get();
+		return (t.peer.got.size() > body.size() &&
+			t.peer.got.compare(t.peer.got.size() - body.size(),
+			    body.size(), body) == 0);
+	}));
+	t.peer.put(ok + "content-length: 0\r\n\r\n");
+	EXPECT_TRUE(bench.turn_until([&] { return (r.ends == 1); }));
+	EXPECT_EQ(r.end, BRF_RUN_ANSWERED);
+	brf_http_target_free(tg);
+}
+
+TEST_F(target, an_answer_before_the_whole_request_ends_the_connection)
+{
+	struct raw_target t;
+	struct run_record r;
+	struct brf_target *tg = brf_http_target_new(bench.hl, t.port, 1);
+	std::string body(BRF_BODY_MAX, 'x');
+	int small = 4096;
+
+	setsockopt(t.listener, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	brf_buf_clear(&request->body);
+	for (int i = 0; i < 8; i++) /* more than any send buffer here */
+		brf_buf_add(&request->body, body.data(), body.size());
+	prepare(r);
+	brf_target_run(tg, &r.run);
+	ASSERT_TRUE(bench.turn_until([&] { return (t.accepts()); }));
+	bench.turn(20);
+	t.peer.put("HTTP/1.1 413 No\r\ncontent-length: 0\r\n\r\n");
+	EXPECT_TRUE(bench.turn_until([&] { return (r.ends == 1); }));
+	EXPECT_EQ(r.status, 413);
+	EXPECT_TRUE(bench.turn_until([&] {
+		t.peer.get();
+		return (t.peer.ended);
+	}));
+	EXPECT_LT(t.peer.got.size(), request->body.len);
+	brf_http_target_free(tg);
+}
+
 TEST_F(target, cancel_closes_the_connection)
 {
 	struct raw_target t;
