--- a/src/http/call.h
+++ b/src/http/call.h
@@ -2,8 +2,8 @@
 #define BRF_HTTP_CALL_H
 
 #include "http/client.h"
-#include "http/loop.h"
 #include "http/parser.h"
+#include "http/pool.h"
 
 /**
  * DOC: One HTTP/1.1 call over libuv, parsed by libh2o; for src/http only.
@@ -25,13 +25,10 @@
  * read the request: BRF_RUN_LOST.
  */
 
-struct brf_http_pool;
-struct call_conn;
-
 /**
  * struct brf_http_call - one call; embedded by its owner.
  * @done: called exactly once, possibly before brf_http_call_start() returns;
- *the call may be freed in it
+ *	the call may be freed in it
  * @chunk: gets the body as it comes; NULL collects it in @answer
  * @body_max: largest whole body, bytes
  * @host: value of the "host" field, read by brf_http_call_start(); NULL for
@@ -46,7 +43,7 @@
 	const char *host;
 	struct brf_message *answer;
 	struct brf_http_pool *pool;
-	struct call_conn *conn;
+	struct brf_http_pooled *conn;
 	struct brf_message *request;
 	struct brf_buf head;
 	enum {
@@ -65,19 +62,6 @@
 
 BRF_BEGIN_DECLS
 
-/**
- * brf_http_pool_new() - connections to @addr.
- * @idle_us: unused connections are closed after this, microseconds
- *
- * Return: to be given to brf_http_pool_free() when no call is open.
- */
-struct brf_http_pool *brf_http_pool_new(
-    struct brf_http_loop *hl, const struct sockaddr *addr, uint64_t idle_us);
-void brf_http_pool_free(struct brf_http_pool *pool);
-
-/* Address and port as in a "host" field. */
-const char *brf_http_pool_authority(const struct brf_http_pool *pool);
-
 /**
  * brf_http_call_start() - send @request; a reference is taken.
  * @call: zeroed but for @done, @chunk, @body_max and @host
@@ -95,6 +79,16 @@
  */
 void brf_http_call_cancel(struct brf_http_call *call);
 
+/**
+ * brf_http_call_input() - read what the pool has received for @call.
+ * @in: all bytes that are not consumed yet
+ */
+void brf_http_call_input(struct brf_http_call *call, struct brf_buf *in);
+
+/* The connection is given back first, so that a call started in @done can
+ * have it. */
+void brf_http_call_end(struct brf_http_call *call, enum brf_run_end how);
+
 BRF_END_DECLS
 
 #endif
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -12,8 +12,8 @@
  * answers requests, share.
  */
 
-#define BRF_HTTP_NO_HOST "host.invalid" /* h2o's stand-in for an absent host \
-					 */
+/* What h2o fills in for an absent host. */
+#define BRF_HTTP_NO_HOST "host.invalid"
 
 /**
  * struct brf_http_conn - one connection of a caller.
