--- a/src/wire/documents.c
+++ b/src/wire/documents.c
@@ -1,157 +1,116 @@
 #include <stdlib.h>
 
-#include "wire/client.h"
-#include "wire/codec.h"
+#include "wire/documents.h"
 
-#define REVISION_SIZE 80u /* bytes of an encoded revision at most */
+#define ITEM_SIZE 256u /* bytes of an item but for its text, at most */
+#define NEWS_SIZE (BRF_XDR_BODY + ITEM_SIZE) /* bytes of an answer, at most */
 
 /**
- * struct documents_call - BRF_PEER_DOCUMENTS.
- * @known: copies of the names, owned
+ * struct news_list - the answer as it grows.
  */
-struct documents_call {
-	struct brf_call call;
-	brf_xdr_revision *known;
+struct news_list {
+	brf_xdr_document items[BRF_NEWS_MAX];
 	size_t count;
-	brf_documents_fn done;
-	void *arg;
+	size_t bytes;
 };
 
-static struct documents_call *
-documents_call(const struct brf_call *call)
-{
-	return (brf_container_of(call, struct documents_call, call));
-}
-
-static void
-free_call(struct documents_call *dc)
-{
-	size_t i;
-
-	for (i = 0; i < dc->count; i++)
-		free(dc->known[i].service.service_val);
-	free(dc->known);
-	free(dc);
-}
-
-static size_t
-documents_size(const struct brf_call *call)
-{
-	return (REVISION_SIZE * (documents_call(call)->count + 1));
-}
-
+/* The source need not keep what it emits, so it is copied. */
 static bool
-documents_put(const struct brf_call *call, XDR *xdr)
+emit(const struct brf_document_news *news, void *arg)
 {
-	struct documents_call *dc = documents_call(call);
-	brf_xdr_revisions x = {
-		.known.known_len = (u_int)dc->count,
-		.known.known_val = dc->known,
-	};
-
-	return (xdr_brf_xdr_revisions(xdr, &x));
+	struct news_list *list = arg;
+	brf_xdr_document *item = &list->items[list->count];
+	size_t bytes = news->len + ITEM_SIZE;
+
+	if (list->count == BRF_NEWS_MAX || news->len > BRF_XDR_BODY ||
+	    list->bytes + bytes > NEWS_SIZE)
+		return (false);
+	item->service.service_len = (u_int)strlen(news->service);
+	item->service.service_val =
+	    brf_strdup(news->service, item->service.service_len);
+	item->revision = news->revision;
+	item->text.text_len = (u_int)news->len;
+	item->text.text_val =
+	    news->len != 0 ? brf_strdup(news->text, news->len) : NULL;
+	list->bytes += bytes;
+	list->count++;
+	return (true);
 }
 
 static void
-end_documents(struct brf_call *call, const struct brf_document_news *news,
-    size_t count, const struct brf_error *err)
+write_news(struct brf_buf *out, uint32_t xid, struct news_list *list)
 {
-	struct documents_call *dc = documents_call(call);
-	struct brf_peer_backend *peer = call->peer;
+	brf_xdr_documents docs = {
+		.newer.newer_len = (u_int)list->count,
+		.newer.newer_val = list->items,
+	};
+	struct brf_rpc_writer w;
 
-	brf_call_end(call);
-	dc->done(dc->arg, news, count, err);
-	free_call(dc);
-	brf_peer_release(peer);
+	brf_rpc_begin_reply(
+	    &w, out, list->bytes + ITEM_SIZE, xid, BRF_RPC_SUCCESS);
+	if (!brf_rpc_end(&w, xdr_brf_xdr_documents(&w.xdr, &docs)))
+		brf_rpc_write_status(out, xid, BRF_RPC_SYSTEM_ERR);
 }
 
 static void
-documents_fail(
-    struct brf_call *call, enum brf_outcome outcome, enum brf_reason reason)
+answer(struct brf_document_source *source,
+    const struct brf_known_revision *known, size_t count, uint32_t xid,
+    struct brf_buf *out)
 {
-	struct brf_error err;
+	struct news_list *list = brf_calloc(1, sizeof(*list));
+	size_t i;
 
-	(void)outcome;
-	brf_error_set(&err,
-	    reason == BRF_R_TIMEOUT || reason == BRF_R_EXPIRED ? BRF_E_TIMEOUT
-							       : BRF_E_CLOSED,
-	    0, "documents: %s", brf_reason_name(reason));
-	end_documents(call, NULL, 0, &err);
+	if (source != NULL)
+		source->vt->newer(source, known, count, emit, list);
+	write_news(out, xid, list);
+	for (i = 0; i < list->count; i++) {
+		free(list->items[i].service.service_val);
+		free(list->items[i].text.text_val);
+	}
+	free(list);
 }
 
 static bool
-fill_news(struct brf_document_news *news, char (*names)[BRF_NAME_MAX + 1],
-    const brf_xdr_documents *in)
+fill_known(const brf_xdr_revisions *in, struct brf_known_revision *known)
 {
-	const brf_xdr_document *d;
+	const brf_xdr_revision *r;
 	u_int i;
 
-	for (i = 0; i < in->newer.newer_len; i++) {
-		d = &in->newer.newer_val[i];
-		if (d->service.service_len == 0 ||
-		    memchr(d->service.service_val, '\0',
-			d->service.service_len) != NULL)
+	for (i = 0; i < in->known.known_len; i++) {
+		r = &in->known.known_val[i];
+		if (r->service.service_len == 0 ||
+		    memchr(r->service.service_val, '\0',
+			r->service.service_len) != NULL)
 			return (false);
-		memcpy(
-		    names[i], d->service.service_val, d->service.service_len);
-		news[i].service = names[i];
-		news[i].revision = d->revision;
-		news[i].text = d->text.text_val;
-		news[i].len = d->text.text_len;
+		known[i].service =
+		    brf_strdup(r->service.service_val, r->service.service_len);
+		known[i].revision = r->revision;
 	}
 	return (true);
 }
 
-static void
-documents_got(struct brf_call *call, XDR *xdr, const struct brf_record *record)
-{
-	char names[BRF_NEWS_MAX][BRF_NAME_MAX + 1] = { { 0 } };
-	struct brf_document_news news[BRF_NEWS_MAX];
-	brf_xdr_documents in = { .newer.newer_len = 0 };
-	struct brf_error err;
-
-	if (xdr_brf_xdr_documents(xdr, &in) && brf_rpc_at_end(xdr, record) &&
-	    fill_news(news, names, &in)) {
-		end_documents(call, news, in.newer.newer_len, NULL);
-	} else {
-		brf_error_set(&err, BRF_E_RPC_ARGUMENT, 0, "documents");
-		brf_peers_fault(call->peer->peers, &err);
-		end_documents(call, NULL, 0, &err);
-	}
-	xdr_free((xdrproc_t)xdr_brf_xdr_documents, &in);
-}
-
-static const struct brf_call_vt documents_vt = {
-	.procedure = BRF_PEER_DOCUMENTS,
-	.size = documents_size,
-	.put = documents_put,
-	.got = documents_got,
-	.fail = documents_fail,
-};
-
-void
-brf_peers_fetch_documents(struct brf_peers *peers, struct brf_backend *backend,
-    const struct brf_known_revision *known, size_t count, brf_documents_fn done,
-    void *arg)
+bool
+brf_documents_serve(struct brf_document_source *source, XDR *xdr,
+    const struct brf_record *record, uint32_t xid, struct brf_buf *out,
+    struct brf_error *err)
 {
-	struct brf_peer_backend *peer =
-	    brf_container_of(backend, struct brf_peer_backend, backend);
-	struct documents_call *dc = brf_calloc(1, sizeof(*dc));
-	brf_xdr_revision *r;
-	size_t i;
-
-	(void)peers;
-	dc->call.vt = &documents_vt;
-	dc->count = count < BRF_KNOWN_MAX ? count : BRF_KNOWN_MAX;
-	dc->known = brf_calloc(dc->count, sizeof(*dc->known));
-	dc->done = done;
-	dc->arg = arg;
-	for (i = 0; i < dc->count; i++) {
-		r = &dc->known[i];
-		r->service.service_len = (u_int)strlen(known[i].service);
-		r->service.service_val =
-		    brf_strdup(known[i].service, r->service.service_len);
-		r->revision = known[i].revision;
-	}
-	brf_call_open(&dc->call, peer, BRF_PEER_DOCUMENTS_US);
+	brf_xdr_revisions in = { .known.known_len = 0 };
+	struct brf_known_revision *known;
+	size_t i, count = 0;
+	bool ok =
+	    xdr_brf_xdr_revisions(xdr, &in) && brf_rpc_at_end(xdr, record);
+
+	if (ok)
+		count = in.known.known_len;
+	known = brf_calloc(count, sizeof(*known));
+	ok = ok && fill_known(&in, known);
+	if (ok)
+		answer(source, known, count, xid, out);
+	for (i = 0; i < count; i++)
+		free((char *)known[i].service);
+	free(known);
+	xdr_free((xdrproc_t)xdr_brf_xdr_revisions, &in);
+	if (ok)
+		return (true);
+	return (brf_error_set(err, BRF_E_RPC_ARGUMENT, 0, "revisions"));
 }
--- a/src/wire/server.c
+++ b/src/wire/server.c
@@ -2,13 +2,13 @@
 
 #include "base/log.h"
 #include "wire/codec.h"
+#include "wire/documents.h"
 #include "wire/peers.h"
 
 #define ID_BUCKETS 256u
 #define UNPROVED_MAX 256u     /* connections without a proof */
 #define UNPROVED_RECORD 1024u /* bytes of a record before the proof */
 #define CHALLENGE_SIZE 256u
-#define DOCUMENTS_OVERHEAD 256u /* bytes of names and lengths of a document */
 
 enum server_state {
 	SERVER_NEW,
@@ -265,116 +265,17 @@
 	return (true);
 }
 
-/**
- * struct news_list - the answer to BRF_PEER_DOCUMENTS as it grows.
- */
-struct news_list {
-	brf_xdr_document items[BRF_NEWS_MAX];
-	size_t count;
-	size_t bytes;
-};
-
-/* The source keeps the text until its call ends, but names nothing about it
- * after that, so it is copied. */
-static bool
-emit_news(const struct brf_document_news *news, void *arg)
-{
-	struct news_list *list = arg;
-	brf_xdr_document *item = &list->items[list->count];
-	size_t bytes = news->len + DOCUMENTS_OVERHEAD;
-
-	if (list->count == BRF_NEWS_MAX || news->len > BRF_XDR_BODY ||
-	    list->bytes + bytes > BRF_XDR_BODY + DOCUMENTS_OVERHEAD)
-		return (false);
-	item->service.service_len = (u_int)strlen(news->service);
-	item->service.service_val =
-	    brf_strdup(news->service, item->service.service_len);
-	item->revision = news->revision;
-	item->text.text_len = (u_int)news->len;
-	item->text.text_val =
-	    news->len != 0 ? brf_strdup(news->text, news->len) : NULL;
-	list->bytes += bytes;
-	list->count++;
-	return (true);
-}
-
-static void
-write_news(struct server_conn *sc, uint32_t xid, struct news_list *list)
-{
-	brf_xdr_documents docs = {
-		.newer.newer_len = (u_int)list->count,
-		.newer.newer_val = list->items,
-	};
-	struct brf_rpc_writer w;
-	size_t i;
-
-	brf_rpc_begin_reply(&w, &sc->conn.out, list->bytes + DOCUMENTS_OVERHEAD,
-	    xid, BRF_RPC_SUCCESS);
-	if (!brf_rpc_end(&w, xdr_brf_xdr_documents(&w.xdr, &docs)))
-		brf_rpc_write_status(&sc->conn.out, xid, BRF_RPC_SYSTEM_ERR);
-	brf_conn_touch(&sc->conn);
-	for (i = 0; i < list->count; i++) {
-		free(list->items[i].service.service_val);
-		free(list->items[i].text.text_val);
-	}
-}
-
-static bool
-fill_known(const brf_xdr_revisions *in, struct brf_known_revision *known)
-{
-	const brf_xdr_revision *r;
-	u_int i;
-
-	for (i = 0; i < in->known.known_len; i++) {
-		r = &in->known.known_val[i];
-		if (memchr(r->service.service_val, '\0',
-			r->service.service_len) != NULL)
-			return (false);
-		known[i].service =
-		    brf_strdup(r->service.service_val, r->service.service_len);
-		known[i].revision = r->revision;
-	}
-	return (true);
-}
-
-static void
-ask_source(struct server_conn *sc, uint32_t xid,
-    const struct brf_known_revision *known, size_t count)
-{
-	struct brf_document_source *source = sc->conn.peers->config.documents;
-	struct news_list *list = brf_calloc(1, sizeof(*list));
-
-	if (source != NULL)
-		source->vt->newer(source, known, count, emit_news, list);
-	write_news(sc, xid, list);
-	free(list);
-}
-
 static bool
 serve_documents(struct server_conn *sc, XDR *xdr,
     const struct brf_record *record, uint32_t xid, struct brf_error *err)
 {
-	brf_xdr_revisions in = { .known.known_len = 0 };
-	struct brf_known_revision *known = NULL;
-	size_t i, count = 0;
-	bool ok =
-	    xdr_brf_xdr_revisions(xdr, &in) && brf_rpc_at_end(xdr, record);
-
-	if (ok) {
-		count = in.known.known_len;
-		known = brf_calloc(count, sizeof(*known));
-		ok = fill_known(&in, known);
-	}
-	if (ok)
-		ask_source(sc, xid, known, count);
-	for (i = 0; i < count; i++)
-		free((char *)known[i].service);
-	free(known);
-	xdr_free((xdrproc_t)xdr_brf_xdr_revisions, &in);
-	if (ok)
-		return (true);
-	brf_error_set(err, BRF_E_RPC_ARGUMENT, 0, "revisions");
-	return (reject(sc, xid, BRF_RPC_GARBAGE_ARGS, err));
+	struct brf_conn *conn = &sc->conn;
+
+	if (!brf_documents_serve(conn->peers->config.documents, xdr, record,
+		xid, &conn->out, err))
+		return (reject(sc, xid, BRF_RPC_GARBAGE_ARGS, err));
+	brf_conn_touch(conn);
+	return (true);
 }
 
 static const struct {
--- a/test/wire_peer_test.cc
+++ b/test/wire_peer_test.cc
@@ -590,6 +590,15 @@
 			}),
 		    ANSWERED_AND_OPEN, BRF_RPC_GARBAGE_ARGS,
 		    BRF_E_RPC_ARGUMENT },
+		{ "revision of no service", true,
+		    call_bytes(9, BRF_PEER_DOCUMENTS,
+			[](XDR *x) {
+				brf_xdr_revision r = {};
+				brf_xdr_revisions v = { { 1, &r } };
+				return (xdr_brf_xdr_revisions(x, &v));
+			}),
+		    ANSWERED_AND_OPEN, BRF_RPC_GARBAGE_ARGS,
+		    BRF_E_RPC_ARGUMENT },
 		{ "reply to nothing", true,
 		    reply_bytes(9, BRF_RPC_SUCCESS, nothing), OPEN,
 		    BRF_RPC_SUCCESS, BRF_E_RPC_UNMATCHED },
