--- a/include/bulrushford.h
+++ b/include/bulrushford.h
@@ -26,15 +26,19 @@
 #define BRF_H_REQUEST "brf-request"
 
 /* Headers that a node adds to each response. */
-#define BRF_H_OUTCOME "brf-outcome"   /* answered, not_run or unknown */
-#define BRF_H_REASON "brf-reason"     /* see brf_reason_name() */
-#define BRF_H_ID "brf-request-id"     /* root request, 32 hex digits */
-#define BRF_H_ATTEMPTS "brf-attempts" /* attempts sent for this request */
+#define BRF_H_OUTCOME "brf-outcome"	    /* answered, not_run or unknown */
+#define BRF_H_REASON "brf-reason"	    /* see brf_reason_name() */
+#define BRF_H_ID "brf-request-id"	    /* root request, 32 hex digits */
+#define BRF_H_RETRY_MS "brf-retry-after-ms" /* when to ask again */
+#define BRF_H_ATTEMPTS "brf-attempts"	    /* attempts sent for this request */
+
+/* POST here, with the service as host, answers with a request token. */
+#define BRF_TOKEN_PATH "/.well-known/brf/request-token"
 
 /* Fixed bounds; no document and no setting raises them. */
 #define BRF_RETRY_BOUND 3u	      /* extra attempts per root request */
 #define BRF_DEPTH_MAX 32u	      /* calls nested below a root request */
-#define BRF_BODY_MAX (1024u * 1024u)  /* bytes, request and answer alike */
+#define BRF_BODY_MAX 1048576u	      /* bytes, request and answer alike */
 #define BRF_HEADERS_MAX 64u	      /* fields of one message */
 #define BRF_HEADER_BYTES_MAX 16384u   /* bytes of all fields of a message */
 #define BRF_PATH_MAX 2048u	      /* bytes of path and query */
--- /dev/null
+++ b/src/member/heal.c
@@ -0,0 +1,209 @@
+#include "member/internal.h"
+
+/**
+ * DOC: How nodes that lost each other meet again.
+ *
+ * Lost members are remembered and pinged, one a period; while some are found
+ * again, more at once.  Each ping carries what is claimed of the receiver, so
+ * that it can refute.  Seeds from the settings are pinged for ever, so that
+ * sides which were wholly replaced meet as well.
+ */
+
+void
+brf_heal_verify(struct brf_members *ms, struct brf_entry *e, bool claim)
+{
+	if (!brf_list_empty(&e->verify))
+		return;
+	e->verify_claim = claim;
+	e->verify_incarnation = e->version.incarnation;
+	e->verify_left = BRF_VERIFY_PINGS;
+	brf_list_append(&ms->verify, &e->verify);
+}
+
+void
+brf_heal_verify_zone(struct brf_members *ms, const struct brf_entry *e)
+{
+	const struct brf_member *self = &ms->table.self->member;
+	uint64_t recent = brf_members_own(ms) - ms->config.period_us;
+	const struct brf_roster *r = &ms->table.rosters[BRF_ROSTER_ALL];
+	size_t looks = r->count;
+	unsigned left = BRF_VERIFY_ZONE;
+	struct brf_entry *other;
+
+	if (strcmp(e->member.zone, self->zone) == 0)
+		return;
+	while (looks-- > 0 && left > 0) {
+		other = brf_roster_any(&ms->table, BRF_ROSTER_ALL);
+		if (other->version.state >= BRF_GOSSIP_SUSPECT ||
+		    other->heard_direct >= recent ||
+		    strcmp(other->member.zone, e->member.zone) != 0)
+			continue;
+		brf_heal_verify(ms, other, false);
+		left--;
+	}
+}
+
+/* A lost member whose address has another life will not come back. */
+static bool
+is_replaced(struct brf_members *ms, const struct brf_entry *e)
+{
+	const struct sockaddr_in *own = &ms->table.self->member.addr;
+
+	return (brf_table_at(&ms->table, &e->member.addr, e) != NULL ||
+		(own->sin_port == e->member.addr.sin_port &&
+		    own->sin_addr.s_addr == e->member.addr.sin_addr.s_addr));
+}
+
+static void
+ping_lost(struct brf_members *ms)
+{
+	struct brf_entry *e = brf_roster_next(&ms->table, BRF_ROSTER_LOST);
+
+	if (e == NULL)
+		return;
+	if (is_replaced(ms, e))
+		brf_members_conclude(ms, e, BRF_GOSSIP_LEFT);
+	else
+		brf_probe_claim(ms, e, BRF_GOSSIP_FAILED);
+}
+
+static void
+heal_step(struct brf_members *ms)
+{
+	uint64_t now = brf_members_own(ms);
+	unsigned i;
+
+	if (now < ms->healing_until) {
+		for (i = 0; i < BRF_HEAL_PER_TICK; i++)
+			ping_lost(ms);
+	} else if (ms->next_heal <= now) {
+		ms->next_heal = now + ms->config.period_us;
+		ping_lost(ms);
+	}
+}
+
+static void
+verify(struct brf_members *ms, struct brf_entry *e)
+{
+	brf_list_remove(&e->verify);
+	if (e->verify_incarnation != e->version.incarnation)
+		return; /* it has spoken since */
+	if (e->verify_claim)
+		brf_probe_claim(ms, e, BRF_GOSSIP_FAILED);
+	else
+		brf_probe_claim(ms, e, (enum brf_gossip_state)e->version.state);
+	if (e->version.state >= BRF_GOSSIP_SUSPECT)
+		return;
+	e->verify_at = brf_members_own(ms);
+	e->verify_left--;
+	brf_list_append(&ms->checks, &e->verify);
+}
+
+static void
+verify_step(struct brf_members *ms)
+{
+	unsigned i;
+
+	for (i = 0; i < BRF_VERIFY_PER_TICK; i++) {
+		if (brf_list_empty(&ms->verify))
+			return;
+		verify(ms,
+		    brf_list_entry(ms->verify.next, struct brf_entry, verify));
+	}
+}
+
+/* All wait equally long, so the first was pinged first. */
+static void
+check_step(struct brf_members *ms)
+{
+	uint64_t wait = BRF_ACK_TICKS * ms->tick_us * (1 + ms->health);
+	uint64_t now = brf_members_own(ms);
+	struct brf_entry *e;
+
+	while (!brf_list_empty(&ms->checks)) {
+		e = brf_list_entry(ms->checks.next, struct brf_entry, verify);
+		if (e->verify_at + wait > now)
+			return;
+		brf_list_remove(&e->verify);
+		if (e->heard_direct >= e->verify_at)
+			continue;
+		if (e->verify_left != 0)
+			brf_list_prepend(&ms->verify, &e->verify);
+		else
+			brf_members_conclude(ms, e, BRF_GOSSIP_SUSPECT);
+	}
+}
+
+/* Members that are gone for long are forgotten. */
+static void
+forget_step(struct brf_members *ms)
+{
+	uint64_t now = brf_members_own(ms);
+	struct brf_list *l, *tmp;
+	struct brf_member before;
+	struct brf_entry *e;
+
+	brf_list_foreach_safe (l, tmp, &ms->table.gone) {
+		e = brf_list_entry(l, struct brf_entry, link);
+		if (e->until > now)
+			continue;
+		before = e->member;
+		brf_table_remove(&ms->table, e);
+		brf_members_notify(ms, &before, NULL);
+	}
+}
+
+static void
+ping_seed(struct brf_members *ms, const struct sockaddr_in *seed)
+{
+	const struct brf_entry *self = ms->table.self;
+	struct brf_gossip *g;
+
+	if (self->member.addr.sin_port == seed->sin_port &&
+	    self->member.addr.sin_addr.s_addr == seed->sin_addr.s_addr)
+		return;
+	g = brf_members_begin(ms, BRF_GOSSIP_PING);
+	brf_gossip_add_full(g, &self->member, &self->version);
+	brf_members_send(ms, seed);
+}
+
+void
+brf_members_contact(struct brf_members *ms, const struct sockaddr_in *addr)
+{
+	if (!ms->leaving && brf_table_at(&ms->table, addr, NULL) == NULL)
+		ping_seed(ms, addr);
+}
+
+static void
+seed_step(struct brf_members *ms)
+{
+	uint64_t now = brf_members_own(ms), period = ms->config.period_us;
+	size_t i;
+
+	if (ms->config.seed_count == 0 || now < ms->next_seed)
+		return;
+	if (ms->table.rosters[BRF_ROSTER_ALL].count != 0) {
+		ms->next_seed = now + BRF_SEED_PERIODS * period;
+		ms->seed_wait = 0;
+		i = ms->seed_turn++ % ms->config.seed_count;
+		brf_members_contact(ms, &ms->config.seeds[i]);
+		return;
+	}
+	ms->seed_wait += 2 * ms->tick_us;
+	if (ms->seed_wait > period)
+		ms->seed_wait = period;
+	ms->next_seed = now + ms->seed_wait / 2 +
+			brf_random_below(ms->config.random, ms->seed_wait);
+	for (i = 0; i < ms->config.seed_count; i++)
+		ping_seed(ms, &ms->config.seeds[i]);
+}
+
+void
+brf_heal_tick(struct brf_members *ms)
+{
+	heal_step(ms);
+	verify_step(ms);
+	check_step(ms);
+	forget_step(ms);
+	seed_step(ms);
+}
