--- a/src/member/members.c
+++ b/src/member/members.c
@@ -278,7 +278,7 @@
 	if ((g->flags & BRF_GOSSIP_F_STRANGER) != 0)
 		introduce(ms, from);
 	sender = brf_table_find(&ms->table, g->sender.lo);
-	if (sender != NULL && !brf_entry_gone(sender) && !ms->leaving)
+	if ((sender == NULL || !brf_entry_gone(sender)) && !ms->leaving)
 		brf_sync_consider(ms, from);
 }
 
--- a/src/member/merge.c
+++ b/src/member/merge.c
@@ -275,7 +275,8 @@
 	struct brf_entry *e = brf_table_find(&ms->table, ms->in.sender.lo);
 
 	if (e == NULL)
-		return (ms->table.rosters[BRF_ROSTER_ALL].count == 0);
+		return ((ms->in.flags & BRF_GOSSIP_F_TABLE) != 0 ||
+			ms->table.rosters[BRF_ROSTER_ALL].count == 0);
 	return (!brf_entry_gone(e));
 }
 
--- a/src/member/sync.c
+++ b/src/member/sync.c
@@ -47,9 +47,13 @@
 			ms->catch_up_until = 0;
 		return;
 	}
+	if (now < ms->catch_up_until)
+		quiet = true;
 	if (now < ms->next_sync || (!quiet && !late))
 		return;
-	ms->next_sync = now + BRF_SYNC_PERIODS * period;
+	ms->next_sync = now + (now < ms->catch_up_until
+				      ? ms->tick_us
+				      : BRF_SYNC_PERIODS * period);
 	ms->last_sync = now;
 	ask(ms, from);
 }
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -10,6 +10,7 @@
 #define OWN_WEIGHT 0.8
 
 #define LATENCY_AGE_US (5 * BRF_US_PER_S)
+#define FAILED_AGE_US (5 * BRF_US_PER_S)
 
 static bool
 is_tried(const struct brf_route_request *q, const struct brf_route_node *node)
@@ -60,6 +61,8 @@
 		latency = node->latency_us;
 	if (node->own)
 		load *= OWN_WEIGHT;
+	if (c->now - node->outlier.failed_at < FAILED_AGE_US)
+		load *= 1 + node->outlier.failures;
 	return (load / brf_level_room(node, c->now) * (latency + 1));
 }
 
@@ -72,21 +75,24 @@
 	return (cost(c, a) <= cost(c, b) ? a : b);
 }
 
-/* Nodes in turn from a random one, until two fit. */
+/* A small ring is looked at as a whole. */
 static struct brf_route_node *
-two_in_turn(struct brf_choice *c, const struct brf_route_list *l,
+two_of_all(struct brf_choice *c, const struct brf_route_list *l,
     enum brf_choice_kind kind)
 {
-	struct brf_route_node *found[2] = { NULL, NULL };
-	size_t at = brf_random_below(c->router->random, l->count);
-	size_t i, n = 0;
-
-	for (i = 0; i < l->count && n < 2; i++) {
-		if (fits(c, l->list[at], kind))
-			found[n++] = l->list[at];
-		at = at + 1 < l->count ? at + 1 : 0;
+	struct brf_route_node *fit[LOOKS_MAX];
+	struct brf_random *random = c->router->random;
+	size_t i, first, second, n = 0;
+
+	for (i = 0; i < l->count; i++) {
+		if (fits(c, l->list[i], kind))
+			fit[n++] = l->list[i];
 	}
-	return (better(c, found[0], found[1]));
+	if (n < 2)
+		return (n == 1 ? fit[0] : NULL);
+	first = brf_random_below(random, n);
+	second = (first + 1 + brf_random_below(random, n - 1)) % n;
+	return (better(c, fit[first], fit[second]));
 }
 
 static struct brf_route_node *
@@ -114,6 +120,6 @@
 	if (l->count == 0)
 		return (NULL);
 	if (l->count <= LOOKS_MAX)
-		return (two_in_turn(c, l, kind));
+		return (two_of_all(c, l, kind));
 	return (two_at_random(c, l, kind));
 }
--- a/src/route/internal.h
+++ b/src/route/internal.h
@@ -17,13 +17,14 @@
 
 /**
  * struct brf_outlier - what this node has itself seen of another.
- * @failures: consecutive ones
+ * @failures: consecutive ones, the last at clock time @failed_at
  * @ejections: consecutive ones; each is longer than the last
  * @until: clock time at which it may be tried again; 0 when not ejected
  * @probation: after that time one attempt at once, until one is useful
  */
 struct brf_outlier {
 	uint32_t failures;
+	uint64_t failed_at;
 	uint32_t ejections;
 	uint64_t until;
 	bool probation;
--- a/src/route/outlier.c
+++ b/src/route/outlier.c
@@ -110,6 +110,7 @@
 	if (!is_failure(node->service, reply, took_us))
 		return;
 	o->failures++;
+	o->failed_at = now;
 	if (o->until > now || (o->failures < FAILURES_TO_EJECT && !probed))
 		return;
 	if (node->service != NULL && may_eject(node, now))
