Add bulrushctl

Cause: operators drive the system by documents alone and need one tool. Conclusion: run by hand against the store's stand-in: checks, edits, conflict, another service's key, deletion, lost answer, store down.

--- a/src/cmd/bulrushctl.c
+++ b/src/cmd/bulrushctl.c
@@ -1,6 +1,188 @@
+#include <signal.h>
+#include <stdlib.h>
+
+#include <argtable2.h>
+
 #include "bulrushford.h"
+#include "ctl/ctl.h"
+
+#define WORDS_MAX 6
+#define NODE_DEFAULT "127.0.0.1:8483"
+#define TIMEOUT_DEFAULT_MS 10000
+#define TIMEOUT_MAX_MS 3600000
+#define ERRORS_MAX 8
+
+/**
+ * struct flags - the command line as argtable reads it.
+ */
+struct flags {
+	struct arg_str *node;
+	struct arg_str *store;
+	struct arg_lit *json;
+	struct arg_str *expect;
+	struct arg_lit *wait;
+	struct arg_lit *replace;
+	struct arg_int *timeout;
+	struct arg_int *key_fd;
+	struct arg_str *page;
+	struct arg_lit *help;
+	struct arg_lit *version;
+	struct arg_str *words;
+	struct arg_end *end;
+};
+
+#define FLAG_COUNT (sizeof(struct flags) / sizeof(void *))
+
+static void
+make_flags(struct flags *f)
+{
+	f->node = arg_str0(NULL, "node", "HOST:PORT",
+	    "a node's admin address (BRF_NODE; " NODE_DEFAULT ")");
+	f->store =
+	    arg_str0(NULL, "store", "HOST:PORT", "the store (BRF_STORE)");
+	f->json = arg_lit0(NULL, "json", "print JSON");
+	f->expect = arg_str0(
+	    NULL, "expect", "N", "revision that is replaced; 0 for none");
+	f->wait = arg_lit0(NULL, "wait", "wait until all nodes have it");
+	f->replace = arg_lit0(NULL, "replace-unproved",
+	    "replace a document that the key does not prove");
+	f->timeout = arg_int0(
+	    NULL, "timeout-ms", "N", "give up an edit or --wait (10000)");
+	f->key_fd = arg_int0(
+	    NULL, "key-fd", "FD", "read the secret from this descriptor");
+	f->page = arg_str0(
+	    NULL, "html", "FILE", "burn: write a page to look at as well");
+	f->help = arg_lit0(NULL, "help", "show this help");
+	f->version = arg_lit0(NULL, "version", "show the version");
+	f->words = arg_strn(
+	    NULL, NULL, "COMMAND", 0, WORDS_MAX, "a command, see below");
+	f->end = arg_end(ERRORS_MAX);
+}
+
+static void
+print_help(struct flags *f)
+{
+	const struct brf_ctl_command *c;
+	char usage[64];
+	size_t i, n;
+
+	printf("usage: bulrushctl [flags] COMMAND [arguments]\n\n");
+	arg_print_glossary(stdout, (void **)f, "  %-22s %s\n");
+	printf("\ncommands:\n");
+	c = brf_ctl_commands(&n);
+	for (i = 0; i < n; i++) {
+		snprintf(usage, sizeof(usage), "%s %s", c[i].name,
+		    c[i].arguments != NULL ? c[i].arguments : "");
+		printf("  %-26s %s\n", usage, c[i].help);
+	}
+	printf("\nexit codes: 0 done, 1 failed, 2 wrong use, 3 no answer from "
+	       "node or store,\n4 a newer revision exists\n");
+}
+
+static const char *
+flag_or_env(const struct arg_str *flag, const char *env)
+{
+	return (flag->count > 0 ? flag->sval[0] : getenv(env));
+}
+
+/* Return: whether the numbers are good. */
+static bool
+read_numbers(const struct flags *f, struct brf_ctl_options *o)
+{
+	int timeout =
+	    f->timeout->count > 0 ? f->timeout->ival[0] : TIMEOUT_DEFAULT_MS;
+	char *end;
+
+	o->expect = -1;
+	if (f->expect->count > 0) {
+		o->expect = strtoll(f->expect->sval[0], &end, 10);
+		if (end == f->expect->sval[0] || *end != '\0' || o->expect < 0)
+			return (false);
+	}
+	o->key_fd = f->key_fd->count > 0 ? f->key_fd->ival[0] : -1;
+	o->timeout_us = (uint64_t)timeout * BRF_US_PER_MS;
+	return (timeout > 0 && timeout <= TIMEOUT_MAX_MS &&
+		(f->key_fd->count == 0 || o->key_fd >= 0));
+}
+
+static bool
+read_options(const struct flags *f, struct brf_ctl_options *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->node = flag_or_env(f->node, "BRF_NODE");
+	o->node_given = o->node != NULL;
+	if (!o->node_given)
+		o->node = NODE_DEFAULT;
+	o->store = flag_or_env(f->store, "BRF_STORE");
+	o->json = f->json->count > 0;
+	o->wait = f->wait->count > 0;
+	o->replace_unproved = f->replace->count > 0;
+	o->page = f->page->count > 0 ? f->page->sval[0] : NULL;
+	return (read_numbers(f, o));
+}
+
+static int
+misuse(const char *why, const char *word)
+{
+	fprintf(stderr, "bulrushctl: %s%s; try --help\n", why, word);
+	return (BRF_EXIT_USAGE);
+}
+
+static int
+run(const struct flags *f)
+{
+	const char **words = f->words->sval;
+	const struct brf_ctl_command *c;
+	struct brf_ctl_options options;
+	struct brf_ctl *ctl;
+	int taken, count, code;
+
+	if (f->words->count == 0)
+		return (misuse("a command is missing", ""));
+	c = brf_ctl_find(words, f->words->count, &taken);
+	if (c == NULL)
+		return (misuse("unknown command ", words[0]));
+	count = f->words->count - taken;
+	if (count < c->least || count > c->most)
+		return (misuse("wrong number of arguments for ", c->name));
+	if (!read_options(f, &options))
+		return (misuse(
+		    "--expect, --timeout-ms or --key-fd is out of range", ""));
+	if (!c->edits &&
+	    (options.expect >= 0 || options.wait || options.replace_unproved))
+		return (misuse("--expect, --wait and --replace-unproved don't "
+			       "go with ",
+		    c->name));
+	ctl = brf_ctl_new(&options);
+	code = c->run(ctl, words + taken, count);
+	brf_ctl_free(ctl);
+	return (code);
+}
+
 int
-main(void)
+main(int argc, char **argv)
 {
-	return (BRF_EXIT_FAILED);
+	struct flags flags;
+	void **table = (void **)&flags;
+	int errors, code = BRF_EXIT_OK;
+
+	signal(SIGPIPE, SIG_IGN);
+	make_flags(&flags);
+	if (arg_nullcheck(table) != 0)
+		abort();
+	errors = arg_parse(argc, argv, table);
+	if (flags.help->count > 0) {
+		print_help(&flags);
+	} else if (flags.version->count > 0) {
+		printf("bulrushctl %s\n", BRF_VERSION);
+	} else if (errors > 0) {
+		arg_print_errors(stderr, flags.end, "bulrushctl");
+		code = BRF_EXIT_USAGE;
+	} else {
+		code = run(&flags);
+	}
+	arg_freetable(table, FLAG_COUNT);
+	if (fflush(stdout) != 0 && code == BRF_EXIT_OK)
+		code = BRF_EXIT_FAILED;
+	return (code);
 }
--- /dev/null
+++ b/src/ctl/burn.c
@@ -0,0 +1,252 @@
+#include <errno.h>
+
+#include "bulrushford.h"
+#include "ctl/burn.h"
+#include "ctl/commands.h"
+#include "ctl/table.h"
+
+#define BAR_FULL_BURN 10.0 /* burn rate of a bar over the whole width */
+#define BAR_WIDTH_PX 300.0
+
+static const char *const count_names[] = { "total", "good", "refused",
+	"unknown", "late", "failed" };
+static const char *const key_names[] = { "service", "class", "window_s" };
+static const char *const columns[] = { "service", "class", "window_s",
+	"objective", "within_ms", "total", "good", "refused", "unknown", "late",
+	"failed", "burn", NULL };
+
+static json_int_t
+count_of(const json_t *o, const char *name)
+{
+	return (json_integer_value(json_object_get(o, name)));
+}
+
+static bool
+same_key(const json_t *a, const json_t *b)
+{
+	size_t i;
+
+	for (i = 0; i < brf_nitems(key_names); i++) {
+		if (!json_equal(json_object_get(a, key_names[i]),
+			json_object_get(b, key_names[i])))
+			return (false);
+	}
+	return (true);
+}
+
+static void
+add_counts(json_t *to, const json_t *from)
+{
+	const char *name;
+	size_t i;
+
+	for (i = 0; i < brf_nitems(count_names); i++) {
+		name = count_names[i];
+		json_object_set_new(to, name,
+		    json_integer(count_of(to, name) + count_of(from, name)));
+	}
+}
+
+static json_t *
+find_sum(const json_t *sum, const json_t *one)
+{
+	json_t *known;
+	size_t i;
+
+	json_array_foreach (sum, i, known) {
+		if (same_key(known, one))
+			return (known);
+	}
+	return (NULL);
+}
+
+void
+brf_burn_add(json_t *sum, const json_t *list)
+{
+	json_t *one, *known;
+	size_t i;
+
+	json_array_foreach (list, i, one) {
+		if (!json_is_object(one))
+			continue;
+		known = find_sum(sum, one);
+		if (known != NULL)
+			add_counts(known, one);
+		else
+			json_array_append_new(sum, json_copy(one));
+	}
+}
+
+void
+brf_burn_rates(json_t *sum)
+{
+	double total, bad, allowed;
+	json_t *one;
+	size_t i;
+
+	json_array_foreach (sum, i, one) {
+		total = (double)count_of(one, "total");
+		bad = total - (double)count_of(one, "good");
+		allowed =
+		    1.0 - json_number_value(json_object_get(one, "objective"));
+		json_object_set_new(one, "burn",
+		    total > 0.0 && allowed > 0.0
+			? json_real(bad / total / allowed)
+			: json_null());
+	}
+}
+
+static void
+put_html(struct brf_buf *out, const char *s)
+{
+	for (; *s != '\0'; s++) {
+		if (*s == '<' || *s == '>' || *s == '&' || *s == '"')
+			brf_buf_printf(out, "&#%d;", *s);
+		else
+			brf_buf_putc(out, *s);
+	}
+}
+
+static void
+put_page_row(struct brf_buf *out, const json_t *one)
+{
+	const char *service =
+	    json_string_value(json_object_get(one, "service"));
+	double burn = json_number_value(json_object_get(one, "burn"));
+	double width = burn / BAR_FULL_BURN;
+	size_t i;
+
+	brf_buf_puts(out, "<tr><td>");
+	put_html(out, service != NULL ? service : "");
+	brf_buf_printf(out, "<td>%lld<td>%lld s<td>%.6g<td>%lld ms",
+	    (long long)count_of(one, "class"),
+	    (long long)count_of(one, "window_s"),
+	    json_number_value(json_object_get(one, "objective")),
+	    (long long)count_of(one, "within_ms"));
+	for (i = 0; i < brf_nitems(count_names); i++)
+		brf_buf_printf(
+		    out, "<td>%lld", (long long)count_of(one, count_names[i]));
+	brf_buf_printf(out,
+	    "<td>%.2f<td><svg width=\"%.0f\" height=\"12\"><rect "
+	    "width=\"%.1f\" height=\"12\" fill=\"%s\"/></svg>\n",
+	    burn, BAR_WIDTH_PX, BAR_WIDTH_PX * (width < 1.0 ? width : 1.0),
+	    burn > 1.0 ? "#b00020" : "#2e7d32");
+}
+
+void
+brf_burn_page(
+    const json_t *sum, size_t nodes, size_t known, struct brf_buf *out)
+{
+	const json_t *one;
+	size_t i;
+
+	brf_buf_printf(out,
+	    "<!DOCTYPE html><html lang=\"en\"><meta charset=\"utf-8\">"
+	    "<title>Burn of service-level objectives</title><style>"
+	    "body{font:14px sans-serif}td,th{padding:2px 8px;"
+	    "text-align:right}</style>"
+	    "<h1>Burn of service-level objectives</h1>"
+	    "<p>From %zu of %zu nodes. A burn rate of 1 uses up the budget in "
+	    "exactly its period; bars end at %.0f.</p><table><tr>"
+	    "<th>service<th>class<th>window<th>objective<th>within",
+	    nodes, known, BAR_FULL_BURN);
+	for (i = 0; i < brf_nitems(count_names); i++)
+		brf_buf_printf(out, "<th>%s", count_names[i]);
+	brf_buf_puts(out, "<th>burn<th>\n");
+	json_array_foreach (sum, i, one)
+		put_page_row(out, one);
+	brf_buf_puts(out, "</table></html>\n");
+}
+
+static bool
+write_page(const char *path, const struct brf_buf *text, struct brf_error *err)
+{
+	FILE *out = fopen(path, "w");
+	bool ok;
+
+	if (out == NULL)
+		return (brf_error_set(err, BRF_E_SYSTEM, errno, "%s", path));
+	ok = fwrite(text->data, 1, text->len, out) == text->len;
+	ok = fclose(out) == 0 && ok;
+	if (!ok)
+		brf_error_set(err, BRF_E_SYSTEM, errno, "%s", path);
+	return (ok);
+}
+
+static void
+show_table(const json_t *sum, size_t nodes, size_t known)
+{
+	struct brf_buf out = { 0 };
+
+	brf_render(sum, columns, &out);
+	fputs(out.data, stdout);
+	printf("from %zu of %zu nodes\n", nodes, known);
+	brf_buf_free(&out);
+}
+
+/* Return: nodes that answered. */
+static size_t
+sum_pages(const struct brf_ctl_page *pages, size_t known, json_t *sum)
+{
+	size_t i, nodes = 0;
+
+	for (i = 0; i < known; i++) {
+		if (!json_is_array(pages[i].json))
+			continue;
+		brf_burn_add(sum, pages[i].json);
+		nodes++;
+	}
+	brf_burn_rates(sum);
+	return (nodes);
+}
+
+static int
+show(struct brf_ctl *ctl, json_t *sum, size_t nodes, size_t known)
+{
+	struct brf_error err = { .code = BRF_OK };
+	struct brf_buf page = { 0 };
+	bool ok = true;
+
+	if (nodes == 0 && known != 0) {
+		brf_error_set(&err, BRF_E_NOT_FOUND, 0,
+		    "none of %zu nodes reports on burn", known);
+		return (brf_ctl_fail(ctl, &err));
+	}
+	if (ctl->options.page != NULL) {
+		brf_burn_page(sum, nodes, known, &page);
+		ok = write_page(ctl->options.page, &page, &err);
+		brf_buf_free(&page);
+	}
+	if (!ok)
+		return (brf_ctl_fail(ctl, &err));
+	if (ctl->options.json)
+		brf_ctl_print_json(
+		    json_pack("{s:I, s:I, s:O}", "nodes", (json_int_t)nodes,
+			"known", (json_int_t)known, "burn", sum));
+	else
+		show_table(sum, nodes, known);
+	return (BRF_EXIT_OK);
+}
+
+int
+brf_ctl_burn(struct brf_ctl *ctl, const char **args, int count)
+{
+	struct brf_error err = { .code = BRF_OK };
+	struct brf_ctl_page *pages;
+	size_t known, nodes;
+	json_t *sum;
+	int code;
+
+	(void)args;
+	(void)count;
+	pages = brf_ctl_members(ctl, &known, &err);
+	if (pages == NULL)
+		return (brf_ctl_fail(ctl, &err));
+	brf_ctl_get_each(ctl, "/brf/v1/burn", pages, known);
+	sum = json_array();
+	nodes = sum_pages(pages, known, sum);
+	brf_ctl_pages_free(pages, known);
+	code = show(ctl, sum, nodes, known);
+	json_decref(sum);
+	return (code);
+}
--- /dev/null
+++ b/src/ctl/commands.c
@@ -0,0 +1,121 @@
+#include "ctl/commands.h"
+
+static const struct brf_ctl_command commands[] = {
+	{ .name = "status",
+	    .help = "state of one node and the documents in force there",
+	    .run = brf_ctl_status },
+	{ .name = "members",
+	    .help = "all nodes, as one node knows them",
+	    .run = brf_ctl_show_members },
+	{ .name = "services",
+	    .help = "services, their targets and documents",
+	    .run = brf_ctl_services },
+	{ .name = "explain",
+	    .arguments = "SERVICE",
+	    .help = "where one node would send requests, and why",
+	    .least = 1,
+	    .most = 1,
+	    .run = brf_ctl_explain },
+	{ .name = "burn",
+	    .help = "burn of service-level objectives over all nodes",
+	    .run = brf_ctl_burn },
+	{ .name = "config check",
+	    .arguments = "FILE",
+	    .help = "check a document; needs no node and no store",
+	    .least = 1,
+	    .most = 1,
+	    .run = brf_ctl_config_check },
+	{ .name = "config list",
+	    .help = "all stored documents",
+	    .run = brf_ctl_config_list },
+	{ .name = "config get",
+	    .arguments = "SERVICE",
+	    .help = "the stored document",
+	    .least = 1,
+	    .most = 1,
+	    .run = brf_ctl_config_get },
+	{ .name = "config diff",
+	    .arguments = "SERVICE FILE",
+	    .help = "lines that differ from the stored document",
+	    .least = 2,
+	    .most = 2,
+	    .run = brf_ctl_config_diff },
+	{ .name = "config history",
+	    .arguments = "SERVICE",
+	    .help = "edits, as far back as the store keeps them",
+	    .least = 1,
+	    .most = 1,
+	    .run = brf_ctl_config_history },
+	{ .name = "config put",
+	    .arguments = "SERVICE FILE",
+	    .help = "store a document in place of revision --expect",
+	    .least = 2,
+	    .most = 2,
+	    .edits = true,
+	    .run = brf_ctl_config_put },
+	{ .name = "config delete",
+	    .arguments = "SERVICE",
+	    .help = "go back to the defaults, in place of revision --expect",
+	    .least = 1,
+	    .most = 1,
+	    .edits = true,
+	    .run = brf_ctl_config_delete },
+	{ .name = "token",
+	    .arguments = "WORKSPACE",
+	    .help = "make a workspace's token, by BRF_WORKSPACE_KEYS",
+	    .least = 1,
+	    .most = 1,
+	    .run = brf_ctl_token },
+	{ .name = "key",
+	    .arguments = "SERVICE",
+	    .help = "derive a service's key, by BRF_OPERATOR_KEY",
+	    .least = 1,
+	    .most = 1,
+	    .run = brf_ctl_key },
+	{ .name = "mint",
+	    .arguments = "ID",
+	    .help = "make a random key for a key ring",
+	    .least = 1,
+	    .most = 1,
+	    .run = brf_ctl_mint },
+};
+
+const struct brf_ctl_command *
+brf_ctl_commands(size_t *count)
+{
+	*count = brf_nitems(commands);
+	return (commands);
+}
+
+/* Whether the first words, divided by spaces, are @name; 0 if not. */
+static int
+words_of(const char *name, const char **argv, int argc)
+{
+	size_t len;
+	int i;
+
+	for (i = 0; i < argc; i++) {
+		len = strlen(argv[i]);
+		if (strncmp(name, argv[i], len) != 0)
+			return (0);
+		if (name[len] == '\0')
+			return (i + 1);
+		if (name[len] != ' ')
+			return (0);
+		name += len + 1;
+	}
+	return (0);
+}
+
+const struct brf_ctl_command *
+brf_ctl_find(const char **argv, int argc, int *words)
+{
+	size_t i;
+
+	for (i = 0; i < brf_nitems(commands); i++) {
+		*words = words_of(commands[i].name, argv, argc);
+		if (*words != 0)
+			return (&commands[i]);
+	}
+	return (NULL);
+}
--- /dev/null
+++ b/src/ctl/commands.h
@@ -0,0 +1,38 @@
+#ifndef BRF_CTL_COMMANDS_H
+#define BRF_CTL_COMMANDS_H
+
+#include "ctl/ctl.h"
+
+/* The type of a command's function; @args are those after its name. */
+typedef int brf_ctl_run_fn(struct brf_ctl *ctl, const char **args, int count);
+
+BRF_BEGIN_DECLS
+
+/* pages.c */
+brf_ctl_run_fn brf_ctl_status;
+brf_ctl_run_fn brf_ctl_show_members;
+brf_ctl_run_fn brf_ctl_services;
+brf_ctl_run_fn brf_ctl_explain;
+
+/* burn.c */
+brf_ctl_run_fn brf_ctl_burn;
+
+/* show.c */
+brf_ctl_run_fn brf_ctl_config_check;
+brf_ctl_run_fn brf_ctl_config_list;
+brf_ctl_run_fn brf_ctl_config_get;
+brf_ctl_run_fn brf_ctl_config_diff;
+brf_ctl_run_fn brf_ctl_config_history;
+
+/* put.c */
+brf_ctl_run_fn brf_ctl_config_put;
+brf_ctl_run_fn brf_ctl_config_delete;
+
+/* secrets.c */
+brf_ctl_run_fn brf_ctl_token;
+brf_ctl_run_fn brf_ctl_key;
+brf_ctl_run_fn brf_ctl_mint;
+
+BRF_END_DECLS
+
+#endif
