--- a/Makefile
+++ b/Makefile
@@ -55,30 +55,35 @@
 
 $(BUILD)/%.c.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+	@echo CC $<
+	@$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/%.cc.o: %.cc
 	@mkdir -p $(@D)
-	$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
+	@echo CXX $<
+	@$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
 $(LIB): $(call objs,$(LIB_SRC))
 	@rm -f $@
-	ar rcs $@ $^
+	@ar rcs $@ $^
 
 $(call bins,$(PROGRAMS)): $(BUILD)/bin/%: $(BUILD)/src/cmd/%.c.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
+	@echo LD $@
+	@$(CC) $(LDFLAGS) $^ $(PKG_LIBS) -o $@
 
 define standin_rule
 $$(BUILD)/bin/$(1): $$(call objs,$$(wildcard standin/$(1)/*.c)) $$(LIB)
 	@mkdir -p $$(@D)
-	$$(CC) $$(LDFLAGS) $$^ $$(PKG_LIBS) -o $$@
+	@echo LD $$@
+	@$$(CC) $$(LDFLAGS) $$^ $$(PKG_LIBS) -o $$@
 endef
 $(foreach s,$(STANDINS),$(eval $(call standin_rule,$(s))))
 
 $(BUILD)/bin/brf_test: $(call objs,$(TEST_SRC)) $(LIB)
 	@mkdir -p $(@D)
-	$(CXX) $(LDFLAGS) $^ $(PKG_LIBS) -lrapidcheck -lgtest -lgtest_main \
+	@echo LD $@
+	@$(CXX) $(LDFLAGS) $^ $(PKG_LIBS) -lrapidcheck -lgtest -lgtest_main \
 	    -lpthread -o $@
 
 tests: all $(BUILD)/bin/brf_test
@@ -92,7 +97,8 @@
 # Sources are compiled again by clang for coverage-guided fuzzing.
 build/fuzz/%: fuzz/%.c $(LIB_SRC)
 	@mkdir -p $(@D)
-	$(CLANG) -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
+	@echo FUZZ $<
+	@$(CLANG) -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
 	    -fno-sanitize-recover=undefined -Wno-unused-variable $(DEFS) \
 	    $(PKG_CFLAGS) $< $(LIB_SRC) $(PKG_LIBS) -o $@
 
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -2,6 +2,7 @@
 
 #include <jansson.h>
 
+#include "node/burn.h"
 #include "node/node.h"
 #include "node/pending.h"
 
@@ -122,6 +123,17 @@
 	return (why[m->state]);
 }
 
+/* A node is not told of itself. */
+static uint64_t
+silence(const struct brf_node *node, const struct brf_member *m)
+{
+	uint64_t t = now(node);
+
+	if (brf_id_equal(m->node, node->caller.self) || t < m->heard)
+		return (0);
+	return (t - m->heard);
+}
+
 static bool
 add_member(const struct brf_member *m, void *arg)
 {
@@ -139,7 +151,7 @@
 		"region", m->region, "service", m->service, "slots",
 		(int)m->slots, "state", brf_member_state_name(m->state),
 		"heard_ms",
-		(json_int_t)((now(l->node) - m->heard) / BRF_US_PER_MS), "why",
+		(json_int_t)(silence(l->node, m) / BRF_US_PER_MS), "why",
 		why_no_work(m)));
 	return (true);
 }
@@ -231,6 +243,12 @@
 	brf_message_unref(m);
 }
 
+static void
+burn(struct brf_node *node, struct brf_http_request *http)
+{
+	respond(http, brf_burn_json(node->caller.burn, node->docs));
+}
+
 static const struct {
 	const char *path;
 	void (*run)(struct brf_node *node, struct brf_http_request *http);
@@ -239,6 +257,7 @@
 	{ "/brf/v1/members", members },
 	{ "/brf/v1/services", services },
 	{ "/brf/v1/explain", explain },
+	{ "/brf/v1/burn", burn },
 	{ "/metrics", metrics },
 };
 
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "base/log.h"
+#include "node/burn.h"
 #include "node/call.h"
 #include "policy/ledger.h"
 #include "policy/token.h"
@@ -190,8 +191,12 @@
 		      end->answer->status < 500;
 	uint64_t wasted = call->wasted_us;
 
-	if (call->request.inbound != NULL)
+	if (call->request.inbound != NULL ||
+	    (call->request.nested && !call->abandoned))
 		return;
+	if (!call->abandoned && !call->request.nested)
+		brf_burn_add(caller->burn, call->doc, call->x.attempt.cls, end,
+		    now(caller) - call->began);
 	if (useful)
 		caller->useful_seconds->value +=
 		    (double)call->useful_us / BRF_US_PER_S;
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -29,6 +29,7 @@
 	struct brf_peers *peers;
 	struct brf_gate *gate;
 	struct brf_token_key *token_key;
+	struct brf_burn *burn;
 	struct brf_id self;
 	size_t open;
 	struct brf_metric *useful_seconds;
@@ -56,6 +57,7 @@
  * struct brf_call_request - what brf_call_start() needs; copied.
  * @inbound: the attempt whose target makes this call; NULL for a caller's own
  *	request
+ * @nested: a target's own call, whether it could be tied or not
  * @tied: the call belongs to a known request; else it gets no extra attempts
  * @request: content; the call takes a reference
  * @done: called exactly once unless the call is abandoned, possibly from
@@ -68,6 +70,7 @@
 	uint64_t timeout_us;
 	struct brf_inbound *inbound;
 	bool tied;
+	bool nested;
 	struct brf_message *request;
 	void (*done)(void *arg, const struct brf_call_end *end);
 	void *arg;
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -184,7 +184,9 @@
 	const char *text =
 	    brf_message_header(brf_http_request_message(http), BRF_H_REQUEST);
 	char service[BRF_NAME_MAX + 1];
-	struct brf_call_request rq = { .service = service, .workspace = "" };
+	struct brf_call_request rq = {
+		.service = service, .workspace = "", .nested = true
+	};
 	struct brf_id id;
 
 	if (!brf_pending_service(http, service)) {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,6 +6,7 @@
 #include "config/keys.h"
 #include "config/store_client.h"
 #include "member/udp.h"
+#include "node/burn.h"
 #include "node/node.h"
 
 #define DRAIN_POLL_US (20 * BRF_US_PER_MS)
@@ -197,6 +198,7 @@
 		.peers = node->peers,
 		.gate = node->gate,
 		.token_key = node->token_key,
+		.burn = brf_burn_new(brf_timers_clock(node->timers)),
 		.self = brf_members_self(node->members)->node };
 	brf_caller_init(&node->caller);
 }
@@ -479,6 +481,7 @@
 	brf_http_server_free(node->admin);
 	brf_peers_free(node->peers);
 	brf_caller_finish(&node->caller);
+	brf_burn_free(node->caller.burn);
 	brf_router_free(node->router);
 	brf_members_free(node->members);
 	brf_gate_free(node->gate);
