http: take request targets in absolute form; bound callers that don't read

RFC 9112 wants the absolute form accepted, and hosts are compared without regard to case. TCP_USER_TIMEOUT ends connections whose caller takes nothing for 30 s.

--- a/src/http/request.c
+++ b/src/http/request.c
@@ -1,4 +1,6 @@
+#include <ctype.h>
 #include <stdlib.h>
+#include <strings.h>
 
 #include "base/outcome.h"
 #include "bulrushford.h"
@@ -194,28 +196,64 @@
 	send_whole(req, status, text, strlen(text));
 }
 
+/*
+ * RFC 9112, section 3.2.2: a request target in absolute form is accepted, and
+ * its authority goes before the "host" field.
+ */
+static void
+split_target(const h2o_req_t *req, h2o_iovec_t *authority, h2o_iovec_t *path)
+{
+	static const char scheme[] = "http://";
+	size_t skip = sizeof(scheme) - 1;
+	const char *slash;
+
+	*authority = req->input.authority;
+	*path = req->input.path;
+	if (path->len < skip || strncasecmp(path->base, scheme, skip) != 0)
+		return;
+	authority->base = path->base + skip;
+	authority->len = path->len - skip;
+	slash = memchr(authority->base, '/', authority->len);
+	if (slash == NULL) {
+		*path = h2o_iovec_init("/", 1);
+		return;
+	}
+	authority->len = (size_t)(slash - authority->base);
+	path->base += skip + authority->len;
+	path->len -= skip + authority->len;
+}
+
+/* Length of the host in @authority, without the port. */
+static size_t
+host_length(h2o_iovec_t authority)
+{
+	const char *end = memchr(authority.base, ':', authority.len);
+
+	if (authority.len != 0 && authority.base[0] == '[') {
+		end = memchr(authority.base, ']', authority.len);
+		end = end != NULL ? end + 1 : NULL;
+	}
+	return (end != NULL ? (size_t)(end - authority.base) : authority.len);
+}
+
+/* Hosts are compared without regard to case: RFC 9110, section 4.2.3. */
 static bool
-copy_host(struct brf_http_request *r, const h2o_req_t *req)
+copy_host(
+    struct brf_http_request *r, const h2o_req_t *req, h2o_iovec_t authority)
 {
-	const char *host = req->input.authority.base, *p;
-	size_t i, len = req->input.authority.len;
+	size_t i, len;
 
-	if (host == NULL || h2o_memis(host, len, H2O_STRLIT(BRF_HTTP_NO_HOST)))
+	if (authority.base == NULL || h2o_memis(authority.base, authority.len,
+					  H2O_STRLIT(BRF_HTTP_NO_HOST)))
 		return (req->version != 0x101);
-	p = memchr(host, ':', len);
-	if (len != 0 && host[0] == '[')
-		p = memchr(host, ']', len) != NULL
-			? (const char *)memchr(host, ']', len) + 1
-			: NULL;
-	if (p != NULL)
-		len = (size_t)(p - host);
+	len = host_length(authority);
 	if (len > HOST_MAX)
 		return (false);
 	for (i = 0; i < len; i++) {
-		if (host[i] <= ' ' || host[i] > '~')
+		if (authority.base[i] <= ' ' || authority.base[i] > '~')
 			return (false);
+		r->host[i] = (char)tolower((unsigned char)authority.base[i]);
 	}
-	memcpy(r->host, host, len);
 	return (true);
 }
 
@@ -279,12 +317,14 @@
     struct brf_http_request *r, const h2o_req_t *req, enum brf_reason *reason)
 {
 	struct brf_message *m = r->message;
-	h2o_iovec_t path = req->input.path, method = req->input.method;
+	h2o_iovec_t authority, path, method = req->input.method;
 	struct brf_error err = { .code = BRF_OK };
 
 	*reason = BRF_R_MALFORMED;
+	split_target(req, &authority, &path);
 	if (!brf_http_method_is_valid(method.base, method.len) ||
-	    !brf_http_path_is_valid(path.base, path.len) || !copy_host(r, req))
+	    !brf_http_path_is_valid(path.base, path.len) ||
+	    !copy_host(r, req, authority))
 		return (400);
 	memcpy(m->method, method.base, method.len);
 	if (!take_fields(m, req, r->conn->sock, &err)) {
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,3 +1,4 @@
+#include <netinet/tcp.h>
 #include <stdlib.h>
 
 #include "bulrushford.h"
@@ -23,6 +24,8 @@
 
 #define LISTEN_BACKLOG 1024
 #define REQUEST_TIMEOUT_MS 30000 /* for a whole request to come; idle time */
+#define WRITE_TIMEOUT_MS 30000u	 /* for a caller to take what was sent */
+#define KEEPALIVE_S 15		 /* silence before a caller is probed */
 
 void
 brf_http_conn_cut(struct brf_http_conn *c)
@@ -76,6 +79,19 @@
 		brf_http_watch_start(c->server->hl, &c->watch, fd));
 }
 
+/* Callers that vanish, or don't read, must not hold a request for ever. */
+static void
+set_options(struct brf_http_conn *c)
+{
+	unsigned ms = WRITE_TIMEOUT_MS;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&c->tcp, 1);
+	uv_tcp_keepalive(&c->tcp, 1, KEEPALIVE_S);
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 static void
 on_connection(uv_stream_t *listener, int status)
 {
@@ -96,7 +112,7 @@
 		uv_close((uv_handle_t *)&c->tcp, conn_closed);
 		return;
 	}
-	uv_tcp_nodelay(&c->tcp, 1);
+	set_options(c);
 	c->sock = h2o_uv_socket_create((uv_stream_t *)&c->tcp, conn_closed);
 	c->sock->on_close.cb = conn_sock_closed;
 	c->sock->on_close.data = c;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -15,6 +15,10 @@
  * Reads whole requests within the bounds of bulrushford.h, refuses others
  * with a typed answer, and reports when the caller has gone, on HTTP/1 too
  * while its request is in progress.
+ *
+ * Two refusals are h2o's own, and carry no field of ours: bytes that are no
+ * HTTP/1 head get a plain 400, and an HTTP/2 body over the bound has its
+ * stream reset with REFUSED_STREAM, which says as well that nothing was run.
  */
 
 struct brf_http_request;
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -17,6 +17,7 @@
 	std::vector<struct brf_http_request *> held;
 	std::string bodies;
 	std::string fields;
+	std::string hosts;
 	int handled;
 	int gone;
 };
@@ -44,6 +45,7 @@
 	struct brf_message *m = brf_http_request_message(r);
 
 	rec->handled++;
+	rec->hosts += std::string(brf_http_request_host(r)) + ";";
 	rec->bodies.append(m->body.data ? m->body.data : "", m->body.len);
 	for (size_t i = 0; i < m->header_count; i++)
 		rec->fields += std::string(m->headers[i].name) + "=" +
@@ -153,6 +155,13 @@
 } request_cases[] = {
 	{ "plain", "GET /p?q=1 HTTP/1.1\r\n" + host + "\r\n", "200", nullptr,
 	    "" },
+	{ "absolute form", "GET http://A:80/p HTTP/1.1\r\n" + host + "\r\n",
+	    "200", nullptr, "" },
+	{ "absolute form without a path",
+	    "GET HTTP://a HTTP/1.1\r\n" + host + "\r\n", "200", nullptr, "" },
+	{ "absolute form of another scheme",
+	    "GET ftp://a/ HTTP/1.1\r\n" + host + "\r\n", "400", "malformed",
+	    nullptr },
 	{ "http 1.0 without host", "GET / HTTP/1.0\r\n\r\n", "200", nullptr,
 	    "" },
 	{ "length",
@@ -264,6 +273,23 @@
 	EXPECT_EQ(rec.fields, "x-end=2;");
 }
 
+TEST_F(server, host_is_lower_case_and_without_port)
+{
+	const char *lines[] = { "GET / HTTP/1.1\r\nHost: FacTors:80",
+		"GET / HTTP/1.1\r\nHost: [::1]:80",
+		"GET / HTTP/1.1\r\nHost: [::1]",
+		"GET http://Other:1/p HTTP/1.1\r\nHost: factors",
+		"GET / HTTP/1.0" };
+
+	for (auto *line : lines) {
+		struct raw_peer p;
+
+		p.connect_to(port);
+		talk(p, std::string(line) + "\r\n\r\n", "\r\n\r\n");
+	}
+	EXPECT_EQ(rec.hosts, "factors;[::1];[::1];other;;");
+}
+
 TEST_F(server, pipelined_requests_are_answered_in_order)
 {
 	struct raw_peer p;
