--- a/test/e2e/load_test.cc
+++ b/test/load_test.cc
@@ -3,6 +3,8 @@
 #include <jansson.h>
 #include <uv.h>
 
+#include <sys/wait.h>
+
 #include <cstdlib>
 #include <string>
 #include <vector>
@@ -111,8 +113,10 @@
 	json_t *
 	run(std::vector<std::string> args)
 	{
+		const char *bin = getenv("BRF_BIN");
 		std::string program =
-		    std::string(getenv("BRF_BIN")) + "/brf-load";
+		    std::string(bin != nullptr ? bin : "build/rel/bin") +
+		    "/brf-load";
 		std::vector<char *> argv = { &program[0] };
 		uv_process_options_t options = {};
 		uv_stdio_container_t stdio[3] = {};
@@ -234,4 +238,52 @@
 	json_decref(report);
 }
 
+/* Streams of a file take from the flags what they leave out. */
+TEST_F(load, mix_runs_several_streams)
+{
+	std::string path = testing::TempDir() + "brf_load_mix.json";
+	FILE *file = fopen(path.c_str(), "w");
+
+	ASSERT_NE(file, nullptr);
+	fputs("[{\"name\":\"a\",\"rate\":100},"
+	      "{\"name\":\"b\",\"rate\":50,\"start-ms\":50}]",
+	    file);
+	fclose(file);
+	reply = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+	json_t *report = run({ "--service=s", "--fixed", "--seconds=0.2",
+	    "--report-ms=50", "--mix=" + path });
+	json_t *streams = json_object_get(report, "streams");
+	ASSERT_EQ(json_array_size(streams), 2);
+	json_t *a = json_array_get(streams, 0), *b = json_array_get(streams, 1);
+	EXPECT_STREQ(json_string_value(json_object_get(a, "name")), "a");
+	EXPECT_EQ(number(a, "good"), 19);
+	EXPECT_EQ(number(b, "good"), 9);
+	json_t *series = json_object_get(b, "series_offered");
+	EXPECT_EQ(json_integer_value(json_array_get(series, 0)), 0);
+	EXPECT_EQ(json_integer_value(json_array_get(series, 1)), 2);
+	json_decref(report);
+	remove(path.c_str());
+}
+
+TEST(load_settings, wrong_ones_are_refused)
+{
+	const char *wrong[] = { "--to=10.0.0.1:80 --service=s",
+		"--to=localhost:80 --service=s", "--to=127.0.0.1:0 --service=s",
+		"--service=s", "--to=127.0.0.1:1",
+		"--to=127.0.0.1:1 --service=s --rate=0",
+		"--to=127.0.0.1:1 --service=s --rate=50000 --seconds=3600",
+		"--to=127.0.0.1:1 --service=s --method=A\\ B",
+		"--to=127.0.0.1:1 --service=s --mix=/dev/null" };
+	const char *bin = getenv("BRF_BIN");
+
+	for (const char *flags : wrong) {
+		std::string command =
+		    std::string(bin != nullptr ? bin : "build/rel/bin") +
+		    "/brf-load " + flags + " >/dev/null 2>&1";
+		int status = system(command.c_str());
+		ASSERT_TRUE(WIFEXITED(status));
+		EXPECT_EQ(WEXITSTATUS(status), 2) << flags;
+	}
+}
+
 } // namespace
