bulrushctl: keep a timer running while the loop waits

Cause: the end-to-end test of a lost answer ended after 30 s with the write unknown: libuv 1.44 fires a due timer before it waits, so that a wait in single steps could begin with no timer left and last until a peer closed. Change: the timer repeats every 10 ms. End-to-end tests from edit to all nodes: in force, two editors, another service's key, lost answer and store down, store gone back. Conclusion: the 5 tests took 35.3 s with 1 failed before, and pass in 6.2, 6.6 and 6.4 s after.

--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -11,6 +11,7 @@
 #define CALLS_BURST 20.0
 #define AT_A_TIME 32u /* nodes asked at once */
 #define PAGE_TIMEOUT_US 2000000u
+#define TICK_MS 10
 #define HOST_TEXT 64
 #define PORT_MAX 65535
 
@@ -42,7 +43,8 @@
 	free(ctl);
 }
 
-/* Only wakes the loop; brf_ctl_run_until() fires the timers. */
+/* Only wakes the loop; brf_ctl_run_until() fires the timers.  It repeats, since
+ * libuv may fire it before it begins to wait. */
 static void
 wake(uv_timer_t *timer)
 {
@@ -64,7 +66,7 @@
 		if (next != BRF_TIMER_NONE)
 			uv_timer_start(&ctl->tick, wake,
 			    next > now ? (next - now) / BRF_US_PER_MS + 1 : 0,
-			    0);
+			    TICK_MS);
 		uv_run(&ctl->loop, UV_RUN_ONCE);
 	}
 }
