Shed what the services below would shed, before it costs a slot

Change: a gate learns from its target's outgoing calls which ranks come through (policy/below), sheds the others and says so in its level.

--- a/src/base/list.h
+++ b/src/base/list.h
@@ -51,6 +51,19 @@
 	brf_list_init(l);
 }
 
+/* Move all of @from, which may be empty, to the end of @to. */
+static inline void
+brf_list_move(struct brf_list *to, struct brf_list *from)
+{
+	if (brf_list_empty(from))
+		return;
+	from->next->prev = to->prev;
+	to->prev->next = from->next;
+	from->prev->next = to;
+	to->prev = from->prev;
+	brf_list_init(from);
+}
+
 #define brf_list_entry(l, type, member) brf_container_of(l, type, member)
 
 #define brf_list_foreach(l, head) \
--- a/src/http/loop.c
+++ b/src/http/loop.c
@@ -28,10 +28,8 @@
 	struct brf_http_task *task;
 
 	/* tasks posted from here on wait for the next turn */
-	batch = hl->tasks;
-	batch.next->prev = &batch;
-	batch.prev->next = &batch;
-	brf_list_init(&hl->tasks);
+	brf_list_init(&batch);
+	brf_list_move(&batch, &hl->tasks);
 	while (!brf_list_empty(&batch)) {
 		task = brf_list_entry(batch.next, struct brf_http_task, link);
 		brf_list_remove(&task->link);
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -205,6 +205,14 @@
 	caller->wasted_seconds->value += (double)wasted / BRF_US_PER_S;
 }
 
+static bool
+is_shed(enum brf_reason reason)
+{
+	return (reason == BRF_R_OVERLOAD || reason == BRF_R_SHED_EARLY ||
+		reason == BRF_R_SHED_BELOW || reason == BRF_R_EXPIRED ||
+		reason == BRF_R_DEADLINE);
+}
+
 static void
 finish(struct brf_call *call, enum brf_outcome outcome, enum brf_reason reason,
     struct brf_message *answer)
@@ -225,6 +233,8 @@
 	}
 	count_end(call, &end);
 	account(call, &end);
+	if (rq->inbound != NULL && outcome == BRF_NOT_RUN && is_shed(reason))
+		rq->inbound->shed_below = true;
 	brf_list_remove(&call->link);
 	if (!call->abandoned)
 		rq->done(rq->arg, &end);
@@ -507,8 +517,10 @@
 	call->request.service = call->x.attempt.service;
 	call->request.workspace = call->x.attempt.workspace;
 	call->deadline = call->began + time_allowed(call);
-	if (request->inbound != NULL)
+	if (request->inbound != NULL) {
 		brf_list_append(&request->inbound->calls, &call->link);
+		request->inbound->has_calls = true;
+	}
 	call->timer.fire = try_next;
 	call->timer.arg = call;
 	first_attempt(call);
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -63,6 +63,7 @@
 	struct brf_docs_watcher watcher;
 	struct brf_idmap open;
 	struct brf_ledger *ledger;
+	struct brf_below below;
 	bool draining;
 	void (*abandon)(struct brf_list *call);
 	struct class_metrics metrics[BRF_CLASSES];
@@ -123,7 +124,7 @@
 
 	if (gate->attached != NULL) {
 		reply.has_level = true;
-		brf_admission_level(gate->admission, &reply.level);
+		brf_gate_level(gate, &reply.level);
 	}
 	count(gate, cls, &reply);
 	x->done(x, &reply);
@@ -178,7 +179,7 @@
 	reply->useful_us += e->inbound.useful_us;
 	reply->wasted_us += e->inbound.wasted_us;
 	reply->has_level = true;
-	brf_admission_level(gate->admission, &reply->level);
+	brf_gate_level(gate, &reply->level);
 	if (reply->outcome == BRF_NOT_RUN)
 		reply->retry_after_ms =
 		    brf_admission_retry_after_ms(gate->admission);
@@ -222,6 +223,9 @@
 	attached_unref(e->on);
 	brf_histogram_add(gate->metrics[e->ticket.cls].duration, took);
 	account(e, reply, took);
+	if (e->inbound.has_calls)
+		brf_below_learn(&gate->below, e->ticket.rank,
+		    e->inbound.shed_below, now(gate));
 	brf_admission_finish(gate->admission, &e->ticket, in_time);
 	conclude(e, reply);
 }
@@ -429,6 +433,12 @@
 		conclude(e, &reply);
 		return;
 	}
+	if (e->doc->enforce &&
+	    e->ticket.rank >= brf_below_cut(&e->gate->below, start)) {
+		reply.reason = BRF_R_SHED_BELOW;
+		conclude(e, &reply);
+		return;
+	}
 	if (e->inbound.deadline > start)
 		brf_timer_start(e->gate->config.timers, &e->deadline,
 		    e->inbound.deadline - start);
@@ -590,6 +600,7 @@
 	gate->config = *config;
 	gate->admission = brf_admission_new(config->timers, &none);
 	brf_idmap_init(&gate->open);
+	brf_below_init(&gate->below, now(gate));
 	gate->ledger =
 	    brf_ledger_new(brf_timers_clock(config->timers), &ledger);
 	make_metrics(gate);
@@ -691,7 +702,11 @@
 }
 
 void
-brf_gate_level(const struct brf_gate *gate, struct brf_level *level)
+brf_gate_level(struct brf_gate *gate, struct brf_level *level)
 {
+	uint32_t cut = brf_below_cut(&gate->below, now(gate));
+
 	brf_admission_level(gate->admission, level);
+	if (gate->doc != NULL && gate->doc->enforce && cut < level->cut)
+		level->cut = cut;
 }
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -5,6 +5,7 @@
 #include "config/docs.h"
 #include "http/client.h"
 #include "policy/admission.h"
+#include "policy/below.h"
 #include "policy/ledger.h"
 #include "policy/retry.h"
 
@@ -62,6 +63,8 @@
  * @allotment: extra attempts that its outgoing calls share
  * @useful_us: slot time of its outgoing calls that were answered
  * @wasted_us: slot time of the others
+ * @has_calls: it made outgoing calls
+ * @shed_below: one of them was refused for want of capacity
  * @calls: outgoing calls that are open; see node/call.h
  */
 struct brf_inbound {
@@ -72,6 +75,8 @@
 	uint64_t deadline;
 	struct brf_allotment allotment;
 	struct brf_list calls;
+	bool has_calls;
+	bool shed_below;
 	uint64_t useful_us;
 	uint64_t wasted_us;
 };
@@ -117,7 +122,8 @@
 void brf_gate_on_abandon(
     struct brf_gate *gate, void (*abandon)(struct brf_list *call));
 
-void brf_gate_level(const struct brf_gate *gate, struct brf_level *level);
+/* What the target and the services below it can serve now. */
+void brf_gate_level(struct brf_gate *gate, struct brf_level *level);
 
 BRF_END_DECLS
 
