--- a/src/policy/limiter.c
+++ b/src/policy/limiter.c
@@ -2,11 +2,16 @@
 
 #include "policy/limiter.h"
 
-/* Samples and time that a window needs before the limit may go up or down. */
+/*
+ * Samples and time that a window needs before the limit may go up, latency may
+ * be learned from it, and the limit may go down.  The first to end are the
+ * short ones, so that a small window shows too little.
+ */
 #define GROW_SAMPLES 32u
 #define GROW_WINDOW_US (20 * BRF_US_PER_MS)
-#define CUT_SAMPLES 200u
-/* Too few samples by then: the limit rises, for want of evidence. */
+#define LEARN_SAMPLES 100u
+#define CUT_SAMPLES 300u
+/* A window does not grow older. */
 #define WINDOW_MAX_US BRF_US_PER_S
 
 /* Latency over the lowest, as a factor. */
@@ -17,17 +22,20 @@
 #define GROW_FAST 1.25
 #define GROW_SLOW 1.05
 #define TRIAL_CUT 0.7
-/* Rise from one window to the next under which latency counts as steady. */
+#define SEARCH_CUT 0.8
+/* Change from one window to the next under which latency counts as steady. */
 #define STEADY 1.15
-/* Latency must fall to this share for a trial to show an effect. */
-#define TRIAL_EFFECT 0.85
+/* A lower limit alone does not bring so many more answers. */
+#define SEARCH_RATE_MAX 1.25
 /* No trial explains a fall to this share: the cause of high latency is gone. */
 #define TRIAL_GONE 0.4
 /* A trial that has no result by then is given up. */
-#define TRIAL_MAX_US (2 * BRF_US_PER_S)
+#define TRIAL_MAX_US (3 * BRF_US_PER_S)
 /* Saturation without a trial, at most: this, and so many times the last one. */
-#define TRIAL_EVERY_US (30 * BRF_US_PER_S)
+#define TRIAL_EVERY_US (15 * BRF_US_PER_S)
 #define TRIAL_EVERY_LENGTHS 50u
+/* How long latency without load, once seen, makes a search needless. */
+#define UNLOADED_KNOWN_US (300 * BRF_US_PER_S)
 
 static void
 open_window(struct brf_limiter *l, uint64_t now)
@@ -35,6 +43,7 @@
 	l->window_start = now;
 	l->count = 0;
 	l->sum = 0;
+	l->loaded = false;
 }
 
 static void
@@ -56,6 +65,7 @@
 		.warmup_us = warmup_us,
 		.started = now,
 	};
+	l->next_trial = now + TRIAL_EVERY_US;
 	set_limit(l, slots);
 	open_window(l, now);
 }
@@ -87,6 +97,15 @@
 	return (limit > 1 ? (uint32_t)limit : 1);
 }
 
+/* Answers per microsecond in this window. */
+static double
+rate_of(const struct brf_limiter *l, uint64_t now)
+{
+	uint64_t age = now > l->window_start ? now - l->window_start : 1;
+
+	return ((double)l->count / (double)age);
+}
+
 /* What runs at the change is still marked by the former limit: skip it. */
 static void
 begin_trial(struct brf_limiter *l, double mean, uint64_t now)
@@ -94,9 +113,10 @@
 	l->trial = true;
 	l->former = l->limit;
 	l->before = mean;
+	l->before_rate = rate_of(l, now);
 	l->trial_start = now;
 	l->skip = (uint32_t)l->limit;
-	set_limit(l, l->limit * TRIAL_CUT);
+	set_limit(l, l->limit * (l->search ? SEARCH_CUT : TRIAL_CUT));
 	open_window(l, now);
 }
 
@@ -118,30 +138,41 @@
 	plan_trial(l, now);
 }
 
+static void
+set_lowest(struct brf_limiter *l, double mean)
+{
+	l->lowest = mean;
+	l->known = true;
+}
+
 static void
 give_up_trial(struct brf_limiter *l, uint64_t now)
 {
 	if (l->count >= GROW_SAMPLES)
-		l->lowest = l->sum / l->count;
+		set_lowest(l, l->sum / l->count);
 	restore(l, now);
 }
 
 /*
- * Where no unloaded latency is known, an effect asks for the next trial at
- * once, down to where there is none.
+ * A trial shows an effect when latency falls by half as much as the limit, or
+ * more, and the rate of answers by less.  Where no unloaded latency is known,
+ * an effect asks for the next trial at once, down to where there is none.
  */
 static void
 end_trial(struct brf_limiter *l, double mean, uint64_t now)
 {
-	bool effect = mean < l->before + log(TRIAL_EFFECT);
+	double rate = rate_of(l, now) / l->before_rate;
+	double half = (1 + (l->search ? SEARCH_CUT : TRIAL_CUT)) / 2;
+	bool effect = mean < l->before + log(half) && rate > half &&
+		      (!l->search || rate < SEARCH_RATE_MAX);
 
 	if (!effect || l->limit <= 1) {
-		l->lowest = mean;
+		set_lowest(l, mean);
 		restore(l, now);
 		return;
 	}
 	if (l->search) {
-		l->lowest = mean;
+		set_lowest(l, mean);
 		begin_trial(l, mean, now);
 		return;
 	}
@@ -149,24 +180,35 @@
 	open_window(l, now);
 }
 
+static void
+push_search(struct brf_limiter *l, uint64_t at)
+{
+	if (l->next_trial < at)
+		l->next_trial = at;
+}
+
 /* By half of the way at most, so that one lucky window is not the measure. */
 static void
-learn_lowest(struct brf_limiter *l, double mean)
+learn_lowest(struct brf_limiter *l, double mean, uint64_t now)
 {
 	double weight = (double)l->count / CUT_SAMPLES / 2;
 
+	if (l->count < LEARN_SAMPLES)
+		return;
 	if (!l->known)
 		l->lowest = mean;
 	else if (mean < l->lowest)
 		l->lowest += (mean - l->lowest) * (weight < 0.5 ? weight : 0.5);
 	l->known = true;
+	if (!l->loaded)
+		push_search(l, now + UNLOADED_KNOWN_US);
 }
 
-/* While latency still rises, a trial would seem to have no effect. */
+/* While latency changes by itself, a trial shows nothing. */
 static void
 consider_trial(struct brf_limiter *l, double mean, uint64_t now)
 {
-	bool steady = mean < l->last + log(STEADY);
+	bool steady = fabs(mean - l->last) < log(STEADY);
 
 	l->last = mean;
 	if (!steady) {
@@ -177,55 +219,68 @@
 	begin_trial(l, mean, now);
 }
 
+static void
+judge_trial(struct brf_limiter *l, double mean, uint64_t now)
+{
+	if (mean < l->before + log(TRIAL_GONE))
+		restore(l, now);
+	else if (l->count >= CUT_SAMPLES)
+		end_trial(l, mean, now);
+}
+
 static void
 judge(struct brf_limiter *l, bool saturated, uint64_t now)
 {
 	double mean = l->sum / l->count;
-	bool low, high;
+	bool full = l->count >= CUT_SAMPLES;
+	bool low = l->known && mean < l->lowest + log(GROW_BELOW);
+	bool high = l->known && mean > l->lowest + log(CUT_ABOVE);
 
-	if (!l->known)
-		learn_lowest(l, mean);
-	low = mean < l->lowest + log(GROW_BELOW);
-	high = mean > l->lowest + log(CUT_ABOVE);
-	if (l->trial) {
-		if (mean < l->before + log(TRIAL_GONE))
-			restore(l, now);
-		else if (l->count >= CUT_SAMPLES)
-			end_trial(l, mean, now);
-		return;
-	}
-	if (l->count >= CUT_SAMPLES && saturated && l->limit > 1 &&
+	if (full && saturated && l->limit > 1 &&
 	    (high || now >= l->next_trial)) {
 		consider_trial(l, mean, now);
 		return;
 	}
-	if (l->count < CUT_SAMPLES && (!low || l->limit >= l->slots))
+	if (!full && (!low || l->limit >= l->slots))
 		return;
-	learn_lowest(l, mean);
+	learn_lowest(l, mean, now);
 	if (!high)
 		set_limit(l, l->limit * (low ? GROW_FAST : GROW_SLOW));
 	open_window(l, now);
 }
 
+/* Too little came to judge by: the limit rises. */
+static void
+end_window(struct brf_limiter *l, uint64_t now)
+{
+	if (l->count > 0)
+		learn_lowest(l, l->sum / l->count, now);
+	set_limit(l, l->limit * GROW_FAST);
+	open_window(l, now);
+}
+
 void
 brf_limiter_sample(
     struct brf_limiter *l, uint64_t took_us, bool saturated, uint64_t now)
 {
 	if (!saturated)
-		l->next_trial = now + TRIAL_EVERY_US;
+		push_search(l, now + TRIAL_EVERY_US);
 	if (l->trial && (!saturated || now >= l->trial_start + TRIAL_MAX_US))
 		give_up_trial(l, now);
 	if (l->skip > 0) {
-		l->skip--;
+		if (--l->skip == 0)
+			open_window(l, now);
 		return;
 	}
-	if (!l->trial && now > l->window_start + WINDOW_MAX_US) {
-		set_limit(l, l->limit * GROW_FAST);
-		open_window(l, now);
-	}
+	if (!l->trial && now > l->window_start + WINDOW_MAX_US)
+		end_window(l, now);
+	l->loaded = l->loaded || saturated;
 	l->sum += log((double)took_us + 1);
 	l->count++;
 	if (l->count < GROW_SAMPLES || now < l->window_start + GROW_WINDOW_US)
 		return;
-	judge(l, saturated, now);
+	if (l->trial)
+		judge_trial(l, l->sum / l->count, now);
+	else
+		judge(l, saturated, now);
 }
--- a/src/policy/limiter.h
+++ b/src/policy/limiter.h
@@ -9,14 +9,15 @@
  * The limit stands at the announced slots and goes down only on evidence that
  * the target queues inside itself.  Latency is the geometric mean of a window,
  * which long tails hardly move.  When it is over twice the lowest known, the
- * limiter tries a lower limit for one window; so it does every half minute of
- * unbroken saturation, since it may never have seen the target unloaded:
+ * limiter tries a lower limit for one window; so it does after 15 seconds of
+ * unbroken saturation where it has not lately seen the target unloaded:
  *
- * - latency falls along: the attempts had been waiting for one another; the
- *   lower limit stays, and a yet lower one is tried;
- * - latency stays: something else made the target slow, such as its own
- *   outgoing calls; the former limit returns, and this latency counts as
- *   normal until a lower one is seen.
+ * - latency falls along and as many answers come: the attempts had been
+ *   waiting for one another; the lower limit stays, and where no unloaded
+ *   latency is known a yet lower one is tried;
+ * - latency stays, or answers get fewer: something else made the target slow,
+ * such as its own outgoing calls; the former limit returns, and this latency
+ * counts as normal until a lower one is seen.
  *
  * Whenever latency is under the bound the limit grows in each window, so that
  * it is back at the slots some windows after the cause has gone.  Related:
@@ -36,6 +37,8 @@
  * @search: the trial looks for the unloaded latency
  * @former: limit to return to when a trial shows no effect
  * @before: mean of the logarithms before the trial
+ * @before_rate: answers per microsecond before the trial
+ * @loaded: attempts waited during this window
  * @skip: samples to pass over, from attempts that began before the trial
  */
 struct brf_limiter {
@@ -50,12 +53,14 @@
 	bool search;
 	double former;
 	double before;
+	double before_rate;
 	uint64_t trial_start;
 	uint64_t next_trial;
 	uint32_t skip;
 	uint64_t window_start;
 	uint32_t count;
 	double sum;
+	bool loaded;
 };
 
 BRF_BEGIN_DECLS
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -339,7 +339,7 @@
 		double least = 100;
 
 		brf_limiter_init(&l, 100, 0, 0);
-		for (int i = 0; i < 20000; i++) {
+		for (int i = 0; i < 60000; i++) {
 			uint32_t limit = brf_limiter_get(&l, now);
 			double took = 10.0 * MS;
 			if (queueing && limit > 20)
