--- a/src/policy/limiter.h
+++ b/src/policy/limiter.h
@@ -42,24 +42,24 @@
  * @skip: samples to pass over, from attempts that began before the trial
  */
 struct brf_limiter {
-	uint32_t slots;
 	uint64_t warmup_us;
 	uint64_t started;
+	uint64_t trial_start;
+	uint64_t next_trial;
+	uint64_t window_start;
 	double limit;
-	bool known;
 	double lowest;
 	double last;
-	bool trial;
-	bool search;
 	double former;
 	double before;
 	double before_rate;
-	uint64_t trial_start;
-	uint64_t next_trial;
-	uint32_t skip;
-	uint64_t window_start;
-	uint32_t count;
 	double sum;
+	uint32_t slots;
+	uint32_t count;
+	uint32_t skip;
+	bool known;
+	bool trial;
+	bool search;
 	bool loaded;
 };
 
