--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -150,9 +150,8 @@
 		m->entry_port, "admin_port", m->admin_port, "zone", m->zone,
 		"region", m->region, "service", m->service, "slots",
 		(int)m->slots, "state", brf_member_state_name(m->state),
-		"heard_ms",
-		(json_int_t)(silence(l->node, m) / BRF_US_PER_MS), "why",
-		why_no_work(m)));
+		"heard_ms", (json_int_t)(silence(l->node, m) / BRF_US_PER_MS),
+		"why", why_no_work(m)));
 	return (true);
 }
 
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -225,7 +225,7 @@
 	account(e, reply, took);
 	if (e->inbound.has_calls)
 		brf_below_learn(&gate->below, e->ticket.rank,
-		    e->inbound.shed_below, now(gate));
+		    e->inbound.shed_below, took, now(gate));
 	brf_admission_finish(gate->admission, &e->ticket, in_time);
 	conclude(e, reply);
 }
--- a/src/policy/below.c
+++ b/src/policy/below.c
@@ -5,11 +5,14 @@
 /* Shares of attempts shed below: more lowers the cut, less lets it rise. */
 #define SHED_HIGH 0.02
 #define SHED_LOW 0.01
-#define RISE_FIRST (STEP_RANKS / 2)
+#define RISE_FIRST (STEP_RANKS / 4)
+/* Clean periods before steps grow. */
+#define CLEAN_PERIODS 4u
 /* Fewer attempts than this say nothing about a share. */
 #define SAMPLE_MIN 8u
 /* A period without a sample is ended after this many. */
 #define PERIODS_MAX 4u
+#define TOOK_GAIN 0.1
 
 void
 brf_below_init(struct brf_below *b, uint64_t now)
@@ -40,8 +43,7 @@
 	}
 	if (step == BRF_BELOW_STEPS)
 		return (BRF_RANK_END);
-	return ((uint32_t)((step + (want - seen) / b->ran[step]) *
-			   STEP_RANKS));
+	return ((uint32_t)((step + (want - seen) / b->ran[step]) * STEP_RANKS));
 }
 
 static void
@@ -55,14 +57,16 @@
 	if (cut < b->cut)
 		b->cut = cut;
 	b->rise = RISE_FIRST;
+	b->clean = 0;
 }
 
 static void
 raise_cut(struct brf_below *b)
 {
-	b->cut = b->cut + b->rise < BRF_RANK_END ? b->cut + b->rise :
-						   BRF_RANK_END;
-	b->rise *= 2;
+	b->cut =
+	    b->cut + b->rise < BRF_RANK_END ? b->cut + b->rise : BRF_RANK_END;
+	if (++b->clean > CLEAN_PERIODS)
+		b->rise *= 2;
 	if (b->rise > BRF_RANK_END)
 		b->rise = BRF_RANK_END;
 }
@@ -82,20 +86,32 @@
 	b->started = now;
 }
 
+static uint64_t
+period_of(const struct brf_below *b)
+{
+	if (b->took_us < BRF_BELOW_PERIOD_MIN_US)
+		return (BRF_BELOW_PERIOD_MIN_US);
+	if (b->took_us > BRF_BELOW_PERIOD_MAX_US)
+		return (BRF_BELOW_PERIOD_MAX_US);
+	return ((uint64_t)b->took_us);
+}
+
 static void
 turn(struct brf_below *b, uint64_t now)
 {
-	uint64_t length = now - b->started;
+	uint64_t length = now - b->started, period = period_of(b);
 
-	if (length >= PERIODS_MAX * BRF_BELOW_PERIOD_US ||
-	    (length >= BRF_BELOW_PERIOD_US && b->total >= SAMPLE_MIN))
+	if (length >= PERIODS_MAX * period ||
+	    (length >= period && b->total >= SAMPLE_MIN))
 		end_period(b, now);
 }
 
 void
-brf_below_learn(struct brf_below *b, uint32_t rank, bool shed, uint64_t now)
+brf_below_learn(struct brf_below *b, uint32_t rank, bool shed, uint64_t took_us,
+    uint64_t now)
 {
 	turn(b, now);
+	b->took_us += TOOK_GAIN * ((double)took_us - b->took_us);
 	b->ran[step_of(rank)]++;
 	b->total++;
 	b->shed += shed;
