--- a/src/http/request.c
+++ b/src/http/request.c
@@ -159,7 +159,8 @@
 
 	req->res.status = status;
 	req->res.reason = phrase(status);
-	req->res.content_length = status_has_length(status) ? len : SIZE_MAX;
+	req->res.content_length =
+	    status_has_length(status) && !head ? len : SIZE_MAX;
 	h2o_start_response(req, generator());
 	if (head || len == 0 || !status_has_length(status))
 		h2o_send(req, NULL, 0, H2O_SEND_STATE_FINAL);
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -290,6 +290,43 @@
 	EXPECT_EQ(rec.hosts, "factors;[::1];[::1];other;;");
 }
 
+/* The length of what GET would get is not known: RFC 9110, section 8.6. */
+TEST_F(server, an_answer_to_head_has_no_body_and_no_length)
+{
+	struct raw_peer p;
+
+	p.connect_to(port);
+	talk(p,
+	    "HEAD / HTTP/1.1\r\n" + host + "\r\nGET /2 HTTP/1.1\r\n" + host +
+		"\r\n",
+	    "x-path: /2\r\n");
+	std::string first = p.got.substr(0, p.got.find("\r\n\r\n"));
+	EXPECT_EQ(first.find("ontent-"), std::string::npos) << first;
+	EXPECT_EQ(first.find("ransfer-"), std::string::npos) << first;
+	EXPECT_EQ(p.got.substr(first.size() + 4, 12), "HTTP/1.1 200") << p.got;
+}
+
+TEST_F(server, an_answer_of_204_has_neither_body_nor_length)
+{
+	struct brf_message *answer = brf_message_new();
+	struct raw_peer p;
+
+	rec.mode = recorder::HOLD;
+	p.connect_to(port);
+	p.put("GET / HTTP/1.1\r\n" + host + "\r\n");
+	ASSERT_TRUE(bench.turn_until([&] { return (rec.handled == 1); }));
+	answer->status = 204;
+	brf_buf_puts(&answer->body, "left out");
+	brf_http_respond(rec.held[0], answer, nullptr, 0);
+	brf_message_unref(answer);
+	talk(p, "", "\r\n\r\n");
+	bench.turn(5);
+	p.get();
+	EXPECT_EQ(p.got.substr(p.got.size() - 4), "\r\n\r\n") << p.got;
+	EXPECT_EQ(p.got.find("ontent-"), std::string::npos) << p.got;
+	EXPECT_EQ(p.got.find("ransfer-"), std::string::npos) << p.got;
+}
+
 TEST_F(server, pipelined_requests_are_answered_in_order)
 {
 	struct raw_peer p;
