http: no crash when all tasks of a turn were withdrawn

The list of tasks was moved by copying its head; when it had become empty, the copy pointed back at the head, which was then run as a task. It happened when a caller went away and was answered before its handler heard of it: a node under load, built with sanitizers, jumped into its heap. The new test ended in a crash before and passes now.

brf-target frees its settings, which the sanitizer reported.

--- a/src/http/loop.c
+++ b/src/http/loop.c
@@ -28,10 +28,13 @@
 	struct brf_http_task *task;
 
 	/* tasks posted from here on wait for the next turn */
-	batch = hl->tasks;
-	batch.next->prev = &batch;
-	batch.prev->next = &batch;
-	brf_list_init(&hl->tasks);
+	brf_list_init(&batch);
+	while (!brf_list_empty(&hl->tasks)) {
+		task =
+		    brf_list_entry(hl->tasks.next, struct brf_http_task, link);
+		brf_list_remove(&task->link);
+		brf_list_append(&batch, &task->link);
+	}
 	while (!brf_list_empty(&batch)) {
 		task = brf_list_entry(batch.next, struct brf_http_task, link);
 		brf_list_remove(&task->link);
--- a/standin/brf-target/main.c
+++ b/standin/brf-target/main.c
@@ -170,6 +170,7 @@
 	uv_run(&t->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&t->loop);
 	runs_free(t->runs);
+	settings_free(&t->set);
 	brf_timers_free(t->timers);
 	brf_metrics_free(t->metrics);
 	free(t);
--- a/standin/brf-target/settings.c
+++ b/standin/brf-target/settings.c
@@ -207,3 +207,13 @@
 	read_faults(set, &f);
 	arg_freetable(table, sizeof(f) / sizeof(void *));
 }
+
+void
+settings_free(struct settings *set)
+{
+	size_t i;
+
+	free(set->service);
+	for (i = 0; i < set->call_count; i++)
+		free(set->calls[i]);
+}
--- a/standin/brf-target/target.h
+++ b/standin/brf-target/target.h
@@ -36,7 +36,7 @@
  * @lag_us: age of what the health and load endpoints say, microseconds
  */
 struct settings {
-	const char *service;
+	char *service;
 	uint16_t port;
 	uint16_t node_port;
 	uint32_t slots;
@@ -45,7 +45,7 @@
 	bool exponential;
 	uint64_t cold_us;
 	bool shed;
-	const char *calls[CALLS_MAX];
+	char *calls[CALLS_MAX];
 	size_t call_count;
 	struct sockaddr_in direct[DIRECT_MAX];
 	size_t direct_count;
@@ -132,6 +132,7 @@
 
 /* settings.c: exits with BRF_EXIT_USAGE when a flag is wrong. */
 void settings_parse(struct settings *set, int argc, char **argv);
+void settings_free(struct settings *set);
 
 /* work.c */
 void work_handle(struct target *t, struct brf_http_request *request);
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -394,6 +394,30 @@
 	EXPECT_EQ(rec.gone, rec.handled);
 }
 
+/* The answer may come between the disconnect and the word of it. */
+TEST_F(server, an_answer_to_a_caller_that_has_just_gone_is_dropped)
+{
+	struct raw_peer p;
+
+	rec.mode = recorder::HOLD;
+	for (int turns = 0; turns < 4; turns++) {
+		rec.handled = rec.gone = 0;
+		rec.held.clear();
+		p.connect_to(port);
+		p.put("GET / HTTP/1.1\r\n" + host + "\r\n");
+		ASSERT_TRUE(
+		    bench.turn_until([&] { return (rec.handled == 1); }));
+		p.drop();
+		for (int i = 0; i < turns; i++)
+			uv_run(&bench.loop, UV_RUN_NOWAIT);
+		if (rec.gone == 0)
+			echo(rec.held[0]);
+		EXPECT_TRUE(bench.turn_until(
+		    [&] { return (brf_http_server_connections(srv) == 0); }));
+		EXPECT_LE(rec.gone, 1);
+	}
+}
+
 /* Frames of RFC 9113. */
 std::string
 frame(int type, int flags, uint32_t stream, const std::string &payload)
