--- a/fuzz/http_answer.c
+++ b/fuzz/http_answer.c
@@ -11,11 +11,13 @@
  * DOC: Bytes of a target against the client, over a loopback socket.
  *
  * The input is sent in two parts, cut where its first byte says, and the
- * connection is closed behind it.  It fails when a run does not end exactly
+ * connection is closed behind it; with the top bit of that byte the run is
+ * cancelled between them.  It fails when a run does not end exactly
  * once, or an answer goes beyond the bounds.
  */
 
 #define TURNS_MAX 10000
+#define CANCEL 0x80u
 
 static uv_loop_t loop;
 static struct brf_target *target;
@@ -93,9 +95,12 @@
 	}
 	if (fd == -1)
 		abort();
-	cut = data[0] < size ? data[0] : size;
+	cut = data[0] % CANCEL;
+	cut = cut < size ? cut : size;
 	(void)send(fd, data + 1, cut != 0 ? cut - 1 : 0, MSG_NOSIGNAL);
 	turn(2);
+	if ((data[0] & CANCEL) != 0)
+		brf_target_cancel(target, &run);
 	if (cut != 0)
 		(void)send(fd, data + cut, size - cut, MSG_NOSIGNAL);
 	shutdown(fd, SHUT_WR);
--- a/fuzz/http_server.c
+++ b/fuzz/http_server.c
@@ -10,17 +10,28 @@
  * DOC: Bytes of a caller against the HTTP server, over a loopback socket.
  *
  * The first byte of the input chooses what the handler does: answer, hold the
- * request until its caller has gone, or abort.  It fails when the handler is
- * shown a message beyond the bounds, or isn't told of a caller that left.
+ * request until its caller has gone, hold and answer it about then, or abort.
+ * It fails when the handler is shown a message beyond the bounds, or isn't told
+ * of a caller that left.
  */
 
 #define TURNS_MAX 10000
+#define HELD_MAX 1024
 
 static uv_loop_t loop;
 static struct brf_http_server *server;
 static uint16_t port;
 static unsigned mode;
-static unsigned held;
+static struct brf_http_request *held[HELD_MAX];
+static unsigned held_count;
+
+enum {
+	MODE_HOLD,
+	MODE_ABORT,
+	MODE_ANSWER,
+	MODE_ANSWER_LATE,
+	MODES
+};
 
 static void
 check_message(const struct brf_message *m)
@@ -39,30 +50,38 @@
 }
 
 static void
-handle(struct brf_http_handler *handler, struct brf_http_request *request)
+respond(struct brf_http_request *request)
 {
-	struct brf_message *answer;
+	struct brf_message *answer = brf_message_new();
 
-	check_message(brf_http_request_message(request));
-	if (mode % 3 == 0) {
-		held++;
-		return;
-	}
-	if (mode % 3 == 1) {
-		brf_http_abort(request);
-		return;
-	}
-	answer = brf_message_new();
 	answer->status = 200;
 	brf_buf_puts(&answer->body, "answer");
 	brf_http_respond(request, answer, NULL, 0);
 	brf_message_unref(answer);
 }
 
+static void
+handle(struct brf_http_handler *handler, struct brf_http_request *request)
+{
+	check_message(brf_http_request_message(request));
+	if (mode % MODES == MODE_ABORT)
+		brf_http_abort(request);
+	else if (mode % MODES == MODE_ANSWER || held_count == HELD_MAX)
+		respond(request);
+	else
+		held[held_count++] = request;
+}
+
 static void
 gone(struct brf_http_handler *handler, struct brf_http_request *request)
 {
-	held--;
+	unsigned i;
+
+	for (i = 0; i < held_count && held[i] != request; i++)
+		;
+	if (i == held_count)
+		abort();
+	held[i] = held[--held_count];
 }
 
 static const struct brf_http_handler_vt handler_vt = {
@@ -135,9 +154,12 @@
 		;
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	close(fd);
+	turn((int)(mode / MODES % 4));
+	while (mode % MODES == MODE_ANSWER_LATE && held_count != 0)
+		respond(held[--held_count]);
 	for (i = 0; i < TURNS_MAX; i++) {
 		turn(1);
-		if (brf_http_server_connections(server) == 0 && held == 0)
+		if (brf_http_server_connections(server) == 0 && held_count == 0)
 			return (0);
 	}
 	abort();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -53,6 +53,9 @@
 
 /**
  * brf_http_loop_new() - what servers and clients of a process share.
+ *
+ * brf_http_loop_free() closes handles of @loop: run it until none is left,
+ * before its memory goes.  Servers, targets and calls must be gone before.
  */
 struct brf_http_loop *brf_http_loop_new(
     uv_loop_t *loop, struct brf_timers *timers, struct brf_metrics *metrics);
