Test outcomes against an oracle under any schedule; ignore SIGPIPE in the generator

Sends, cancellations, answers, refusals, lost connections and time come in any order; the oracle is the fake gate's memory. It met SIGPIPE first: the load generator ended by it when a connection was lost while it wrote.

--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -17,6 +17,8 @@
  * that this one calls.  Connections are opened on demand, used by many calls
  * at once, and closed after brf_peers_config.idle_us without one.
  *
+ * The process must ignore SIGPIPE.
+ *
  * What ends an open attempt when a connection is lost: BRF_NOT_RUN with
  * BRF_R_NOT_SENT while no byte of the call was given to the kernel, BRF_UNKNOWN
  * with BRF_R_CONNECTION_LOST after that.
--- a/standin/brf-load/main.c
+++ b/standin/brf-load/main.c
@@ -1,5 +1,6 @@
 #include <sys/timerfd.h>
 
+#include <signal.h>
 #include <stdlib.h>
 #include <unistd.h>
 
@@ -127,6 +128,7 @@
 	static struct load load;
 
 	load_set_parse(&set, argc, argv);
+	signal(SIGPIPE, SIG_IGN);
 	init(&load, &set);
 	uv_run(&load.loop, UV_RUN_DEFAULT);
 	uv_loop_close(&load.loop);
--- a/test/gate_fake.h
+++ b/test/gate_fake.h
@@ -1,6 +1,7 @@
 #ifndef GATE_FAKE_H
 #define GATE_FAKE_H
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
  * struct gate_fake - first member is the backend.
  * @echo: answer each request at once with its own body
  * @on_cancel: outcome that a cancellation ends with
+ * @begun: low words of the ids that run already; their cancellation ends with
+ *	BRF_UNKNOWN
  * @deaf: cancellations are only counted
  * @open: exchanges not ended, in order of arrival
  */
@@ -33,6 +36,7 @@
 	enum brf_outcome on_cancel = BRF_NOT_RUN;
 	std::vector<struct brf_exchange *> open;
 	std::vector<struct brf_attempt> seen; /* requests are not referenced */
+	std::set<uint64_t> begun;
 	int cancelled = 0;
 
 	void
@@ -96,7 +100,8 @@
 	g->cancelled++;
 	if (g->deaf)
 		return;
-	reply.outcome = g->on_cancel;
+	reply.outcome =
+	    g->begun.count(x->attempt.id.lo) ? BRF_UNKNOWN : g->on_cancel;
 	reply.reason = BRF_R_CANCELLED;
 	g->end(x, reply);
 }
--- a/test/wire_peer_test.cc
+++ b/test/wire_peer_test.cc
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <signal.h>
 #include <unistd.h>
 
 #include <functional>
@@ -11,6 +13,7 @@
 
 #include "base/log.h"
 #include "gate_fake.h"
+#include "wire/client.h"
 #include "wire/codec.h"
 #include "wire/handshake.h"
 #include "wire/peer.h"
@@ -193,7 +196,8 @@
 	void
 	SetUp() override
 	{
-		int quiet = open("/dev/null", O_WRONLY);
+		signal(SIGPIPE, SIG_IGN);
+		static int quiet = open("/dev/null", O_WRONLY);
 
 		brf_log_open(quiet, BRF_LOG_ERROR, nullptr);
 		uv_loop_init(&loop);
@@ -917,6 +921,79 @@
 	EXPECT_EQ(unknown, (calls + size - 1) / size);
 }
 
+/* The oracle is the gate's own memory: what it began was not refused as not
+ * run, what was answered it had answered, and each exchange ends once. */
+RC_GTEST_FIXTURE_PROP(wire, outcomes_are_true_under_any_schedule, ())
+{
+	typedef std::pair<int, uint8_t> step;
+	auto steps = *rc::gen::resize(
+	    200, rc::gen::container<std::vector<step>>(rc::gen::pair(
+		     rc::gen::inRange(0, 16), rc::gen::arbitrary<uint8_t>())));
+	std::vector<std::unique_ptr<sent>> all;
+	struct gate_fake &gate = callee->gate;
+	std::set<uint64_t> answered;
+	std::set<int> seen;
+
+	auto turn = [&](int times) {
+		while (times-- > 0) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			brf_timers_run(timers);
+		}
+	};
+	for (const auto &s : steps) {
+		struct brf_exchange *at_gate =
+		    gate.open.empty() ? nullptr
+				      : gate.open[s.second % gate.open.size()];
+		struct sent *open =
+		    all.empty() ? nullptr : all[s.second % all.size()].get();
+		struct brf_client_conn *cc =
+		    ((struct brf_peer_backend *)backend)->conn;
+		uv_os_fd_t fd;
+		if (s.first <= 2) {
+			all.emplace_back(
+			    new sent(all.size(), std::to_string(all.size()),
+				s.second * BRF_US_PER_MS));
+			brf_send(backend, &all.back()->x);
+		} else if (s.first == 3 && open != nullptr && open->ends == 0) {
+			brf_cancel(backend, &open->x);
+		} else if (s.first == 4 && at_gate != nullptr) {
+			gate.begun.insert(at_gate->attempt.id.lo);
+		} else if (s.first == 5 && at_gate != nullptr) {
+			uint64_t id = at_gate->attempt.id.lo;
+			gate.begun.insert(id);
+			answered.insert(id);
+			gate.answer(at_gate, std::to_string(id));
+		} else if (s.first == 6 && at_gate != nullptr &&
+			   !gate.begun.count(at_gate->attempt.id.lo)) {
+			gate.refuse(at_gate, BRF_R_OVERLOAD);
+		} else if (s.first == 7 && s.second < 64 && cc != nullptr &&
+			   uv_fileno((uv_handle_t *)&cc->conn.tcp, &fd) == 0) {
+			shutdown(fd, s.second % 3);
+		} else if (s.first == 8) {
+			pass(s.second % 64 * BRF_US_PER_MS);
+		} else if (s.first >= 9) {
+			turn(s.second % 8);
+		}
+	}
+	turn(20);
+	for (int i = 0; i < 5; i++) {
+		pass(BRF_US_PER_S);
+		turn(20);
+	}
+	for (auto &s : all) {
+		uint64_t id = s->x.attempt.id.lo;
+		RC_ASSERT(s->ends == 1);
+		if (s->reply.outcome == BRF_NOT_RUN)
+			RC_ASSERT(!gate.begun.count(id));
+		if (s->reply.outcome == BRF_ANSWERED)
+			RC_ASSERT(answered.count(id) &&
+				  s->body == std::to_string(id));
+		seen.insert(s->reply.outcome);
+	}
+	RC_CLASSIFY(seen.count(BRF_ANSWERED) > 0, "answered");
+	RC_CLASSIFY(seen.count(BRF_UNKNOWN) > 0, "unknown");
+}
+
 /* Documents that the callee has: one over the bound of a record together. */
 struct two_documents {
 	struct brf_document_source source;
