--- a/test/members_test.cc
+++ b/test/members_test.cc
@@ -357,7 +357,14 @@
 		struct brf_id old = f.id(9);
 		fake_node_stop(&f.net, 9);
 		fake_node_start(&f.net, 9);
-		fake_net_run(&f.net, second);
+		for (int step = 0; step < 60; step++) {
+			fake_net_run(&f.net, second / 20);
+			for (size_t i = 0; i < 16; i++)
+				EXPECT_TRUE(fake_seen(&f.net, i, f.id(9)) ==
+						BRF_MEMBER_GONE ||
+					    fake_seen(&f.net, i, old) ==
+						BRF_MEMBER_GONE);
+		}
 		EXPECT_EQ(fake_seen_by(&f.net, old, BRF_MEMBER_GONE), 16u);
 		EXPECT_EQ(fake_seen_by(&f.net, f.id(9), BRF_MEMBER_READY), 16u);
 	}
--- a/test/router_test.cc
+++ b/test/router_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -29,6 +30,7 @@
 	struct brf_gossip_codec *codec;
 	std::map<uint64_t, struct brf_member> all;
 	struct brf_message *answer;
+	std::vector<struct brf_route_node *> open;
 
 	bench()
 	{
@@ -53,6 +55,8 @@
 	}
 	~bench()
 	{
+		while (!open.empty())
+			done(open.back());
 		brf_router_free(router);
 		brf_members_free(members);
 		brf_gossip_codec_free(codec);
@@ -101,11 +105,12 @@
 		tell(make(key, zone, region), BRF_GOSSIP_READY);
 	}
 	struct brf_route_node *
-	pick(uint32_t cls = 0, enum brf_route_result want = BRF_ROUTE_CHOSEN,
-	    std::vector<struct brf_id> tried = {})
+	try_pick(uint32_t cls, enum brf_route_result *got = nullptr,
+	    const std::vector<struct brf_id> &tried = {})
 	{
 		struct brf_route_request q = {};
 		struct brf_route_node *n = nullptr;
+		enum brf_route_result result;
 
 		q.service = "factors";
 		q.cls = cls;
@@ -114,7 +119,21 @@
 		q.cross_region = true;
 		q.tried = tried.data();
 		q.tried_count = tried.size();
-		EXPECT_EQ(brf_router_pick(router, &q, &n), want);
+		result = brf_router_pick(router, &q, &n);
+		if (result == BRF_ROUTE_CHOSEN)
+			open.push_back(n);
+		if (got != nullptr)
+			*got = result;
+		return (n);
+	}
+	struct brf_route_node *
+	pick(uint32_t cls = 0, enum brf_route_result want = BRF_ROUTE_CHOSEN,
+	    const std::vector<struct brf_id> &tried = {})
+	{
+		enum brf_route_result got;
+		auto *n = try_pick(cls, &got, tried);
+
+		EXPECT_EQ(got, want);
 		return (n);
 	}
 	void
@@ -124,6 +143,7 @@
 	{
 		struct brf_reply r = {};
 
+		open.erase(std::find(open.begin(), open.end(), n));
 		r.outcome = outcome;
 		r.reason = reason;
 		r.has_level = reason != BRF_R_CONNECTION_LOST;
@@ -331,14 +351,8 @@
 	brf_router_set_link(b.router, 1000);
 	for (int cls = BRF_CLASSES - 1; cls >= 0; cls--) {
 		for (int i = 0; i < 100; i++) {
-			struct brf_route_request q = {};
-			struct brf_route_node *n = nullptr;
-			q.service = "factors";
-			q.cls = (uint32_t)cls;
-			q.bytes = 1000;
-			q.cross_region = true;
-			if (brf_router_pick(b.router, &q, &n) !=
-			    BRF_ROUTE_CHOSEN)
+			auto *n = b.try_pick((uint32_t)cls);
+			if (n == nullptr)
 				break;
 			passed[cls]++;
 			b.done(n);
