--- a/src/member/internal.h
+++ b/src/member/internal.h
@@ -92,6 +92,7 @@
 	uint64_t own_us;    /* own time at @last_tick */
 	bool leaving;
 	unsigned health;
+	uint64_t heard_at; /* own time of the last datagram of any node */
 	uint64_t next_probe;
 	unsigned probes;
 	struct brf_probe probe;
@@ -179,7 +180,8 @@
 /* Ping @e out of turn; with @claim others hold it for failed. */
 void brf_heal_verify(struct brf_members *ms, struct brf_entry *e, bool claim);
 
-/* @e, of another zone, is suspect; look after others there as well. */
+/* @e, of another zone, is suspect; look after others there as well, or after
+ * all when this node seems cut off. */
 void brf_heal_verify_zone(struct brf_members *ms, const struct brf_entry *e);
 
 /* sync.c */
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -273,6 +273,7 @@
 	}
 	if (g->sender.lo == ms->table.self->member.node.lo)
 		return;
+	ms->heard_at = brf_members_own(ms);
 	brf_merge(ms);
 	dispatch(ms, from);
 	if ((g->flags & BRF_GOSSIP_F_STRANGER) != 0)
--- a/src/member/probe.c
+++ b/src/member/probe.c
@@ -110,9 +110,10 @@
 	}
 	if (target->heard_direct >= p->began)
 		return;
+	if (alone && ms->heard_at >= p->began)
+		return; /* no longer cut off; what was asked may be lost */
 	brf_members_conclude(ms, target, BRF_GOSSIP_SUSPECT);
-	if (!alone)
-		brf_heal_verify_zone(ms, target);
+	brf_heal_verify_zone(ms, target);
 }
 
 void
--- a/src/member/sync.c
+++ b/src/member/sync.c
@@ -51,9 +51,9 @@
 		quiet = true;
 	if (now < ms->next_sync || (!quiet && !late))
 		return;
-	ms->next_sync = now + (now < ms->catch_up_until
-				      ? ms->tick_us
-				      : BRF_SYNC_PERIODS * period);
+	ms->next_sync =
+	    now + (now < ms->catch_up_until ? ms->tick_us
+					    : BRF_SYNC_PERIODS * period);
 	ms->last_sync = now;
 	ask(ms, from);
 }
--- a/test/members_test.cc
+++ b/test/members_test.cc
@@ -349,6 +349,36 @@
 	}
 }
 
+TEST(members, a_node_cut_off_doubts_itself_first_and_others_not_its_word)
+{
+	fleet f(24);
+	size_t doubted = 0, gone = 0;
+
+	f.net.nodes[4].group = 1;
+	f.net.faults.cut[0][1] = f.net.faults.cut[1][0] = true;
+	fake_net_run(&f.net, 3 * second);
+	for (size_t i = 0; i < 24; i++)
+		EXPECT_EQ(fake_seen(&f.net, 4, f.id(i)), BRF_MEMBER_READY);
+	fake_net_run(&f.net, 60 * second);
+	EXPECT_EQ(brf_members_count(f.net.nodes[4].members), 1u);
+	f.heal();
+	for (int step = 0; step < 100; step++) {
+		fake_net_run(&f.net, second / 20);
+		for (size_t i = 0; i < 24; i++) {
+			for (size_t j = 0; j < 24; j++) {
+				if (i == 4 || j == 4)
+					continue;
+				auto state = fake_seen(&f.net, i, f.id(j));
+				gone += state == BRF_MEMBER_GONE;
+				doubted += state == BRF_MEMBER_SUSPECT;
+			}
+		}
+	}
+	EXPECT_EQ(gone, 0u);
+	EXPECT_LE(doubted, 60u); /* of 50600; one or two that refute */
+	EXPECT_TRUE(fake_agreed(&f.net));
+}
+
 TEST(members, a_new_life_at_an_address_ends_the_old_one)
 {
 	fleet f(16);
@@ -525,6 +555,21 @@
 	}
 }
 
+TEST(members, the_first_word_of_a_digest_is_passed_on)
+{
+	fleet f(40);
+	struct brf_member m = *brf_members_self(f.net.nodes[3].members);
+	size_t know = 0;
+
+	m.docs_digest = 99;
+	brf_members_update_self(f.net.nodes[3].members, &m);
+	fake_net_run(&f.net, second);
+	for (size_t i = 0; i < 40; i++)
+		know += brf_members_find(f.net.nodes[i].members, m.node)
+			    ->docs_digest == 99;
+	EXPECT_GE(know, 38u); /* the rest hears it from whom it talks to */
+}
+
 /* Bytes that a node sends on average in @us. */
 static double
 mean_sent(struct fleet &f, uint64_t us)
