--- a/standin/brf-gossip-cost/main.c
+++ b/standin/brf-gossip-cost/main.c
@@ -17,6 +17,7 @@
 #define MEASURE_US (20 * BRF_US_PER_S)
 #define SPREAD_LIMIT_US (20 * BRF_US_PER_S)
 #define SPREAD_STEP_US (10 * BRF_US_PER_MS)
+#define REPLACEMENTS 20u
 #define NS_PER_S 1e9
 
 struct spread {
@@ -146,6 +147,29 @@
 	    "crash", net->count, measure_spread(net, id, BRF_MEMBER_GONE));
 }
 
+/* A rolling replacement: one node a second leaves and begins anew. */
+static void
+measure_replacement(struct fake_net *net)
+{
+	double before[3], after[3];
+	size_t turn, place;
+
+	sum_traffic(net, &before[0], &before[1], &before[2]);
+	for (turn = 0; turn < REPLACEMENTS; turn++) {
+		place = turn * net->count / REPLACEMENTS;
+		brf_members_leave(net->nodes[place].members);
+		fake_net_run(net, BRF_US_PER_S / 2);
+		fake_node_stop(net, place);
+		fake_node_start(net, place);
+		fake_net_run(net, BRF_US_PER_S / 2);
+	}
+	sum_traffic(net, &after[0], &after[1], &after[2]);
+	print("replacement_each_second_sent_bytes", net->count,
+	    (after[0] - before[0]) / REPLACEMENTS / (double)net->count, "B/s");
+	print("replacement_whole_after", net->count,
+	    seconds(fake_run_until(net, fake_agreed, SPREAD_LIMIT_US)), "s");
+}
+
 static void
 measure_partition(struct fake_net *net)
 {
@@ -180,6 +204,8 @@
 	    seconds(fake_run_until(&net, fake_agreed, 3 * SETTLE_US)), "s");
 	fake_net_run(&net, SETTLE_US);
 	measure_steady(&net, "steady", MEASURE_US);
+	measure_replacement(&net);
+	fake_net_run(&net, SETTLE_US);
 	measure_changes(&net);
 	fake_net_run(&net, SETTLE_US);
 	measure_partition(&net);
--- a/test/members_test.cc
+++ b/test/members_test.cc
@@ -468,6 +468,42 @@
 	EXPECT_EQ(f.counter(name, bad), 2.0);
 }
 
+TEST(members, claims_that_are_not_believed_at_once)
+{
+	const struct {
+		const char *name;
+		bool sender_left;
+		uint8_t claim;
+		enum brf_member_state want;
+	} cases[] = {
+		{ "failed, of one that seems well", false, BRF_GOSSIP_FAILED,
+		    BRF_MEMBER_SUSPECT },
+		{ "left, by a member", false, BRF_GOSSIP_LEFT,
+		    BRF_MEMBER_GONE },
+		{ "left, by one that is gone", true, BRF_GOSSIP_LEFT,
+		    BRF_MEMBER_READY },
+	};
+	static struct brf_gossip g;
+	unsigned char d[BRF_DATAGRAM_MAX];
+	struct sockaddr_in from = fake_address(1);
+
+	for (auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		fleet f(4);
+		if (c.sender_left)
+			brf_members_leave(f.net.nodes[1].members);
+		fake_net_run(&f.net, second);
+		struct brf_id about = f.id(2);
+		brf_gossip_begin(&g, BRF_GOSSIP_NEWS);
+		g.sender = f.id(1);
+		g.briefs[0] = { about.lo, { 0, 0, c.claim } };
+		g.brief_count = 1;
+		size_t len = brf_gossip_encode(f.net.codec, &g, d);
+		brf_members_receive(f.net.nodes[0].members, &from, d, len);
+		EXPECT_EQ(fake_seen(&f.net, 0, about), c.want);
+	}
+}
+
 TEST(members, names_with_other_characters_are_refused)
 {
 	struct brf_gossip_codec *c = brf_gossip_codec_new(nullptr, 0);
