--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -17,6 +17,7 @@
 	std::vector<struct brf_http_request *> held;
 	std::string bodies;
 	std::string fields;
+	std::string hosts;
 	int handled;
 	int gone;
 };
@@ -44,6 +45,7 @@
 	struct brf_message *m = brf_http_request_message(r);
 
 	rec->handled++;
+	rec->hosts += std::string(brf_http_request_host(r)) + ";";
 	rec->bodies.append(m->body.data ? m->body.data : "", m->body.len);
 	for (size_t i = 0; i < m->header_count; i++)
 		rec->fields += std::string(m->headers[i].name) + "=" +
@@ -153,6 +155,13 @@
 } request_cases[] = {
 	{ "plain", "GET /p?q=1 HTTP/1.1\r\n" + host + "\r\n", "200", nullptr,
 	    "" },
+	{ "absolute form", "GET http://A:80/p HTTP/1.1\r\n" + host + "\r\n",
+	    "200", nullptr, "" },
+	{ "absolute form without a path",
+	    "GET HTTP://a HTTP/1.1\r\n" + host + "\r\n", "200", nullptr, "" },
+	{ "absolute form of another scheme",
+	    "GET ftp://a/ HTTP/1.1\r\n" + host + "\r\n", "400", "malformed",
+	    nullptr },
 	{ "http 1.0 without host", "GET / HTTP/1.0\r\n\r\n", "200", nullptr,
 	    "" },
 	{ "length",
@@ -264,6 +273,23 @@
 	EXPECT_EQ(rec.fields, "x-end=2;");
 }
 
+TEST_F(server, host_is_lower_case_and_without_port)
+{
+	const char *lines[] = { "GET / HTTP/1.1\r\nHost: FacTors:80",
+		"GET / HTTP/1.1\r\nHost: [::1]:80",
+		"GET / HTTP/1.1\r\nHost: [::1]",
+		"GET http://Other:1/p HTTP/1.1\r\nHost: factors",
+		"GET / HTTP/1.0" };
+
+	for (auto *line : lines) {
+		struct raw_peer p;
+
+		p.connect_to(port);
+		talk(p, std::string(line) + "\r\n\r\n", "\r\n\r\n");
+	}
+	EXPECT_EQ(rec.hosts, "factors;[::1];[::1];other;;");
+}
+
 TEST_F(server, pipelined_requests_are_answered_in_order)
 {
 	struct raw_peer p;
@@ -814,6 +840,61 @@
 	brf_http_target_free(tg);
 }
 
+TEST_F(target, a_body_larger_than_the_socket_buffer_arrives_whole)
+{
+	struct raw_target t;
+	struct run_record r;
+	struct brf_target *tg = brf_http_target_new(bench.hl, t.port, 1);
+	std::string body;
+
+	for (int i = 0; body.size() < BRF_BODY_MAX; i++)
+		body += std::to_string(i) + ",";
+	body.resize(BRF_BODY_MAX);
+	brf_buf_clear(&request->body);
+	brf_buf_add(&request->body, body.data(), body.size());
+	prepare(r);
+	brf_target_run(tg, &r.run);
+	ASSERT_TRUE(bench.turn_until([&] { return (t.accepts()); }));
+	bench.turn(20); /* the socket fills up meanwhile */
+	EXPECT_TRUE(bench.turn_until([&] {
+		t.peer.get();
+		return (t.peer.got.size() > body.size() &&
+			t.peer.got.compare(t.peer.got.size() - body.size(),
+			    body.size(), body) == 0);
+	}));
+	t.peer.put(ok + "content-length: 0\r\n\r\n");
+	EXPECT_TRUE(bench.turn_until([&] { return (r.ends == 1); }));
+	EXPECT_EQ(r.end, BRF_RUN_ANSWERED);
+	brf_http_target_free(tg);
+}
+
+TEST_F(target, an_answer_before_the_whole_request_ends_the_connection)
+{
+	struct raw_target t;
+	struct run_record r;
+	struct brf_target *tg = brf_http_target_new(bench.hl, t.port, 1);
+	std::string body(BRF_BODY_MAX, 'x');
+	int small = 4096;
+
+	setsockopt(t.listener, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	brf_buf_clear(&request->body);
+	for (int i = 0; i < 8; i++) /* more than any send buffer here */
+		brf_buf_add(&request->body, body.data(), body.size());
+	prepare(r);
+	brf_target_run(tg, &r.run);
+	ASSERT_TRUE(bench.turn_until([&] { return (t.accepts()); }));
+	bench.turn(20);
+	t.peer.put("HTTP/1.1 413 No\r\ncontent-length: 0\r\n\r\n");
+	EXPECT_TRUE(bench.turn_until([&] { return (r.ends == 1); }));
+	EXPECT_EQ(r.status, 413);
+	EXPECT_TRUE(bench.turn_until([&] {
+		t.peer.get();
+		return (t.peer.ended);
+	}));
+	EXPECT_LT(t.peer.got.size(), request->body.len);
+	brf_http_target_free(tg);
+}
+
 TEST_F(target, cancel_closes_the_connection)
 {
 	struct raw_target t;
