--- a/src/policy/ledger.c
+++ b/src/policy/ledger.c
@@ -19,12 +19,14 @@
  * @ends: clock time until which it is kept once it does not run
  * @hold_us: of an attempt: how long it is kept from then on
  * @token: of an attempt: id of its token; zero for none
+ * @unseen: of an attempt: its cancel came, itself did not
  */
 struct record {
 	struct brf_list chain;
 	struct brf_id id;
 	enum record_state state;
 	enum brf_reason reason;
+	bool unseen;
 	uint64_t ends;
 	uint64_t hold_us;
 	uint64_t checksum;
@@ -291,12 +293,19 @@
 	uint64_t now = brf_now(l->clock);
 	struct record *r = table_find(&l->attempts, request->attempt);
 
-	if (r != NULL) {
+	if (r != NULL &&
+	    (request->token == NULL || r->state != RECORD_REFUSED)) {
 		repeat(l, r, reply);
 		return (false);
 	}
 	if (request->token != NULL && !begin_token(l, request, now, reply))
 		return (false);
+	if (r != NULL) {
+		r->token = request->token->id;
+		settle_token(l, r, RECORD_REFUSED, r->reason);
+		repeat(l, r, reply);
+		return (false);
+	}
 	r = table_add(l, &l->attempts, request->attempt, now);
 	if (r == NULL) {
 		turn_away(l, request, reply);
@@ -320,6 +329,7 @@
 		if (r == NULL)
 			return (false);
 		r->hold_us = hold_for(UINT64_MAX);
+		r->unseen = true;
 	}
 	if (r->state == RECORD_RUNNING) {
 		r->state = RECORD_REFUSED;
@@ -327,7 +337,7 @@
 		r->ends = now + r->hold_us;
 		settle_token(l, r, RECORD_REFUSED, reason);
 	}
-	return (r->state == RECORD_REFUSED);
+	return (r->state == RECORD_REFUSED && !r->unseen);
 }
 
 static void
--- a/src/policy/ledger.h
+++ b/src/policy/ledger.h
@@ -91,10 +91,11 @@
  * brf_ledger_refuse() - @attempt has not begun at the target, and shall not.
  *
  * An attempt that never arrived is remembered too, so that a cancel which
- * overtakes its request holds.
+ * overtakes it holds; but its token is not known yet, and may have been used
+ * by another attempt.
  *
- * Return: whether BRF_NOT_RUN may be said of it; false when it is done, or
- * could not be remembered.
+ * Return: whether BRF_NOT_RUN may be said of its request; false when it is
+ * done, never arrived, or could not be remembered.
  */
 bool brf_ledger_refuse(
     struct brf_ledger *l, struct brf_id attempt, enum brf_reason reason);
