--- a/src/http/loop.c
+++ b/src/http/loop.c
@@ -29,12 +29,7 @@
 
 	/* tasks posted from here on wait for the next turn */
 	brf_list_init(&batch);
-	while (!brf_list_empty(&hl->tasks)) {
-		task =
-		    brf_list_entry(hl->tasks.next, struct brf_http_task, link);
-		brf_list_remove(&task->link);
-		brf_list_append(&batch, &task->link);
-	}
+	brf_list_move(&batch, &hl->tasks);
 	while (!brf_list_empty(&batch)) {
 		task = brf_list_entry(batch.next, struct brf_http_task, link);
 		brf_list_remove(&task->link);
