--- a/fuzz/datagram.c
+++ b/fuzz/datagram.c
@@ -17,6 +17,7 @@
 #define SEEDED 7u
 #define STEP_US (150 * BRF_US_PER_MS)
 
+/* libFuzzer's name. NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static void
--- a/src/member/probe.c
+++ b/src/member/probe.c
@@ -126,7 +126,7 @@
 end_suspicions(struct brf_members *ms)
 {
 	uint64_t more =
-	    ms->health * BRF_SUSPICION_PERIODS * ms->config.period_us;
+	    ms->config.period_us * BRF_SUSPICION_PERIODS * ms->health;
 	uint64_t now = brf_members_own(ms);
 	struct brf_list *l, *tmp;
 	struct brf_entry *e;
--- a/standin/brf-gossip-cost/main.c
+++ b/standin/brf-gossip-cost/main.c
@@ -187,6 +187,48 @@
 	measure_steady(net, "healed", 10 * BRF_US_PER_S);
 }
 
+/* Views that survivors have of the dead zone's members, not yet @least. */
+static size_t
+views_below(const struct fake_net *net, const struct brf_id *dead,
+    enum brf_member_state least)
+{
+	size_t i, j, n = 0;
+
+	for (i = 0; i < net->count; i++) {
+		for (j = 0; net->nodes[i].up && j < net->count; j += ZONES)
+			n += fake_seen(net, i, dead[j]) < least;
+	}
+	return (n);
+}
+
+static void
+print_views(struct fake_net *net, const struct brf_id *dead,
+    enum brf_member_state least, const char *name, uint64_t began)
+{
+	uint64_t limit = net->clock.now + 2 * SPREAD_LIMIT_US;
+
+	while (views_below(net, dead, least) != 0 && net->clock.now < limit)
+		fake_net_run(net, 5 * SPREAD_STEP_US);
+	print(name, net->count, seconds(net->clock.now - began), "s");
+}
+
+/* All nodes of a zone die at once. */
+static void
+measure_zone_loss(struct fake_net *net)
+{
+	struct brf_id *dead = brf_calloc(net->count, sizeof(*dead));
+	uint64_t began = net->clock.now;
+	size_t i;
+
+	for (i = 0; i < net->count; i += ZONES) {
+		dead[i] = brf_members_self(net->nodes[i].members)->node;
+		fake_node_stop(net, i);
+	}
+	print_views(net, dead, BRF_MEMBER_SUSPECT, "zone_loss_no_work", began);
+	print_views(net, dead, BRF_MEMBER_GONE, "zone_loss_gone", began);
+	free(dead);
+}
+
 static void
 measure(size_t n, uint64_t seed)
 {
@@ -209,6 +251,8 @@
 	measure_changes(&net);
 	fake_net_run(&net, SETTLE_US);
 	measure_partition(&net);
+	fake_net_run(&net, SETTLE_US);
+	measure_zone_loss(&net);
 	fake_net_free(&net);
 }
 
