--- /dev/null
+++ b/src/http/call.c
@@ -0,0 +1,288 @@
+#include "bulrushford.h"
+#include "http/call.h"
+#include "http/fields.h"
+
+#define FIELDS_MAX 128	/* hop-by-hop ones included */
+#define HEAD_MAX 65536u /* bytes of an answer's head before it is parsed */
+
+/*
+ * The connection goes first, so that a call which the owner starts in @done
+ * finds it in the pool.  The owner may free the call in @done.
+ */
+void
+brf_http_call_end(struct brf_http_call *call, enum brf_run_end how)
+{
+	struct brf_message *answer = call->answer, *request = call->request;
+	struct brf_http_pooled *c = call->conn;
+
+	call->conn = NULL;
+	if (c != NULL)
+		brf_http_pool_put(c, how == BRF_RUN_ANSWERED && call->keep);
+	brf_buf_free(&call->head);
+	call->done(call, how);
+	brf_message_unref(answer);
+	brf_message_unref(request);
+}
+
+/* Return: false when the call has ended in it. */
+static bool
+add_body(struct brf_http_call *call, const char *data, size_t len)
+{
+	if (len == 0)
+		return (true);
+	if (call->chunk != NULL) {
+		call->in_chunk = true;
+		call->chunk(call, data, len);
+		call->in_chunk = false;
+		if (!call->cancelled)
+			return (true);
+		brf_http_call_end(call, BRF_RUN_CANCELLED);
+		return (false);
+	}
+	if (len > call->body_max - call->answer->body.len) {
+		brf_http_call_end(call, BRF_RUN_TOO_LARGE);
+		return (false);
+	}
+	brf_buf_add(&call->answer->body, data, len);
+	return (true);
+}
+
+static void
+read_length_body(struct brf_http_call *call, struct brf_buf *in)
+{
+	size_t len = in->len < call->missing ? in->len : call->missing;
+
+	if (!add_body(call, in->data, len))
+		return;
+	brf_buf_consume(in, len);
+	call->missing -= len;
+	if (call->missing == 0)
+		brf_http_call_end(call, BRF_RUN_ANSWERED);
+}
+
+static void
+read_chunked_body(struct brf_http_call *call, struct brf_buf *in)
+{
+	size_t len = in->len;
+	ssize_t rest = phr_decode_chunked(&call->decoder, in->data, &len);
+
+	if (rest == -1) {
+		brf_http_call_end(call, BRF_RUN_BROKEN);
+		return;
+	}
+	if (!add_body(call, in->data, len))
+		return;
+	brf_buf_clear(in);
+	if (rest == -2)
+		return;
+	if (rest != 0)
+		call->keep = false; /* bytes that belong to no call */
+	brf_http_call_end(call, BRF_RUN_ANSWERED);
+}
+
+struct framing {
+	bool chunked;
+	bool has_length;
+	uint64_t length;
+};
+
+static bool
+parse_length(const struct phr_header *field, uint64_t *length)
+{
+	size_t i;
+
+	*length = 0;
+	for (i = 0; i < field->value_len; i++) {
+		if (field->value[i] < '0' || field->value[i] > '9' || i == 18)
+			return (false);
+		*length = *length * 10 + (uint64_t)(field->value[i] - '0');
+	}
+	return (i != 0);
+}
+
+/* Return: false when the fields contradict each other. */
+static bool
+read_framing(const struct phr_header *fields, size_t count, struct framing *f)
+{
+	uint64_t length;
+	size_t i;
+
+	*f = (struct framing){ .chunked = false };
+	for (i = 0; i < count; i++) {
+		if (brf_http_field_is(&fields[i], "transfer-encoding")) {
+			if (f->chunked ||
+			    !brf_http_fields_name(&fields[i], 1,
+				"transfer-encoding", "chunked", 7) ||
+			    fields[i].value_len != 7)
+				return (false);
+			f->chunked = true;
+		}
+		if (!brf_http_field_is(&fields[i], "content-length"))
+			continue;
+		if (!parse_length(&fields[i], &length) ||
+		    (f->has_length && f->length != length))
+			return (false);
+		f->has_length = true;
+		f->length = length;
+	}
+	return (!(f->chunked && f->has_length));
+}
+
+static bool
+has_no_body(const struct brf_http_call *call, int status)
+{
+	return (status == 204 || status == 304 ||
+		strcmp(call->request->method, "HEAD") == 0);
+}
+
+/* Choose how the body is read; BRF_RUN_ANSWERED lets it go on. */
+static enum brf_run_end
+begin_body(struct brf_http_call *call, int status, const struct framing *f)
+{
+	if (has_no_body(call, status)) {
+		call->state = BRF_HTTP_CALL_LENGTH;
+		return (BRF_RUN_ANSWERED);
+	}
+	if (f->chunked) {
+		call->state = BRF_HTTP_CALL_CHUNKED;
+		call->decoder.consume_trailer = 1;
+		return (BRF_RUN_ANSWERED);
+	}
+	if (!f->has_length)
+		return (BRF_RUN_BROKEN);
+	call->state = BRF_HTTP_CALL_LENGTH;
+	call->missing = f->length;
+	if (call->chunk != NULL)
+		return (BRF_RUN_ANSWERED);
+	if (f->length > call->body_max)
+		return (BRF_RUN_TOO_LARGE);
+	brf_buf_reserve(&call->answer->body, f->length);
+	return (BRF_RUN_ANSWERED);
+}
+
+static enum brf_run_end
+take_head(struct brf_http_call *call, int minor_version, int status,
+    const struct phr_header *fields, size_t count)
+{
+	struct brf_error err = { .code = BRF_OK };
+	struct framing f;
+
+	if (status < 200 || status > 599 || !read_framing(fields, count, &f))
+		return (BRF_RUN_BROKEN);
+	call->answer->status = status;
+	call->keep = minor_version >= 1 && !brf_http_fields_name(fields, count,
+					       "connection", "close", 5);
+	if (!brf_http_fields_take(call->answer, fields, count, &err))
+		return (err.code == BRF_E_TOO_LARGE ? BRF_RUN_TOO_LARGE
+						    : BRF_RUN_BROKEN);
+	return (begin_body(call, status, &f));
+}
+
+/* Return: whether the head was there and the call goes on. */
+static bool
+read_head(struct brf_http_call *call, struct brf_buf *in)
+{
+	struct phr_header fields[FIELDS_MAX];
+	size_t count = FIELDS_MAX, msg_len;
+	int minor_version, status, len;
+	enum brf_run_end how = BRF_RUN_ANSWERED;
+	const char *msg;
+
+	len = phr_parse_response(in->data, in->len, &minor_version, &status,
+	    &msg, &msg_len, fields, &count, call->parsed);
+	call->parsed = in->len;
+	if (len == -2 && in->len <= HEAD_MAX)
+		return (false);
+	if (len == -2)
+		how = BRF_RUN_TOO_LARGE;
+	else if (len == -1)
+		how = BRF_RUN_BROKEN;
+	else if (status < 100 || status > 199 || status == 101)
+		how = take_head(call, minor_version, status, fields, count);
+	if (how != BRF_RUN_ANSWERED) {
+		brf_http_call_end(call, how);
+		return (false);
+	}
+	brf_buf_consume(in, (size_t)len);
+	call->parsed = 0;
+	return (true);
+}
+
+void
+brf_http_call_input(struct brf_http_call *call, struct brf_buf *in)
+{
+	while (
+	    call->state == BRF_HTTP_CALL_HEAD) { /* interim ones may precede */
+		if (in->len == 0 || !read_head(call, in))
+			return;
+	}
+	if (call->state == BRF_HTTP_CALL_LENGTH)
+		read_length_body(call, in);
+	else if (in->len != 0)
+		read_chunked_body(call, in);
+}
+
+static void
+put_field(struct brf_buf *b, const struct brf_header *field)
+{
+	brf_buf_puts(b, field->name);
+	brf_buf_add(b, ": ", 2);
+	brf_buf_puts(b, field->value);
+	brf_buf_add(b, "\r\n", 2);
+}
+
+static bool
+wants_length(const struct brf_message *m)
+{
+	return (m->body.len != 0 || strcmp(m->method, "POST") == 0 ||
+		strcmp(m->method, "PUT") == 0 ||
+		strcmp(m->method, "PATCH") == 0);
+}
+
+static void
+build_head(
+    struct brf_http_call *call, const struct brf_header *extra, size_t count)
+{
+	const struct brf_message *m = call->request;
+	struct brf_buf *b = &call->head;
+	size_t i;
+
+	brf_buf_reserve(b, m->header_bytes + strlen(m->path) + 1024);
+	brf_buf_printf(b, "%s %s HTTP/1.1\r\nhost: %s\r\n", m->method, m->path,
+	    call->host != NULL ? call->host
+			       : brf_http_pool_authority(call->pool));
+	for (i = 0; i < m->header_count; i++) {
+		if (!brf_header_is_hop_by_hop(m->headers[i].name))
+			put_field(b, &m->headers[i]);
+	}
+	for (i = 0; i < count; i++)
+		put_field(b, &extra[i]);
+	if (wants_length(m))
+		brf_buf_printf(b, "content-length: %zu\r\n", m->body.len);
+	brf_buf_add(b, "\r\n", 2);
+}
+
+void
+brf_http_call_start(struct brf_http_call *call, struct brf_http_pool *pool,
+    struct brf_message *request, const struct brf_header *extra,
+    size_t extra_count)
+{
+	call->pool = pool;
+	call->request = brf_message_ref(request);
+	call->answer = brf_message_new();
+	build_head(call, extra, extra_count);
+	if (!brf_http_pool_send(call))
+		brf_http_call_end(call, BRF_RUN_NOT_STARTED);
+}
+
+void
+brf_http_call_cancel(struct brf_http_call *call)
+{
+	if (call->cancelled)
+		return;
+	call->cancelled = true;
+	if (call->in_chunk) /* add_body() ends it */
+		return;
+	brf_http_call_end(
+	    call, call->sent ? BRF_RUN_CANCELLED : BRF_RUN_NOT_STARTED);
+}
