Router: take the cut of a level from policy/shed.h

The router had its own ageing of levels; the one that the sender's shedding uses is now the only one.

--- a/src/route/internal.h
+++ b/src/route/internal.h
@@ -2,6 +2,7 @@
 #define BRF_ROUTE_INTERNAL_H
 
 #include "base/list.h"
+#include "policy/shed.h"
 #include "route/link.h"
 #include "route/router.h"
 
@@ -39,6 +40,7 @@
  * @in_flight: attempts from here
  * @latency_us: moving average of useful answers; 0 for none
  * @latency_at: clock time of the last of them
+ * @shed: from which rank it sheds
  * @level: last admission level, of clock time @level_at (0: none)
  * @level_in_flight: @in_flight at that time
  * @refusing_until: it said that it drains; news of that may be under way
@@ -56,6 +58,7 @@
 	uint32_t in_flight;
 	double latency_us;
 	uint64_t latency_at;
+	struct brf_shed shed;
 	struct brf_level level;
 	uint64_t level_at;
 	uint32_t level_in_flight;
--- a/src/route/level.c
+++ b/src/route/level.c
@@ -1,8 +1,5 @@
 #include "route/internal.h"
 
-/* A level counts less the older it is, and no more at this age. */
-#define LEVEL_AGE_US BRF_US_PER_S
-
 /* While nothing is known of a gate's limit and its member told no slots. */
 #define ROOM_UNKNOWN 16.0
 
@@ -12,31 +9,27 @@
 {
 	if (!reply->has_level)
 		return;
+	brf_shed_update(&node->shed, &reply->level, now);
 	node->level = reply->level;
 	node->level_at = now;
 	node->level_in_flight = node->in_flight;
 }
 
-/* Part of its weight that a level still has, between 0 and 1. */
+/* A level counts less the older it is: what is left, between 0 and 1. */
 static double
 level_weight(const struct brf_route_node *node, uint64_t now)
 {
 	uint64_t age = now - node->level_at;
 
-	if (node->level_at == 0 || age >= LEVEL_AGE_US)
+	if (node->level_at == 0 || age >= BRF_SHED_AGE_US)
 		return (0);
-	return (1.0 - (double)age / (double)LEVEL_AGE_US);
+	return (1.0 - (double)age / (double)BRF_SHED_AGE_US);
 }
 
 bool
 brf_level_admits(const struct brf_route_node *node, uint32_t rank, uint64_t now)
 {
-	double weight = level_weight(node, now);
-	double shed = (double)BRF_RANK_END - (double)node->level.cut;
-
-	if (shed <= 0)
-		return (true);
-	return ((double)rank < (double)BRF_RANK_END - weight * shed);
+	return (rank < brf_shed_cut(&node->shed, now));
 }
 
 double
