--- a/src/config/store_client.c
+++ b/src/config/store_client.c
@@ -94,13 +94,15 @@
 
 	if (err != NULL) {
 		answer.err = *err;
-		take_next_address(job->client);
 		if (err->code == BRF_E_CONNECT)
 			answer.outcome = BRF_STORE_REFUSED;
 	} else {
 		brf_store_decode(
 		    &job->kind, got->status, got->body, got->body_len, &answer);
 	}
+	if (answer.outcome == BRF_STORE_UNKNOWN ||
+	    answer.err.code == BRF_E_CONNECT)
+		take_next_address(job->client);
 	end_call(job, &answer);
 }
 
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -149,8 +149,13 @@
 		config.http = bench.hl;
 		config.timers = bench.timers;
 		config.metrics = bench.metrics;
-		memcpy(&config.addrs[0], &addr, sizeof(addr));
-		config.addr_count = 1;
+		if (dead_first) {
+			struct sockaddr_in dead = loopback(1);
+
+			memcpy(&config.addrs[config.addr_count++], &dead,
+			    sizeof(dead));
+		}
+		memcpy(&config.addrs[config.addr_count++], &addr, sizeof(addr));
 		config.calls_per_s = calls_per_s;
 		config.burst = 1000;
 		config.timeout_us = timeout_us;
@@ -419,6 +424,15 @@
 	EXPECT_EQ(g.code, BRF_E_CONNECT);
 }
 
+TEST(store, the_next_address_is_taken_after_a_failure)
+{
+	client c(5 * BRF_US_PER_S, 1000, true);
+
+	EXPECT_EQ(c.put("/p/a", "one").outcome, BRF_STORE_REFUSED);
+	EXPECT_EQ(c.put("/p/a", "one").outcome, BRF_STORE_DONE);
+	EXPECT_EQ(c.get("/p/a").values.size(), 1u);
+}
+
 TEST(store, calls_are_capped_and_the_line_is_bounded)
 {
 	client c(5 * BRF_US_PER_S, 0.001);
