--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -139,8 +139,8 @@
 	struct brf_random_seeded random;
 	struct brf_store *store;
 
-	explicit client(
-	    uint64_t timeout_us = 5 * BRF_US_PER_S, double calls_per_s = 1000)
+	explicit client(uint64_t timeout_us = 5 * BRF_US_PER_S,
+	    double calls_per_s = 1000, bool dead_first = false)
 	{
 		struct brf_store_client_config config = {};
 		struct sockaddr_in addr = loopback(process.port);
