--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -107,6 +107,7 @@
 
 struct brf_admission *brf_admission_new(
     struct brf_timers *timers, const struct brf_admission_config *config);
+/* Tickets that still wait are let go without a callback. */
 void brf_admission_free(struct brf_admission *a);
 
 /* New bounds take effect at once; nothing that runs is touched. */
