Test withdrawal of a refused ticket, and tokens of cancelled attempts

Cause: two faults planted by hand went unseen (a refused ticket whose word is still to come could not be withdrawn; the token of an attempt cancelled before it arrived stayed running for ever). The code was right; both are caught now.

--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -303,6 +303,29 @@
 	}
 }
 
+TEST(admission, withdrawal_forestalls_the_word_of_a_refusal)
+{
+	struct brf_admission_config config = { 1, 1, 0, false };
+	struct brf_clock_manual clock;
+	struct lone_ticket busy = lone(UINT64_MAX), low = lone(UINT64_MAX, 2),
+			   high = lone(UINT64_MAX, 0);
+	enum brf_reason reason = BRF_R_NONE;
+
+	brf_clock_manual_init(&clock, S);
+	struct brf_timers *ts = brf_timers_new(&clock.clock);
+	struct brf_admission *a = brf_admission_new(ts, &config);
+	for (auto *l : { &busy, &low, &high })
+		EXPECT_NE(brf_admission_submit(a, &l->ticket, &reason),
+		    BRF_ADMISSION_REFUSE);
+	EXPECT_TRUE(brf_admission_withdraw(a, &low.ticket));
+	EXPECT_FALSE(brf_admission_withdraw(a, &low.ticket));
+	brf_timers_run(ts);
+	EXPECT_EQ(low.refused, BRF_R_NONE);
+	EXPECT_EQ(brf_admission_stats(a)->refused[2], 1u);
+	brf_admission_free(a);
+	brf_timers_free(ts);
+}
+
 /* An estimate that refuses all must not outlive its cause. */
 TEST(admission, late_requests_are_probed_and_past_ones_never)
 {
--- a/test/token_test.cc
+++ b/test/token_test.cc
@@ -376,6 +376,7 @@
 {
 	struct brf_clock_manual clock;
 	struct brf_ledger_config config = { 1, 1, 0 };
+	struct brf_token token = { node, 9, BRF_TOKEN_LIFE_US, { 3, 4 } };
 	struct brf_ledger_request request = { { 0, 1 }, UINT64_MAX, nullptr,
 		0 };
 	struct brf_reply reply;
@@ -387,7 +388,14 @@
 	EXPECT_FALSE(brf_ledger_begin(l, &request, &reply));
 	EXPECT_EQ(reply.outcome, BRF_NOT_RUN);
 	EXPECT_EQ(reply.reason, BRF_R_CANCELLED);
-	request.attempt.lo = 2;
+	request.token = &token;
+	for (request.attempt.lo = 1; request.attempt.lo < 3;
+	     request.attempt.lo++) {
+		EXPECT_FALSE(brf_ledger_begin(l, &request, &reply));
+		EXPECT_EQ(reply.outcome, BRF_NOT_RUN) << "final for its token";
+		EXPECT_EQ(reply.reason, BRF_R_CANCELLED);
+	}
+	request.token = nullptr;
 	EXPECT_FALSE(brf_ledger_begin(l, &request, &reply));
 	EXPECT_EQ(reply.outcome, BRF_UNKNOWN) << "no room for an entry";
 	EXPECT_FALSE(brf_ledger_refuse(l, request.attempt, BRF_R_CANCELLED));
