Tell the limiter how long a target's own calls took

Cause: an attempt that waits for a slow service below says nothing of its own target's speed, yet taught the limit. Change: the gate sums the time with an open outgoing call (outside_us); a peer's claim of extra attempts goes through brf_allotment_init().

--- a/src/base/outcome.h
+++ b/src/base/outcome.h
@@ -23,7 +23,7 @@
 	X(BRF_R_NONE, "none", 200)                          \
 	X(BRF_R_OVERLOAD, "overload", 503)                  \
 	X(BRF_R_SHED_EARLY, "shed_early", 503)              \
-	X(BRF_R_SHED_BELOW, "shed_below", 503) \
+	X(BRF_R_SHED_BELOW, "shed_below", 503)              \
 	X(BRF_R_SHARE, "workspace_share", 429)              \
 	X(BRF_R_DEADLINE, "deadline", 504)                  \
 	X(BRF_R_EXPIRED, "expired_waiting", 504)            \
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -213,6 +213,17 @@
 		reason == BRF_R_DEADLINE);
 }
 
+static void
+leave_inbound(struct brf_call *call, const struct brf_call_end *end)
+{
+	struct brf_inbound *in = call->request.inbound;
+
+	if (end->outcome == BRF_NOT_RUN && is_shed(end->reason))
+		in->shed_below = true;
+	if (--in->open_calls == 0)
+		in->outside_us += now(call->caller) - in->open_since;
+}
+
 static void
 finish(struct brf_call *call, enum brf_outcome outcome, enum brf_reason reason,
     struct brf_message *answer)
@@ -233,8 +244,8 @@
 	}
 	count_end(call, &end);
 	account(call, &end);
-	if (rq->inbound != NULL && outcome == BRF_NOT_RUN && is_shed(reason))
-		rq->inbound->shed_below = true;
+	if (rq->inbound != NULL)
+		leave_inbound(call, &end);
 	brf_list_remove(&call->link);
 	if (!call->abandoned)
 		rq->done(rq->arg, &end);
@@ -494,6 +505,17 @@
 		finish(call, reply.outcome, reply.reason, NULL);
 }
 
+static void
+enter_inbound(struct brf_call *call)
+{
+	struct brf_inbound *in = call->request.inbound;
+
+	brf_list_append(&in->calls, &call->link);
+	in->has_calls = true;
+	if (in->open_calls++ == 0)
+		in->open_since = call->began;
+}
+
 struct brf_call *
 brf_call_start(
     struct brf_caller *caller, const struct brf_call_request *request)
@@ -517,10 +539,8 @@
 	call->request.service = call->x.attempt.service;
 	call->request.workspace = call->x.attempt.workspace;
 	call->deadline = call->began + time_allowed(call);
-	if (request->inbound != NULL) {
-		brf_list_append(&request->inbound->calls, &call->link);
-		request->inbound->has_calls = true;
-	}
+	if (request->inbound != NULL)
+		enter_inbound(call);
 	call->timer.fire = try_next;
 	call->timer.arg = call;
 	first_attempt(call);
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -226,6 +226,7 @@
 	if (e->inbound.has_calls)
 		brf_below_learn(&gate->below, e->ticket.rank,
 		    e->inbound.shed_below, took, now(gate));
+	e->ticket.outside_us = e->inbound.outside_us;
 	brf_admission_finish(gate->admission, &e->ticket, in_time);
 	conclude(e, reply);
 }
@@ -364,7 +365,7 @@
 	e->inbound.cls = cls;
 	e->inbound.workspace = at->workspace;
 	e->inbound.deadline = attempt_deadline(gate, e);
-	e->inbound.allotment.left = at->retries;
+	brf_allotment_init(&e->inbound.allotment, at->retries);
 	brf_list_init(&e->inbound.calls);
 	e->ticket.cls = cls;
 	e->ticket.rank = brf_rank(cls, at->root);
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -63,6 +63,10 @@
  * @allotment: extra attempts that its outgoing calls share
  * @useful_us: slot time of its outgoing calls that were answered
  * @wasted_us: slot time of the others
+ * @open_calls: number of them
+ * @open_since: clock time since which there is one
+ * @outside_us: time during which there was one, which says nothing of the
+ *	target's own speed
  * @has_calls: it made outgoing calls
  * @shed_below: one of them was refused for want of capacity
  * @calls: outgoing calls that are open; see node/call.h
@@ -75,6 +79,9 @@
 	uint64_t deadline;
 	struct brf_allotment allotment;
 	struct brf_list calls;
+	uint32_t open_calls;
+	uint64_t open_since;
+	uint64_t outside_us;
 	bool has_calls;
 	bool shed_below;
 	uint64_t useful_us;
--- a/src/policy/below.c
+++ b/src/policy/below.c
@@ -44,7 +44,8 @@
 	}
 	if (step == BRF_BELOW_STEPS)
 		return (BRF_RANK_END);
-	return ((uint32_t)((step + (want - seen) / b->ran[step]) * STEP_RANKS));
+	return ((uint32_t)(((double)step + (want - seen) / b->ran[step]) *
+			   STEP_RANKS));
 }
 
 static void
