--- a/src/member/heal.c
+++ b/src/member/heal.c
@@ -27,14 +27,14 @@
 	bool cut_off = ms->health == BRF_HEALTH_WORST;
 	uint64_t recent = brf_members_own(ms) - ms->config.period_us;
 	const struct brf_roster *r = &ms->table.rosters[BRF_ROSTER_ALL];
-	size_t looks = r->count;
+	size_t i, first = brf_random_below(ms->config.random, r->count + 1);
 	unsigned left = BRF_VERIFY_ZONE;
 	struct brf_entry *other;
 
 	if (strcmp(e->member.zone, self->zone) == 0 && !cut_off)
 		return;
-	while (looks-- > 0 && left > 0) {
-		other = brf_roster_any(&ms->table, BRF_ROSTER_ALL);
+	for (i = 0; i < r->count && left > 0; i++) {
+		other = r->list[(first + i) % r->count];
 		if (other->version.state >= BRF_GOSSIP_SUSPECT ||
 		    other->heard_direct >= recent ||
 		    (strcmp(other->member.zone, e->member.zone) != 0 &&
