--- a/src/node/burn.c
+++ b/src/node/burn.c
@@ -106,7 +106,7 @@
 }
 
 void
-brf_burn_add(struct brf_burn *b, const struct brf_document *doc, uint32_t cls,
+brf_burn_count(struct brf_burn *b, const struct brf_document *doc, uint32_t cls,
     const struct brf_call_end *end, uint64_t took_us)
 {
 	const struct brf_objective *objective = find_objective(doc, cls);
--- a/src/node/burn.h
+++ b/src/node/burn.h
@@ -39,10 +39,10 @@
 void brf_burn_free(struct brf_burn *b);
 
 /**
- * brf_burn_add() - a request of @doc's service has ended.
+ * brf_burn_count() - a request of @doc's service has ended.
  * @took_us: from request to outcome
  */
-void brf_burn_add(struct brf_burn *b, const struct brf_document *doc,
+void brf_burn_count(struct brf_burn *b, const struct brf_document *doc,
     uint32_t cls, const struct brf_call_end *end, uint64_t took_us);
 
 /**
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -195,7 +195,7 @@
 	    (call->request.nested && !call->abandoned))
 		return;
 	if (!call->abandoned && !call->request.nested)
-		brf_burn_add(caller->burn, call->doc, call->x.attempt.cls, end,
+		brf_burn_count(caller->burn, call->doc, call->x.attempt.cls, end,
 		    now(caller) - call->began);
 	if (useful)
 		caller->useful_seconds->value +=
