--- a/src/node/call.c
+++ b/src/node/call.c
@@ -195,8 +195,8 @@
 	    (call->request.nested && !call->abandoned))
 		return;
 	if (!call->abandoned && !call->request.nested)
-		brf_burn_count(caller->burn, call->doc, call->x.attempt.cls, end,
-		    now(caller) - call->began);
+		brf_burn_count(caller->burn, call->doc, call->x.attempt.cls,
+		    end, now(caller) - call->began);
 	if (useful)
 		caller->useful_seconds->value +=
 		    (double)call->useful_us / BRF_US_PER_S;
