--- a/Makefile
+++ b/Makefile
@@ -123,7 +123,7 @@
 	clang-format -i $(C_FILES) $(CC_FILES)
 
 lint:
-	tools/lint $(C_FILES) $(CC_FILES)
+	@tools/lint $(C_FILES) $(CC_FILES)
 
 demo:
 	tools/packages
--- a/src/policy/below.c
+++ b/src/policy/below.c
@@ -34,18 +34,18 @@
 static uint32_t
 cut_for(const struct brf_below *b, double share)
 {
-	double want = share * b->total, seen = 0;
+	double want = share * b->total, part;
 	uint32_t step;
 
 	for (step = 0; step < BRF_BELOW_STEPS; step++) {
-		if (seen + b->ran[step] > want)
+		if (b->ran[step] > want)
 			break;
-		seen += b->ran[step];
+		want -= b->ran[step];
 	}
 	if (step == BRF_BELOW_STEPS)
 		return (BRF_RANK_END);
-	return ((uint32_t)(((double)step + (want - seen) / b->ran[step]) *
-			   STEP_RANKS));
+	part = want / b->ran[step];
+	return (step * STEP_RANKS + (uint32_t)(part * STEP_RANKS));
 }
 
 static void
