--- a/src/policy/below.c
+++ b/src/policy/below.c
@@ -34,7 +34,8 @@
 static uint32_t
 cut_for(const struct brf_below *b, double share)
 {
-	double want = share * b->total, part;
+	const uint32_t width = STEP_RANKS;
+	double want = share * b->total;
 	uint32_t step;
 
 	for (step = 0; step < BRF_BELOW_STEPS; step++) {
@@ -44,8 +45,8 @@
 	}
 	if (step == BRF_BELOW_STEPS)
 		return (BRF_RANK_END);
-	part = want / b->ran[step];
-	return (step * STEP_RANKS + (uint32_t)(part * STEP_RANKS));
+	want /= b->ran[step]; /* of this step, between 0 and 1 */
+	return (step * width + (uint32_t)(want * width));
 }
 
 static void
