Ask the gate's memory before any refusal

Cause: a drained gate, or one without its target, refused at once. Found by the new property of the gate: a copy of an attempt that ran was told not_run; and a request sent again with its token after the node began to drain was told not_run although it had run, so that its caller could have lodged twice. Change: the ledger is asked first and every refusal of a non-idempotent attempt is written to it; a copy of an open attempt returns no extra attempts. Before: gate.what_it_says_of_attempts_is_true and gate.a_refusal_does_not_hide_an_earlier_run_under_the_same_token fail. Conclusion: not_run now rests on the gate's memory in every case.

--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -111,21 +111,18 @@
 	(*slot)->value += 1;
 }
 
-/* End an attempt that was refused before it had an entry. */
+/*
+ * A copy of an attempt that is open: whatever becomes of that one, it is not
+ * for the copy to say, and its extra attempts are with the first.
+ */
 static void
-refuse(struct brf_gate *gate, struct brf_exchange *x, enum brf_outcome outcome,
-    enum brf_reason reason)
+refuse_copy(struct brf_gate *gate, struct brf_exchange *x)
 {
-	struct brf_reply reply = { .outcome = outcome,
-		.reason = reason,
-		.retries = x->attempt.retries };
+	struct brf_reply reply = { .outcome = BRF_UNKNOWN,
+		.reason = BRF_R_DUPLICATE };
 	uint32_t cls =
 	    x->attempt.cls < BRF_CLASSES ? x->attempt.cls : BRF_CLASSES - 1;
 
-	if (gate->attached != NULL) {
-		reply.has_level = true;
-		brf_gate_level(gate, &reply.level);
-	}
 	count(gate, cls, &reply);
 	x->done(x, &reply);
 }
@@ -355,11 +352,12 @@
 
 	e->gate = gate;
 	e->x = x;
-	e->doc = brf_document_ref(
-	    brf_docs_get(gate->config.docs, gate->upstream.service));
+	e->doc = brf_document_ref(brf_docs_get(gate->config.docs, at->service));
 	e->rule =
 	    brf_document_rule(e->doc, at->request->method, at->request->path);
 	cls = at->cls > e->rule->cls ? at->cls : e->rule->cls;
+	if (cls >= BRF_CLASSES)
+		cls = BRF_CLASSES - 1;
 	e->inbound.root = at->root;
 	e->inbound.depth = at->depth;
 	e->inbound.cls = cls;
@@ -424,6 +422,31 @@
 	return (e->recorded);
 }
 
+/* Why an attempt can't be admitted at all, or BRF_R_NONE. */
+static enum brf_reason
+objection(struct brf_gate *gate, const struct entry *e, uint64_t start)
+{
+	const struct brf_attempt *at = &e->x->attempt;
+
+	if (gate->draining)
+		return (BRF_R_DRAINING);
+	if (gate->attached == NULL ||
+	    strcmp(at->service, gate->upstream.service) != 0)
+		return (BRF_R_NO_TARGET);
+	if (at->depth > BRF_DEPTH_MAX)
+		return (BRF_R_DEPTH);
+	if (at->cls >= BRF_CLASSES || at->timeout_us == 0)
+		return (BRF_R_MALFORMED);
+	if (e->doc->enforce &&
+	    e->ticket.rank >= brf_below_cut(&gate->below, start))
+		return (BRF_R_SHED_BELOW);
+	return (BRF_R_NONE);
+}
+
+/*
+ * What is remembered comes first: a refusal for any other reason must not be
+ * said of a request of which an earlier copy may have run.
+ */
 static void
 submit(struct entry *e)
 {
@@ -434,9 +457,8 @@
 		conclude(e, &reply);
 		return;
 	}
-	if (e->doc->enforce &&
-	    e->ticket.rank >= brf_below_cut(&e->gate->below, start)) {
-		reply.reason = BRF_R_SHED_BELOW;
+	reply.reason = objection(e->gate, e, start);
+	if (reply.reason != BRF_R_NONE) {
 		conclude(e, &reply);
 		return;
 	}
@@ -491,18 +513,11 @@
 	struct brf_gate *gate = gate_of(backend);
 	const struct brf_attempt *at = &x->attempt;
 
-	if (gate->draining)
-		refuse(gate, x, BRF_NOT_RUN, BRF_R_DRAINING);
-	else if (gate->attached == NULL ||
-		 strcmp(at->service, gate->upstream.service) != 0)
-		refuse(gate, x, BRF_NOT_RUN, BRF_R_NO_TARGET);
-	else if (at->depth > BRF_DEPTH_MAX)
-		refuse(gate, x, BRF_NOT_RUN, BRF_R_DEPTH);
-	else if (at->cls >= BRF_CLASSES || at->timeout_us == 0)
-		refuse(gate, x, BRF_NOT_RUN, BRF_R_MALFORMED);
-	else if (brf_idmap_find(&gate->open, at->id) != NULL)
-		refuse(gate, x, BRF_UNKNOWN, BRF_R_DUPLICATE);
-	else if (wants_token(at->request))
+	if (brf_idmap_find(&gate->open, at->id) != NULL)
+		refuse_copy(gate, x);
+	else if (wants_token(at->request) && !gate->draining &&
+		 gate->attached != NULL &&
+		 strcmp(at->service, gate->upstream.service) == 0)
 		mint_token(gate, x);
 	else
 		submit(entry_new(gate, x));
