--- a/src/base/message.c
+++ b/src/base/message.c
@@ -15,16 +15,70 @@
 	"proxy-authorization", "proxy-connection", "te", "trailer",
 	"transfer-encoding", "upgrade" };
 
+/*
+ * A message is too large for the allocator's cache of small blocks, and each
+ * call needs some, so a few are kept.  Not under AddressSanitizer, from which
+ * this would hide the use of a message that is gone.
+ */
+#ifdef __SANITIZE_ADDRESS__
+#define SPARE_MAX 0u
+#else
+#define SPARE_MAX 64u
+#endif
+#define SPARE_BODY_MAX 16384u /* bytes; larger bodies are given back */
+
+static struct {
+	struct brf_message *list[SPARE_MAX + 1];
+	size_t count;
+} spare;
+
 struct brf_message *
 brf_message_new(void)
 {
-	struct brf_message *m = brf_calloc(1, sizeof(*m));
+	struct brf_message *m;
 
+	if (spare.count > 0)
+		m = spare.list[--spare.count];
+	else
+		m = brf_calloc(1, sizeof(*m));
 	m->refs = 1;
 	m->path = brf_strdup("", 0);
 	return (m);
 }
 
+/* Make a message as good as new, but for the memory of its body. */
+static void
+keep_spare(struct brf_message *m)
+{
+	m->method[0] = '\0';
+	m->path = NULL;
+	m->status = 0;
+	m->header_count = 0;
+	m->header_bytes = 0;
+	m->store_used = 0;
+	brf_buf_clear(&m->body);
+	spare.list[spare.count++] = m;
+}
+
+/* Memory for the copy of a field. */
+static char *
+take_store(struct brf_message *m, size_t size)
+{
+	char *p = m->store + m->store_used;
+
+	if (size > sizeof(m->store) - m->store_used)
+		return (brf_calloc(size, 1));
+	m->store_used += size;
+	return (p);
+}
+
+static void
+give_store(struct brf_message *m, const char *p)
+{
+	if (p < m->store || p >= m->store + sizeof(m->store))
+		free((char *)p);
+}
+
 struct brf_message *
 brf_message_ref(struct brf_message *m)
 {
@@ -40,9 +94,13 @@
 	if (m == NULL || --m->refs > 0)
 		return;
 	for (i = 0; i < m->header_count; i++)
-		free((char *)m->headers[i].name); /* the value follows it */
-	brf_buf_free(&m->body);
+		give_store(m, m->headers[i].name); /* the value follows it */
 	free(m->path);
+	if (spare.count < SPARE_MAX && m->body.cap <= SPARE_BODY_MAX) {
+		keep_spare(m);
+		return;
+	}
+	brf_buf_free(&m->body);
 	free(m);
 }
 
@@ -101,7 +159,9 @@
 		return (brf_error_set(err, BRF_E_TOO_LARGE, 0,
 		    "more than %u fields or %u bytes of them", BRF_HEADERS_MAX,
 		    BRF_HEADER_BYTES_MAX));
-	copy = brf_calloc(bytes + 2, 1);
+	copy = take_store(m, bytes + 2);
+	copy[name_len] = '\0';
+	copy[bytes + 1] = '\0';
 	for (i = 0; i < name_len; i++)
 		copy[i] = (char)tolower((unsigned char)name[i]);
 	if (value_len != 0)
@@ -125,7 +185,7 @@
 		}
 		m->header_bytes -=
 		    strlen(m->headers[i].name) + strlen(m->headers[i].value);
-		free((char *)m->headers[i].name);
+		give_store(m, m->headers[i].name);
 	}
 	m->header_count = kept;
 }
@@ -166,11 +226,12 @@
 {
 	uint64_t numbers[3] = { (uint64_t)m->status, m->header_count,
 		m->body.len };
-	XXH3_state_t *state = XXH3_createState();
+	static XXH3_state_t *state;
 	uint64_t sum;
 	size_t i;
 
-	if (state == NULL)
+	/* One for the life of the process. */
+	if (state == NULL && (state = XXH3_createState()) == NULL)
 		abort();
 	XXH3_64bits_reset(state);
 	XXH3_64bits_update(state, numbers, sizeof(numbers));
@@ -183,6 +244,5 @@
 	if (m->body.len != 0)
 		XXH3_64bits_update(state, m->body.data, m->body.len);
 	sum = XXH3_64bits_digest(state);
-	XXH3_freeState(state);
 	return (sum);
 }
--- a/src/base/message.h
+++ b/src/base/message.h
@@ -22,6 +22,8 @@
  * @status: of an answer, 100 to 599; 0 for a request
  * @headers: @header_count fields; hop-by-hop fields were removed
  * @body: bytes, at most BRF_BODY_MAX
+ * @store: copies of fields, as long as there is room; the rest is allocated
+ *	one by one
  */
 struct brf_message {
 	unsigned refs;
@@ -32,6 +34,8 @@
 	size_t header_count;
 	size_t header_bytes;
 	struct brf_buf body;
+	size_t store_used;
+	char store[1024];
 };
 
 BRF_BEGIN_DECLS
