Read and write hex in one place

Change: base/hex; keys are now read in lower case only, as ids and tokens were, and the error says so.

--- a/src/base/random.c
+++ b/src/base/random.c
@@ -3,6 +3,7 @@
 #include <openssl/rand.h>
 #include <xxhash.h>
 
+#include "base/hex.h"
 #include "base/random.h"
 
 #define POOL_WORDS 64
@@ -68,16 +69,6 @@
 	    (unsigned long long)id.lo);
 }
 
-static int
-hex_digit(char c)
-{
-	if (c >= '0' && c <= '9')
-		return (c - '0');
-	if (c >= 'a' && c <= 'f')
-		return (c - 'a' + 10);
-	return (-1);
-}
-
 bool
 brf_id_parse(const char *s, size_t len, struct brf_id *id)
 {
@@ -88,7 +79,7 @@
 	if (len != BRF_ID_TEXT - 1)
 		return (false);
 	for (i = 0; i < len; i++) {
-		if ((d = hex_digit(s[i])) < 0)
+		if ((d = brf_hex_digit(s[i])) < 0)
 			return (false);
 		words[i / 16] = words[i / 16] << 4 | (uint64_t)d;
 	}
--- a/src/config/keys.c
+++ b/src/config/keys.c
@@ -8,6 +8,7 @@
 #include <openssl/kdf.h>
 #include <openssl/params.h>
 
+#include "base/hex.h"
 #include "config/keys.h"
 #include "config/name.h"
 
@@ -89,48 +90,6 @@
 	brf_buf_free(secret);
 }
 
-static int
-hex_digit(char c)
-{
-	if (c >= '0' && c <= '9')
-		return (c - '0');
-	if (c >= 'a' && c <= 'f')
-		return (c - 'a' + 10);
-	if (c >= 'A' && c <= 'F')
-		return (c - 'A' + 10);
-	return (-1);
-}
-
-/* Return: whether all of @hex was digits. */
-static bool
-read_hex(const char *hex, size_t len, unsigned char *out)
-{
-	int high, low;
-	size_t i;
-
-	for (i = 0; i + 1 < len; i += 2) {
-		high = hex_digit(hex[i]);
-		low = hex_digit(hex[i + 1]);
-		if (high < 0 || low < 0)
-			return (false);
-		out[i / 2] = (unsigned char)(high << 4 | low);
-	}
-	return (len % 2 == 0);
-}
-
-static void
-write_hex(const unsigned char *bytes, size_t len, char *out)
-{
-	static const char digits[] = "0123456789abcdef";
-	size_t i;
-
-	for (i = 0; i < len; i++) {
-		out[2 * i] = digits[bytes[i] >> 4];
-		out[2 * i + 1] = digits[bytes[i] & 15];
-	}
-	out[2 * len] = '\0';
-}
-
 static const struct key *
 find_key(const struct brf_keyring *ring, const char *id, size_t len)
 {
@@ -161,10 +120,10 @@
 		    "digits, '_' or '-'",
 		    ring->count + 1, BRF_KEY_ID_MAX));
 	if (hex_len / 2 < BRF_KEY_BYTES_MIN ||
-	    hex_len > sizeof(key->bytes) * 2 ||
-	    !read_hex(colon + 1, hex_len, key->bytes))
+	    hex_len > sizeof(key->bytes) * 2 || hex_len % 2 != 0 ||
+	    !brf_hex_read(colon + 1, key->bytes, hex_len / 2))
 		return (brf_error_set(err, BRF_E_KEY, 0,
-		    "key %zu: write %u to %u bytes as hex digits",
+		    "key %zu: write %u to %u bytes as lower-case hex digits",
 		    ring->count + 1, BRF_KEY_BYTES_MIN, BRF_KEY_BYTES_MAX));
 	if (find_key(ring, text, id_len) != NULL)
 		return (brf_error_set(err, BRF_E_KEY, 0,
@@ -278,7 +237,8 @@
 	size_t i;
 
 	for (i = 0; i < ring->count; i++) {
-		write_hex(ring->keys[i].bytes, ring->keys[i].len, hex);
+		brf_hex_write(ring->keys[i].bytes, ring->keys[i].len, hex);
+		hex[2 * ring->keys[i].len] = '\0';
 		brf_buf_printf(
 		    out, "%s%s:%s", i != 0 ? "," : "", ring->keys[i].id, hex);
 	}
@@ -307,7 +267,8 @@
 	char hex[2 * MAC_BYTES + 1];
 
 	compute(&ring->keys[0], input, mac);
-	write_hex(mac, sizeof(mac), hex);
+	brf_hex_write(mac, sizeof(mac), hex);
+	hex[2 * sizeof(mac)] = '\0';
 	snprintf(out, BRF_MAC_TEXT, "%s.%s", ring->keys[0].id, hex);
 }
 
@@ -324,7 +285,7 @@
 	if (key == NULL)
 		return (brf_error_set(err, BRF_E_AUTH, 0, "unknown key"));
 	if (strlen(dot + 1) != sizeof(got) * 2 ||
-	    !read_hex(dot + 1, sizeof(got) * 2, got))
+	    !brf_hex_read(dot + 1, got, sizeof(got)))
 		return (brf_error_set(err, BRF_E_AUTH, 0, "malformed MAC"));
 	compute(key, input, want);
 	if (CRYPTO_memcmp(want, got, sizeof(want)) != 0)
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -5,6 +5,7 @@
 #include <argtable2.h>
 #include <openssl/crypto.h>
 
+#include "base/hex.h"
 #include "bulrushford.h"
 #include "node/settings.h"
 
@@ -257,29 +258,14 @@
 
 #define SETTINGS brf_nitems(table)
 
-static int
-hex_value(char c)
-{
-	if (c >= '0' && c <= '9')
-		return (c - '0');
-	if (c >= 'a' && c <= 'f')
-		return (c - 'a' + 10);
-	return (-1);
-}
-
 static bool
 parse_key(const char *text, unsigned char *out, size_t size, size_t *len)
 {
-	int high, low;
+	size_t digits = strlen(text);
 
-	for (*len = 0; *text != '\0'; text += 2) {
-		high = hex_value(text[0]);
-		low = high < 0 ? -1 : hex_value(text[1]);
-		if (low < 0 || *len == size)
-			return (false);
-		out[(*len)++] = (unsigned char)(high << 4 | low);
-	}
-	return (*len >= FLEET_KEY_MIN);
+	*len = digits / 2;
+	return (digits % 2 == 0 && *len >= FLEET_KEY_MIN && *len <= size &&
+		brf_hex_read(text, out, *len));
 }
 
 /* Copy a secret out of the environment and overwrite it there. */
--- a/src/policy/token.c
+++ b/src/policy/token.c
@@ -5,6 +5,7 @@
 #include <openssl/evp.h>
 #include <openssl/params.h>
 
+#include "base/hex.h"
 #include "policy/token.h"
 
 #define PREFIX "t1."
@@ -88,44 +89,6 @@
 		abort();
 }
 
-static void
-put_hex(char *out, const unsigned char *bytes, size_t n)
-{
-	static const char digits[] = "0123456789abcdef";
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		out[2 * i] = digits[bytes[i] >> 4];
-		out[2 * i + 1] = digits[bytes[i] & 15];
-	}
-}
-
-static int
-hex_digit(char c)
-{
-	if (c >= '0' && c <= '9')
-		return (c - '0');
-	if (c >= 'a' && c <= 'f')
-		return (c - 'a' + 10);
-	return (-1);
-}
-
-static bool
-get_hex(const char *s, unsigned char *bytes, size_t n)
-{
-	int high, low;
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		high = hex_digit(s[2 * i]);
-		low = hex_digit(s[2 * i + 1]);
-		if (high < 0 || low < 0)
-			return (false);
-		bytes[i] = (unsigned char)(high << 4 | low);
-	}
-	return (true);
-}
-
 static void
 put_word(char *out, uint64_t word)
 {
@@ -134,7 +97,7 @@
 
 	for (i = 0; i < sizeof(bytes); i++)
 		bytes[i] = (unsigned char)(word >> (56 - 8 * i));
-	put_hex(out, bytes, sizeof(bytes));
+	brf_hex_write(bytes, sizeof(bytes), out);
 }
 
 static bool
@@ -143,7 +106,7 @@
 	unsigned char bytes[8];
 	size_t i;
 
-	if (!get_hex(s, bytes, sizeof(bytes)))
+	if (!brf_hex_read(s, bytes, sizeof(bytes)))
 		return (false);
 	*word = 0;
 	for (i = 0; i < sizeof(bytes); i++)
@@ -178,7 +141,7 @@
 
 	write_body(&token, out);
 	compute_mac(k, out, scope, mac);
-	put_hex(out + BODY_LEN, mac, MAC_SIZE);
+	brf_hex_write(mac, MAC_SIZE, out + BODY_LEN);
 	out[BRF_TOKEN_LEN] = '\0';
 }
 
@@ -211,7 +174,7 @@
 	unsigned char mac[MAC_SIZE], claimed[MAC_SIZE];
 
 	if (!read_body(text, token) ||
-	    !get_hex(text + BODY_LEN, claimed, MAC_SIZE))
+	    !brf_hex_read(text + BODY_LEN, claimed, MAC_SIZE))
 		return (BRF_TOKEN_MALFORMED);
 	compute_mac(k, text, scope, mac);
 	if (CRYPTO_memcmp(mac, claimed, MAC_SIZE) != 0)
