Free the body of a spare message; build what fuzzers share once

Cause: the fuzzer of replies saw a leak: a spare message kept its body's memory, and the next user put another buffer in its place. Fuzz targets each compiled the whole library. Change: the body goes with its message; spares are off under clang's AddressSanitizer as well; a fuzz variant of the library is linked by all.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,12 @@
 OPT.rel := -O2 -g
 OPT.san := -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all \
 	-fno-omit-frame-pointer
+# Coverage-guided fuzzing needs clang.
+OPT.fuzz := -O1 -g -fsanitize=fuzzer-no-link,address,undefined \
+	-fno-sanitize-recover=undefined
+ifeq ($(VARIANT),fuzz)
+CC := $(CLANG)
+endif
 OPT := $(OPT.$(VARIANT))
 CFLAGS := -std=gnu11 $(OPT) $(WARN) $(DEFS) $(PKG_CFLAGS)
 CXXFLAGS := -std=c++17 $(OPT) $(WARN) $(DEFS) $(PKG_CFLAGS)
@@ -94,19 +100,17 @@
 	$(MAKE) -j$$(nproc) tests
 	VARIANT=$(VARIANT) tools/check
 
-# Sources are compiled again by clang for coverage-guided fuzzing.
-build/fuzz/%: fuzz/%.c $(LIB_SRC)
+build/fuzz/bin/%: build/fuzz/fuzz/%.c.o build/fuzz/libbrf.a
 	@mkdir -p $(@D)
-	@echo FUZZ $<
-	@$(CLANG) -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
-	    -fno-sanitize-recover=undefined -Wno-unused-variable $(DEFS) \
-	    $(PKG_CFLAGS) $< $(LIB_SRC) $(PKG_LIBS) -o $@
+	@echo LD $@
+	@$(CLANG) -fsanitize=fuzzer,address,undefined $^ $(PKG_LIBS) -o $@
 
-FUZZERS := $(patsubst fuzz/%.c,build/fuzz/%,$(FUZZ_SRC))
+FUZZERS := $(patsubst fuzz/%.c,build/fuzz/bin/%,$(FUZZ_SRC))
 SEED ?= 1
 SECONDS ?= 60
 
-fuzzers: $(FUZZERS)
+fuzzers:
+	$(MAKE) -j$$(nproc) VARIANT=fuzz $(FUZZERS)
 
 fuzz-smoke: fuzzers
 	tools/fuzz smoke $(SEED)
--- a/src/base/message.c
+++ b/src/base/message.c
@@ -20,12 +20,14 @@
  * call needs some, so a few are kept.  Not under AddressSanitizer, from which
  * this would hide the use of a message that is gone.
  */
-#ifdef __SANITIZE_ADDRESS__
+#ifndef __has_feature
+#define __has_feature(x) 0
+#endif
+#if defined(__SANITIZE_ADDRESS__) || __has_feature(address_sanitizer)
 #define SPARE_MAX 0u
 #else
 #define SPARE_MAX 64u
 #endif
-#define SPARE_BODY_MAX 16384u /* bytes; larger bodies are given back */
 
 static struct {
 	struct brf_message *list[SPARE_MAX + 1];
@@ -46,7 +48,8 @@
 	return (m);
 }
 
-/* Make a message as good as new, but for the memory of its body. */
+/* Make a message as good as new.  Its body goes, since others may put their
+ * own buffer in its place. */
 static void
 keep_spare(struct brf_message *m)
 {
@@ -56,7 +59,7 @@
 	m->header_count = 0;
 	m->header_bytes = 0;
 	m->store_used = 0;
-	brf_buf_clear(&m->body);
+	brf_buf_free(&m->body);
 	spare.list[spare.count++] = m;
 }
 
@@ -96,7 +99,7 @@
 	for (i = 0; i < m->header_count; i++)
 		give_store(m, m->headers[i].name); /* the value follows it */
 	free(m->path);
-	if (spare.count < SPARE_MAX && m->body.cap <= SPARE_BODY_MAX) {
+	if (spare.count < SPARE_MAX) {
 		keep_spare(m);
 		return;
 	}
--- a/test/base_test.cc
+++ b/test/base_test.cc
@@ -179,3 +179,25 @@
 	}
 	EXPECT_STREQ(brf_reason_name(BRF_REASON_COUNT), "invalid");
 }
+
+/* A spare message once kept its body, and lost it to one who put another
+ * buffer in its place; the fuzzer of replies saw the leak. */
+TEST(message, a_new_message_is_empty_whatever_it_was)
+{
+	for (int i = 0; i < 3; i++) {
+		struct brf_message *m = brf_message_new();
+
+		EXPECT_EQ(m->body.data, nullptr);
+		EXPECT_EQ(m->body.cap, 0u);
+		EXPECT_EQ(m->header_count, 0u);
+		EXPECT_EQ(m->status, 0);
+		EXPECT_STREQ(m->method, "");
+		EXPECT_STREQ(m->path, "");
+		m->status = 200;
+		strcpy(m->method, "GET");
+		ASSERT_TRUE(brf_message_set_path(m, "/x", 2, nullptr));
+		ASSERT_TRUE(brf_message_add_header(m, "a", 1, "b", 1, nullptr));
+		brf_buf_puts(&m->body, "text");
+		brf_message_unref(m);
+	}
+}
