--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -244,9 +244,9 @@
 	    "go on refusing work this long while others learn that this node "
 	    "leaves (3000)",
 	    parse_ms, FIELD(linger_us) },
-	{ "link-bytes", "BRF_LINK_BYTES", "0", "N",
-	    "bytes a second this node may send to other regions; 0 for no "
-	    "limit (0)",
+	{ "link-bytes", "BRF_LINK_BYTES", "3750000", "N",
+	    "bytes a second over the link between regions, for the whole "
+	    "region; its nodes share them equally (3750000)",
 	    parse_bytes, FIELD(link_bytes) },
 	{ "workspace-required", "BRF_WORKSPACE_REQUIRED", "no", "YES|NO",
 	    "refuse callers that prove no workspace (no)", parse_bool,
