Clear the whole method of a spare message

Cause: the server copies a method without its NUL into what was zeroed memory; in a spare one the rest of a longer method was left, so that a GET after a DELETE was no GET. Seen by the end-to-end tests in a fresh clone: status answered 404, test_config and test_stop failed. Change: the whole field is cleared, and the test of new messages asks for it. Before: message.a_new_message_is_empty_whatever_it_was fails. After: it passes, and 19 of 19 end-to-end tests.

--- a/src/base/message.c
+++ b/src/base/message.c
@@ -53,7 +53,7 @@
 static void
 keep_spare(struct brf_message *m)
 {
-	m->method[0] = '\0';
+	memset(m->method, 0, sizeof(m->method));
 	m->path = NULL;
 	m->status = 0;
 	m->header_count = 0;
--- a/test/base_test.cc
+++ b/test/base_test.cc
@@ -191,10 +191,11 @@
 		EXPECT_EQ(m->body.cap, 0u);
 		EXPECT_EQ(m->header_count, 0u);
 		EXPECT_EQ(m->status, 0);
-		EXPECT_STREQ(m->method, "");
+		for (char c : m->method)
+			EXPECT_EQ(c, 0); /* callers copy without a NUL */
 		EXPECT_STREQ(m->path, "");
 		m->status = 200;
-		strcpy(m->method, "GET");
+		strcpy(m->method, "DELETE");
 		ASSERT_TRUE(brf_message_set_path(m, "/x", 2, nullptr));
 		ASSERT_TRUE(brf_message_add_header(m, "a", 1, "b", 1, nullptr));
 		brf_buf_puts(&m->body, "text");
