--- a/src/base/message.c
+++ b/src/base/message.c
@@ -99,7 +99,7 @@
 	for (i = 0; i < m->header_count; i++)
 		give_store(m, m->headers[i].name); /* the value follows it */
 	free(m->path);
-	if (spare.count < SPARE_MAX) {
+	if (spare.count != SPARE_MAX) {
 		keep_spare(m);
 		return;
 	}
