--- a/bench/chain.py
+++ b/bench/chain.py
@@ -117,8 +117,6 @@
         report.put("chain_max_attempts_per_root", most_runs(f.targets))
         report.put("chain_retry_bound", 4)
         report.put("chain_wasted_work", wasted_share(f.nodes))
-        for n in f.nodes:
-            report.note(str({k: v for k, v in n.metrics().items() if "slot" in k}))
         stream = ours["streams"][0]
         report.put("chain_success", stream["good"] / stream["offered"])
         report.note(f"chain: {stream['reasons']}")
