Say once how a member's backend is found and what a gate serves

Cause: reading the whole change: call.c and spread.c each turned a member's address into a backend, and the gate asked twice, inverted once, whether it serves a service. call.c included the logger without using it. Change: brf_member_backend() in node/backend, serves() in gate_attempt.c; behaviour as before.

--- a/src/node/call.c
+++ b/src/node/call.c
@@ -1,6 +1,6 @@
 #include <stdlib.h>
 
-#include "base/log.h"
+#include "node/backend.h"
 #include "node/burn.h"
 #include "node/call.h"
 #include "policy/ledger.h"
@@ -359,14 +359,11 @@
 {
 	const struct brf_member *m = brf_route_node_member(node);
 	struct brf_backend *backend = brf_route_node_data(node);
-	struct sockaddr_in addr = m->addr;
 
 	if (brf_id_equal(m->node, caller->self))
 		return (brf_gate_backend(caller->gate));
 	if (backend == NULL) {
-		addr.sin_port = htons(m->rpc_port);
-		backend = brf_peers_backend(
-		    caller->peers, (const struct sockaddr *)&addr, m->node);
+		backend = brf_member_backend(caller->peers, m);
 		brf_route_node_set_data(node, backend, release_backend);
 	}
 	return (backend);
--- a/src/node/gate_attempt.c
+++ b/src/node/gate_attempt.c
@@ -288,6 +288,13 @@
 	return (e);
 }
 
+static bool
+serves(const struct brf_gate *gate, const char *service)
+{
+	return (gate->attached != NULL &&
+		strcmp(service, gate->upstream.service) == 0);
+}
+
 /* Why an attempt can't be admitted at all, or BRF_R_NONE. */
 static enum brf_reason
 objection(struct brf_gate *gate, const struct brf_gate_entry *e, uint64_t start)
@@ -296,8 +303,7 @@
 
 	if (gate->draining)
 		return (BRF_R_DRAINING);
-	if (gate->attached == NULL ||
-	    strcmp(at->service, gate->upstream.service) != 0)
+	if (!serves(gate, at->service))
 		return (BRF_R_NO_TARGET);
 	if (at->depth > BRF_DEPTH_MAX)
 		return (BRF_R_DEPTH);
@@ -353,8 +359,7 @@
 	if (brf_idmap_find(&gate->open, at->id) != NULL)
 		refuse_copy(gate, x);
 	else if (brf_gate_wants_token(at->request) && !gate->draining &&
-		 gate->attached != NULL &&
-		 strcmp(at->service, gate->upstream.service) == 0)
+		 serves(gate, at->service))
 		brf_gate_mint(gate, x);
 	else
 		submit(entry_new(gate, x));
--- a/src/node/spread.c
+++ b/src/node/spread.c
@@ -1,9 +1,9 @@
-#include <arpa/inet.h>
 #include <stdlib.h>
 
 #include <xxhash.h>
 
 #include "base/log.h"
+#include "node/backend.h"
 #include "node/spread.h"
 
 #define DELAY_MAX_US (200 * BRF_US_PER_MS)
@@ -119,20 +119,16 @@
 	const struct brf_member *m =
 	    brf_members_find(s->config.members, s->from);
 	struct question *q;
-	struct sockaddr_in addr;
 
 	(void)timer;
 	if (m == NULL || s->asking || m->state == BRF_MEMBER_GONE)
 		return;
-	addr = m->addr;
-	addr.sin_port = htons(m->rpc_port);
 	q = brf_calloc(1, sizeof(*q));
 	brf_docs_each(s->docs, add_known, q);
 	s->asking = true;
 	brf_peers_fetch_documents(s->config.peers,
-	    brf_peers_backend(
-		s->config.peers, (struct sockaddr *)&addr, m->node),
-	    q->known, q->count, answered, s);
+	    brf_member_backend(s->config.peers, m), q->known, q->count,
+	    answered, s);
 	free(q);
 }
 
