--- /dev/null
+++ b/src/flow/pipe.c
@@ -0,0 +1,78 @@
+#include "flow/pipe.h"
+
+#define COMPACT_ABOVE 4096u /* read bytes that are left lying, at most */
+
+void
+brf_pipe_init(struct brf_pipe *p, struct brf_tasks *tasks)
+{
+	memset(p, 0, sizeof(*p));
+	p->tasks = tasks;
+}
+
+void
+brf_pipe_free(struct brf_pipe *p)
+{
+	brf_buf_free(&p->buf);
+	p->pos = 0;
+	p->reader = NULL;
+	p->writer = NULL;
+}
+
+void
+brf_pipe_write(struct brf_pipe *p, const void *data, size_t len)
+{
+	if (len == 0 || p->state != BRF_PIPE_OPEN)
+		return;
+	brf_buf_add(&p->buf, data, len);
+	p->written += len;
+	brf_task_post(p->tasks, p->reader);
+}
+
+static void
+settle(struct brf_pipe *p, enum brf_pipe_state state)
+{
+	if (p->state != BRF_PIPE_OPEN)
+		return;
+	p->state = state;
+	brf_task_post(p->tasks, p->reader);
+}
+
+void
+brf_pipe_end(struct brf_pipe *p)
+{
+	settle(p, BRF_PIPE_ENDED);
+}
+
+void
+brf_pipe_break(struct brf_pipe *p)
+{
+	settle(p, BRF_PIPE_BROKEN);
+}
+
+size_t
+brf_pipe_room(struct brf_pipe *p)
+{
+	size_t len = brf_pipe_len(p);
+
+	if (len < BRF_PIPE_HIGH)
+		return (BRF_PIPE_HIGH - len);
+	p->choked = true;
+	return (0);
+}
+
+void
+brf_pipe_consume(struct brf_pipe *p, size_t n)
+{
+	p->pos += n;
+	if (p->pos == p->buf.len) {
+		brf_buf_free(&p->buf);
+		p->pos = 0;
+	} else if (p->pos > COMPACT_ABOVE && p->pos > p->buf.len / 2) {
+		brf_buf_consume(&p->buf, p->pos);
+		p->pos = 0;
+	}
+	if (p->choked && brf_pipe_len(p) < BRF_PIPE_LOW) {
+		p->choked = false;
+		brf_task_post(p->tasks, p->writer);
+	}
+}
--- /dev/null
+++ b/src/flow/server_answer.c
@@ -0,0 +1,208 @@
+#include "flow/server_impl.h"
+#include "http/framing.h"
+
+#define PENDING_MAX 131072u /* bytes waiting for the socket */
+#define CHUNK_TEXT 24	    /* bytes of a chunk's size line */
+
+void
+brf_flow_answer(struct brf_flow_request *r, int status, const char *fields,
+    size_t fields_len, enum brf_body_kind kind, uint64_t length,
+    struct brf_pipe *body)
+{
+	struct brf_flow_conn *c = r->conn;
+
+	r->answered = true;
+	r->framing = kind;
+	r->missing = kind == BRF_BODY_LENGTH ? length : 0;
+	r->answer = body;
+	if (strcmp(r->head.method, "HEAD") == 0)
+		r->framing = BRF_BODY_NONE;
+	if (body != NULL)
+		body->reader = &c->work;
+	brf_buf_printf(
+	    &r->text, "HTTP/1.1 %d %s\r\n", status, brf_http_phrase(status));
+	brf_buf_add(&r->text, fields, fields_len);
+	if (kind == BRF_BODY_LENGTH)
+		brf_buf_printf(&r->text, "content-length: %llu\r\n",
+		    (unsigned long long)length);
+	else if (kind == BRF_BODY_NONE && status >= 200 && status != 204 &&
+		 status != 304)
+		brf_buf_puts(&r->text, "content-length: 0\r\n");
+	brf_task_post(c->server->config.tasks, &c->work);
+}
+
+void
+brf_flow_answer_own(struct brf_flow_request *r, int status)
+{
+	r->head.keep = false;
+	brf_flow_answer(r, status, "", 0, BRF_BODY_NONE, 0, NULL);
+}
+
+/* The connection can't be kept when the rest of a body is still to come, and
+ * one that is to be drained ends with the last request that was read. */
+static bool
+keeps(const struct brf_flow_request *r)
+{
+	const struct brf_flow_conn *c = r->conn;
+	bool last = c->requests.prev == &r->link;
+
+	return (r->head.keep && r->body_read &&
+		!(c->server->draining && last) &&
+		!(r->head.http_1_0 && r->framing == BRF_BODY_CHUNKED));
+}
+
+static void
+begin(struct brf_flow_request *r)
+{
+	struct brf_buf *out = &r->conn->writer.out;
+
+	r->begun = true;
+	/* HTTP/1.0 knows no chunks: there the connection's end is the body's */
+	if (r->framing == BRF_BODY_CLOSE)
+		r->framing = BRF_BODY_CHUNKED;
+	r->keep = keeps(r);
+	brf_buf_add(out, r->text.data, r->text.len);
+	if (r->framing == BRF_BODY_CHUNKED && !r->head.http_1_0)
+		brf_buf_puts(out, "transfer-encoding: chunked\r\n");
+	if (!r->keep)
+		brf_buf_puts(out, "connection: close\r\n");
+	else if (r->head.http_1_0)
+		brf_buf_puts(out, "connection: keep-alive\r\n");
+	brf_buf_add(out, "\r\n", 2);
+	brf_buf_free(&r->text);
+}
+
+static void
+write_part(struct brf_flow_request *r, size_t len)
+{
+	struct brf_buf *out = &r->conn->writer.out;
+	bool chunked = r->framing == BRF_BODY_CHUNKED && !r->head.http_1_0;
+
+	if (chunked)
+		brf_buf_printf(out, "%zx\r\n", len);
+	brf_buf_add(out, brf_pipe_data(r->answer), len);
+	if (chunked)
+		brf_buf_add(out, "\r\n", 2);
+	brf_pipe_consume(r->answer, len);
+}
+
+enum progress {
+	PROGRESS_WAIT,
+	PROGRESS_WHOLE,
+	PROGRESS_BROKEN
+};
+
+static enum progress
+write_body(struct brf_flow_request *r)
+{
+	struct brf_writer *w = &r->conn->writer;
+	size_t len;
+
+	if (r->framing == BRF_BODY_NONE)
+		return (PROGRESS_WHOLE);
+	len = brf_pipe_len(r->answer);
+	if (r->framing == BRF_BODY_LENGTH && len > r->missing)
+		len = r->missing;
+	if (len != 0 && brf_writer_pending(w) >= PENDING_MAX)
+		return (PROGRESS_WAIT);
+	if (len != 0)
+		write_part(r, len);
+	if (r->framing == BRF_BODY_LENGTH) {
+		r->missing -= len;
+		if (r->missing == 0)
+			return (PROGRESS_WHOLE);
+	}
+	if (r->answer->state == BRF_PIPE_OPEN)
+		return (PROGRESS_WAIT);
+	if (r->answer->state == BRF_PIPE_BROKEN ||
+	    r->framing == BRF_BODY_LENGTH)
+		return (PROGRESS_BROKEN);
+	if (!r->head.http_1_0)
+		brf_buf_puts(&w->out, "0\r\n\r\n");
+	return (PROGRESS_WHOLE);
+}
+
+static void
+on_shutdown(uv_shutdown_t *request, int status)
+{
+	(void)request; /* the caller's end, or the timer, closes */
+	(void)status;
+}
+
+/*
+ * Closing with unread bytes would reset the connection and take the answer
+ * with it, so only the sending side is closed until the caller has read it.
+ */
+static void
+linger(struct brf_flow_conn *c)
+{
+	c->state = BRF_FLOW_CONN_LINGER;
+	c->since = brf_now(brf_timers_clock(c->server->config.timers));
+	c->head_begun = false;
+	brf_buf_free(&c->input);
+	/* what was read behind the last answer counts as not read */
+	while (!brf_list_empty(&c->requests))
+		brf_flow_request_end(brf_list_entry(c->requests.prev,
+					 struct brf_flow_request, link),
+		    BRF_FLOW_CUT);
+	uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown);
+}
+
+/* A cut answer must not look whole where only the end of the connection ends
+ * it. */
+static void
+cut(struct brf_flow_conn *c, const struct brf_flow_request *r)
+{
+	uv_os_fd_t fd;
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	brf_writer_flush(&c->writer);
+	if (r->head.http_1_0 && uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	brf_flow_conn_close(c, BRF_FLOW_CUT);
+}
+
+/* Return: false when the connection was closed. */
+static bool
+flush(struct brf_flow_conn *c)
+{
+	if (brf_writer_flush(&c->writer) == 0)
+		return (true);
+	brf_flow_conn_close(c, BRF_FLOW_GONE);
+	return (false);
+}
+
+bool
+brf_flow_write_answers(struct brf_flow_conn *c)
+{
+	struct brf_flow_request *r;
+	enum progress progress;
+	bool keep;
+
+	while (
+	    c->state == BRF_FLOW_CONN_OPEN && !brf_list_empty(&c->requests)) {
+		r = brf_list_entry(
+		    c->requests.next, struct brf_flow_request, link);
+		if (!r->answered)
+			break;
+		if (!r->begun)
+			begin(r);
+		progress = write_body(r);
+		if (progress == PROGRESS_WAIT)
+			break;
+		if (progress == PROGRESS_BROKEN) {
+			cut(c, r);
+			return (false);
+		}
+		keep = r->keep;
+		c->since = brf_now(brf_timers_clock(c->server->config.timers));
+		brf_flow_request_end(r, BRF_FLOW_SENT);
+		if (!flush(c))
+			return (false);
+		if (!keep)
+			linger(c);
+		else
+			brf_flow_give_first(c);
+	}
+	return (c->state == BRF_FLOW_CONN_CLOSING ? false : flush(c));
+}
--- /dev/null
+++ b/src/flow/server_conn.c
@@ -0,0 +1,486 @@
+#include <netinet/tcp.h>
+#include <stdlib.h>
+
+#include "flow/server_impl.h"
+
+#define READ_SIZE 65536u  /* bytes asked of the kernel at once */
+#define INPUT_MAX 65536u  /* bytes read ahead of what is used */
+#define AHEAD_MAX 16u	  /* requests of one connection that are open */
+#define KEEPALIVE_S 15	  /* seconds of silence before a caller is probed */
+#define UNACKED_MS 30000u /* milliseconds for a caller to take what was sent \
+			   */
+#define LINGER_US BRF_US_PER_S /* for a caller to read the last answer */
+
+static uint64_t
+now(const struct brf_flow_conn *c)
+{
+	return (brf_now(brf_timers_clock(c->server->config.timers)));
+}
+
+static struct brf_flow_request *
+first_request(const struct brf_flow_conn *c)
+{
+	if (brf_list_empty(&c->requests))
+		return (NULL);
+	return (
+	    brf_list_entry(c->requests.next, struct brf_flow_request, link));
+}
+
+static struct brf_flow_request *
+last_request(const struct brf_flow_conn *c)
+{
+	if (brf_list_empty(&c->requests))
+		return (NULL);
+	return (
+	    brf_list_entry(c->requests.prev, struct brf_flow_request, link));
+}
+
+void
+brf_flow_request_end(struct brf_flow_request *r, enum brf_flow_end end)
+{
+	struct brf_flow_conn *c = r->conn;
+	struct brf_flow_handler *handler = c->server->config.handler;
+
+	brf_list_remove(&r->link);
+	c->count--;
+	c->server->open--;
+	if (r->given)
+		handler->vt->ended(handler, r, end);
+	brf_request_head_free(&r->head);
+	brf_pipe_free(&r->body);
+	brf_buf_free(&r->text);
+	free(r);
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+	struct brf_flow_conn *c = handle->data;
+	struct brf_flow_server *server = c->server;
+
+	brf_list_remove(&c->link);
+	brf_buf_free(&c->input);
+	brf_writer_free(&c->writer);
+	free(c);
+	server->conn_count--;
+	server->connections->value--;
+	brf_flow_check_closed(server);
+}
+
+void
+brf_flow_conn_close(struct brf_flow_conn *c, enum brf_flow_end end)
+{
+	if (c->state == BRF_FLOW_CONN_CLOSING)
+		return;
+	c->state = BRF_FLOW_CONN_CLOSING;
+	brf_task_cancel(&c->work);
+	brf_timer_stop(c->server->config.timers, &c->timer);
+	while (!brf_list_empty(&c->requests))
+		brf_flow_request_end(last_request(c), end);
+	uv_close((uv_handle_t *)&c->tcp, on_closed);
+}
+
+bool
+brf_flow_conn_idle(const struct brf_flow_conn *c)
+{
+	return (c->state == BRF_FLOW_CONN_OPEN && c->input.len == 0 &&
+		brf_list_empty(&c->requests));
+}
+
+static void
+give(struct brf_flow_request *r)
+{
+	struct brf_flow_handler *handler = r->conn->server->config.handler;
+
+	r->given = true;
+	r->conn->server->requests->value++;
+	handler->vt->request(handler, r);
+}
+
+void
+brf_flow_give_first(struct brf_flow_conn *c)
+{
+	struct brf_flow_request *r = first_request(c);
+
+	if (r != NULL && !r->given && !r->answered)
+		give(r);
+}
+
+static struct brf_flow_request *
+request_new(struct brf_flow_conn *c)
+{
+	struct brf_flow_request *r = brf_calloc(1, sizeof(*r));
+
+	r->conn = c;
+	r->arrived = now(c);
+	brf_pipe_init(&r->body, c->server->config.tasks);
+	r->body.writer = &c->work;
+	brf_list_append(&c->requests, &r->link);
+	c->count++;
+	c->server->open++;
+	return (r);
+}
+
+/* The server answers @r itself; what the caller still sends is dropped. */
+static void
+refuse(struct brf_flow_request *r, int status)
+{
+	struct brf_flow_conn *c = r->conn;
+	struct brf_flow_handler *handler = c->server->config.handler;
+
+	c->server->refused->value++;
+	c->no_more = true;
+	r->body_read = true;
+	brf_flow_answer_own(r, status);
+	handler->vt->refused(handler, status);
+}
+
+/* The body of a request that the handler has breaks a bound. */
+static bool
+refuse_body(struct brf_flow_request *r, int status)
+{
+	struct brf_flow_handler *handler = r->conn->server->config.handler;
+
+	if (r->answered) {
+		brf_flow_conn_close(r->conn, BRF_FLOW_CUT);
+		return (false);
+	}
+	if (r->given)
+		handler->vt->ended(handler, r, BRF_FLOW_REFUSED);
+	r->given = false;
+	refuse(r, status);
+	return (true);
+}
+
+static void
+begin_body(struct brf_flow_request *r)
+{
+	struct brf_flow_conn *c = r->conn;
+
+	c->body_bytes = 0;
+	c->body_missing = r->head.length;
+	memset(&c->decoder, 0, sizeof(c->decoder));
+	c->decoder.consume_trailer = 1;
+	if (r->head.body == BRF_BODY_NONE ||
+	    (r->head.body == BRF_BODY_LENGTH && r->head.length == 0)) {
+		r->body_read = true;
+		brf_pipe_end(&r->body);
+	}
+}
+
+static void
+take_request(struct brf_flow_conn *c, struct brf_flow_request *r)
+{
+	struct brf_flow_handler *handler = c->server->config.handler;
+
+	if (!r->head.keep)
+		c->no_more = true;
+	if (r->head.length > c->server->config.limits->body_bytes) {
+		refuse(r, 413);
+		return;
+	}
+	begin_body(r);
+	if (r->head.expects_continue && !r->body_read && first_request(c) == r)
+		brf_buf_puts(&c->writer.out, "HTTP/1.1 100 Continue\r\n\r\n");
+	if (first_request(c) == r || handler->vt->may_run_ahead(handler, r))
+		give(r);
+}
+
+/* Return: whether something was read. */
+static bool
+read_head(struct brf_flow_conn *c)
+{
+	const struct brf_flow_server_config *config = &c->server->config;
+	struct brf_request_head head = { .body = BRF_BODY_NONE };
+	enum brf_head_result result;
+	struct brf_flow_request *r;
+	size_t used = 0;
+
+	if (!c->head_begun) {
+		c->head_begun = true;
+		c->since = now(c);
+	}
+	result = brf_request_head_parse(
+	    &head, c->input.data, c->input.len, c->seen, config->names, &used);
+	c->seen = c->input.len;
+	if (result == BRF_HEAD_MORE &&
+	    c->input.len <= config->limits->head_bytes) {
+		brf_request_head_free(&head);
+		return (false);
+	}
+	c->seen = 0;
+	c->head_begun = false;
+	c->since = now(c);
+	r = request_new(c);
+	r->head = head;
+	if (result == BRF_HEAD_MORE || used > config->limits->head_bytes)
+		refuse(r, 431);
+	else if (result == BRF_HEAD_CODING)
+		refuse(r, 501);
+	else if (result == BRF_HEAD_BAD)
+		refuse(r, 400);
+	else {
+		brf_buf_consume(&c->input, used);
+		take_request(c, r);
+	}
+	return (true);
+}
+
+static bool
+body_is_over(const struct brf_flow_conn *c)
+{
+	return (c->body_bytes > c->server->config.limits->body_bytes);
+}
+
+static void
+end_body(struct brf_flow_request *r)
+{
+	r->body_read = true;
+	brf_pipe_end(&r->body);
+}
+
+static bool
+read_length_body(struct brf_flow_conn *c, struct brf_flow_request *r)
+{
+	size_t len = brf_pipe_room(&r->body);
+
+	if (len > c->input.len)
+		len = c->input.len;
+	if (len > c->body_missing)
+		len = c->body_missing;
+	if (len == 0)
+		return (false);
+	brf_pipe_write(&r->body, c->input.data, len);
+	brf_buf_consume(&c->input, len);
+	c->body_missing -= len;
+	if (c->body_missing == 0)
+		end_body(r);
+	return (true);
+}
+
+static bool
+read_chunked_body(struct brf_flow_conn *c, struct brf_flow_request *r)
+{
+	size_t given = brf_pipe_room(&r->body), len;
+	ssize_t rest;
+
+	if (given > c->input.len)
+		given = c->input.len;
+	if (given == 0)
+		return (false);
+	len = given;
+	rest = phr_decode_chunked(&c->decoder, c->input.data, &len);
+	if (rest == -1)
+		return (refuse_body(r, 400));
+	c->body_bytes += len;
+	if (body_is_over(c))
+		return (refuse_body(r, 413));
+	brf_pipe_write(&r->body, c->input.data, len);
+	if (rest < 0) {
+		brf_buf_consume(&c->input, given);
+		return (true);
+	}
+	/* what follows the body stands behind its decoded bytes */
+	memmove(c->input.data + given - (size_t)rest, c->input.data + len,
+	    (size_t)rest);
+	brf_buf_consume(&c->input, given - (size_t)rest);
+	end_body(r);
+	return (true);
+}
+
+static bool
+read_body(struct brf_flow_conn *c, struct brf_flow_request *r)
+{
+	bool read;
+
+	if (c->input.len == 0)
+		return (false);
+	if (r->head.body == BRF_BODY_LENGTH)
+		read = read_length_body(c, r);
+	else
+		read = read_chunked_body(c, r);
+	if (read)
+		c->since = now(c);
+	return (read);
+}
+
+/* Return: whether something was read. */
+static bool
+read_input(struct brf_flow_conn *c)
+{
+	struct brf_flow_request *last = last_request(c);
+
+	if (c->state != BRF_FLOW_CONN_OPEN)
+		return (false);
+	if (last != NULL && !last->body_read)
+		return (read_body(c, last));
+	if (c->no_more || c->input.len == 0 || c->count >= AHEAD_MAX ||
+	    (last != NULL && !last->given))
+		return (false);
+	return (read_head(c));
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char shared[READ_SIZE]; /* used up before the next read */
+
+	(void)handle;
+	(void)suggested;
+	*buf = uv_buf_init(shared, sizeof(shared));
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct brf_flow_conn *c = stream->data;
+
+	if (c->state == BRF_FLOW_CONN_CLOSING || n == 0)
+		return;
+	if (n < 0) {
+		brf_flow_conn_close(c, BRF_FLOW_GONE);
+		return;
+	}
+	if (c->state == BRF_FLOW_CONN_LINGER)
+		return;
+	brf_buf_add(&c->input, buf->base, (size_t)n);
+	brf_task_post(c->server->config.tasks, &c->work);
+}
+
+static void
+set_reading(struct brf_flow_conn *c)
+{
+	bool pause =
+	    c->state == BRF_FLOW_CONN_OPEN && c->input.len >= INPUT_MAX;
+
+	if (pause == c->paused)
+		return;
+	c->paused = pause;
+	if (pause)
+		uv_read_stop((uv_stream_t *)&c->tcp);
+	else
+		uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+/* How long the present state may last; 0 for as long as it likes. */
+static uint64_t
+patience(const struct brf_flow_conn *c)
+{
+	const struct brf_flow_limits *limits = c->server->config.limits;
+	struct brf_flow_request *last = last_request(c);
+
+	if (c->state == BRF_FLOW_CONN_LINGER)
+		return (LINGER_US);
+	if (c->head_begun)
+		return (limits->head_us);
+	if (last == NULL || !last->body_read)
+		return (limits->idle_us);
+	return (0);
+}
+
+static void
+arm(struct brf_flow_conn *c)
+{
+	struct brf_timers *timers = c->server->config.timers;
+	uint64_t wait = patience(c), t = now(c), at = c->since + wait;
+
+	if (wait == 0)
+		brf_timer_stop(timers, &c->timer);
+	else if (!brf_timer_active(&c->timer) || c->timer.at > at)
+		brf_timer_start(timers, &c->timer, at > t ? at - t : 0);
+}
+
+static void
+timed_out(struct brf_timer *timer, void *arg)
+{
+	struct brf_flow_conn *c = arg;
+	struct brf_flow_request *last = last_request(c);
+	uint64_t wait = patience(c);
+
+	(void)timer;
+	if (wait == 0)
+		return;
+	if (now(c) < c->since + wait) {
+		arm(c);
+		return;
+	}
+	if (c->state == BRF_FLOW_CONN_OPEN && c->head_begun)
+		refuse(request_new(c), 408);
+	else if (c->state == BRF_FLOW_CONN_OPEN && last != NULL &&
+		 !last->body_read && !last->answered)
+		refuse_body(last, 408);
+	else {
+		brf_flow_conn_close(c, BRF_FLOW_CUT);
+		return;
+	}
+	c->head_begun = false;
+	brf_task_post(c->server->config.tasks, &c->work);
+}
+
+static void
+work(struct brf_task *task)
+{
+	struct brf_flow_conn *c =
+	    brf_container_of(task, struct brf_flow_conn, work);
+
+	while (read_input(c))
+		;
+	if (!brf_flow_write_answers(c))
+		return;
+	if (c->state == BRF_FLOW_CONN_OPEN && c->count < AHEAD_MAX &&
+	    read_input(c))
+		brf_task_post(c->server->config.tasks, task);
+	set_reading(c);
+	arm(c);
+}
+
+static void
+on_drained(struct brf_writer *w, int status)
+{
+	struct brf_flow_conn *c =
+	    brf_container_of(w, struct brf_flow_conn, writer);
+
+	if (status < 0)
+		brf_flow_conn_close(c, BRF_FLOW_GONE);
+	else
+		brf_task_post(c->server->config.tasks, &c->work);
+}
+
+/* Callers that vanish, or don't read, must not hold a request for ever. */
+static void
+set_options(struct brf_flow_conn *c)
+{
+	unsigned ms = UNACKED_MS;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&c->tcp, 1);
+	uv_tcp_keepalive(&c->tcp, 1, KEEPALIVE_S);
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+void
+brf_flow_conn_accept(struct brf_flow_server *server, uv_stream_t *listener)
+{
+	struct brf_flow_conn *c = brf_calloc(1, sizeof(*c));
+
+	c->server = server;
+	brf_list_init(&c->requests);
+	brf_task_init(&c->work, work);
+	c->timer.fire = timed_out;
+	c->timer.arg = c;
+	uv_tcp_init(server->config.loop, &c->tcp);
+	c->tcp.data = c;
+	brf_writer_init(&c->writer, (uv_stream_t *)&c->tcp, on_drained);
+	brf_list_append(&server->conns, &c->link);
+	server->conn_count++;
+	server->connections->value++;
+	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0 ||
+	    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read) != 0) {
+		brf_flow_conn_close(c, BRF_FLOW_GONE);
+		return;
+	}
+	set_options(c);
+	c->since = now(c);
+	arm(c);
+}
--- /dev/null
+++ b/src/flow/target.c
@@ -0,0 +1,745 @@
+#include <netinet/tcp.h>
+#include <stdlib.h>
+
+#include "flow/target.h"
+#include "flow/writer.h"
+#include "http/parser.h"
+
+#define READ_SIZE 65536u	     /* bytes asked of the kernel at once */
+#define HEAD_MAX 65536u		     /* bytes of an answer's head */
+#define PENDING_MAX 131072u	     /* bytes waiting for the socket */
+#define CONNECT_US BRF_US_PER_S	     /* for a connection to open */
+#define IDLE_US (8 * BRF_US_PER_S)   /* kept where the target doesn't say */
+#define IDLE_EARLY_US BRF_US_PER_S   /* before the target would close it */
+#define UNIQUE_US (BRF_US_PER_S / 2) /* idle, still good for unique runs */
+#define UNACKED_MS 2000u	     /* milliseconds of silence of the peer */
+
+/**
+ * enum reading - what comes next on a connection.
+ * @READ_SKIP_*: the body of an answer that belongs to no open run
+ */
+enum reading {
+	READ_HEAD,
+	READ_LENGTH,
+	READ_CHUNKED,
+	READ_CLOSE
+};
+
+/**
+ * struct brf_flow_target_conn - one connection.
+ * @run: NULL while it is kept unused
+ * @skip: what is read belongs to no open run
+ * @body_sent: the request's body has left
+ * @stop_sending: the target takes no more of it
+ * @good_until: clock time, while it is unused
+ */
+struct brf_flow_target_conn {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	struct brf_flow_target *target;
+	struct brf_flow_run *run;
+	struct brf_writer writer;
+	struct brf_task work;
+	struct brf_timer timer;
+	struct brf_list link;
+	struct brf_buf input;
+	size_t seen;
+	struct phr_chunked_decoder decoder;
+	uint64_t missing;
+	enum reading reading;
+	uint64_t idle_since;
+	uint64_t good_until;
+	uint32_t keep_s;
+	bool keep;
+	bool connected;
+	bool skip;
+	bool body_sent;
+	bool stop_sending;
+	bool paused;
+	bool ended;
+	bool reset;
+	bool closing;
+};
+
+struct brf_flow_target {
+	struct brf_flow_target_config config;
+	struct sockaddr_storage addr;
+	struct brf_list conns;
+	struct brf_list idle;
+	size_t count;
+	struct brf_timer sweep;
+	bool closing;
+	void (*closed)(void *arg);
+	void *closed_arg;
+	struct brf_metric *opened;
+	struct brf_metric *dropped;
+};
+
+static uint64_t
+now(const struct brf_flow_target *t)
+{
+	return (brf_now(brf_timers_clock(t->config.timers)));
+}
+
+static void
+check_closed(struct brf_flow_target *t)
+{
+	void (*closed)(void *arg) = t->closed;
+
+	if (!t->closing || t->count != 0 || closed == NULL)
+		return;
+	t->closed = NULL;
+	closed(t->closed_arg);
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+	struct brf_flow_target_conn *c = handle->data;
+	struct brf_flow_target *t = c->target;
+
+	brf_buf_free(&c->input);
+	brf_writer_free(&c->writer);
+	free(c);
+	t->count--;
+	check_closed(t);
+}
+
+static void
+conn_close(struct brf_flow_target_conn *c)
+{
+	if (c->closing)
+		return;
+	c->closing = true;
+	if (c->run != NULL)
+		c->run->conn = NULL;
+	c->run = NULL;
+	brf_task_cancel(&c->work);
+	brf_timer_stop(c->target->config.timers, &c->timer);
+	brf_list_remove(&c->link);
+	uv_close((uv_handle_t *)&c->tcp, on_closed);
+}
+
+static void
+post_owner(struct brf_flow_run *run, const struct brf_flow_target *t)
+{
+	brf_task_post(t->config.tasks, run->owner);
+}
+
+/* The run that is open ends without a (further) word of the target. */
+static void
+fail_run(struct brf_flow_target_conn *c, bool broken)
+{
+	struct brf_flow_run *run = c->run;
+
+	if (run == NULL)
+		return;
+	c->run = NULL;
+	run->conn = NULL;
+	if (run->body != NULL)
+		run->body->reader = NULL;
+	run->out.writer = NULL;
+	if (run->state == BRF_FLOW_RUN_ANSWERED) {
+		brf_pipe_break(&run->out);
+		return;
+	}
+	run->not_started = run->state == BRF_FLOW_RUN_WAITING;
+	run->broken = broken;
+	run->state = BRF_FLOW_RUN_FAILED;
+	post_owner(run, c->target);
+}
+
+static void
+fail_conn(struct brf_flow_target_conn *c, bool broken)
+{
+	fail_run(c, broken);
+	conn_close(c);
+}
+
+static void
+sweep(struct brf_timer *timer, void *arg)
+{
+	struct brf_flow_target *t = arg;
+	struct brf_flow_target_conn *c;
+	struct brf_list *l, *next;
+	uint64_t at = now(t), soonest = UINT64_MAX;
+
+	brf_list_foreach_safe (l, next, &t->idle) {
+		c = brf_list_entry(l, struct brf_flow_target_conn, link);
+		if (c->good_until <= at)
+			conn_close(c);
+		else if (c->good_until < soonest)
+			soonest = c->good_until;
+	}
+	if (soonest != UINT64_MAX)
+		brf_timer_start(t->config.timers, timer, soonest - at);
+}
+
+static void
+keep_conn(struct brf_flow_target_conn *c)
+{
+	struct brf_flow_target *t = c->target;
+	uint64_t life = IDLE_US;
+
+	if (c->keep_s != 0)
+		life = c->keep_s * BRF_US_PER_S > 2 * IDLE_EARLY_US
+			   ? c->keep_s * BRF_US_PER_S - IDLE_EARLY_US
+			   : c->keep_s * BRF_US_PER_S / 2;
+	c->idle_since = now(t);
+	c->good_until = c->idle_since + life;
+	brf_list_remove(&c->link);
+	brf_list_prepend(&t->idle, &c->link);
+	if (!brf_timer_active(&t->sweep))
+		brf_timer_start(t->config.timers, &t->sweep, life);
+}
+
+/* The answer is whole. */
+static void
+finish_run(struct brf_flow_target_conn *c)
+{
+	struct brf_flow_run *run = c->run;
+
+	c->run = NULL;
+	run->conn = NULL;
+	if (run->body != NULL)
+		run->body->reader = NULL;
+	run->out.writer = NULL;
+	brf_pipe_end(&run->out);
+	if (c->keep && c->body_sent && c->input.len == 0 && !c->ended &&
+	    !c->writer.busy && c->writer.out.len == 0)
+		keep_conn(c);
+	else
+		conn_close(c);
+}
+
+static void
+begin_reading(struct brf_flow_target_conn *c, const struct brf_answer_head *h)
+{
+	static const enum reading readings[] = {
+		[BRF_BODY_NONE] = READ_LENGTH,
+		[BRF_BODY_LENGTH] = READ_LENGTH,
+		[BRF_BODY_CHUNKED] = READ_CHUNKED,
+		[BRF_BODY_CLOSE] = READ_CLOSE,
+	};
+
+	c->reading = readings[h->body];
+	c->missing = h->body == BRF_BODY_LENGTH ? h->length : 0;
+	memset(&c->decoder, 0, sizeof(c->decoder));
+	c->decoder.consume_trailer = 1;
+}
+
+static bool
+belongs(const struct brf_flow_run *run, const struct brf_answer_head *h)
+{
+	return (h->id[0] == '\0' || strcmp(h->id, run->id) == 0);
+}
+
+/* Return: whether something was read. */
+static bool
+read_head(struct brf_flow_target_conn *c)
+{
+	struct brf_answer_head h = { .status = 0 };
+	struct brf_flow_run *run = c->run;
+	enum brf_head_result result;
+	size_t used = 0;
+
+	result = brf_answer_head_parse(&h, c->input.data, c->input.len, c->seen,
+	    run->to_head, c->target->config.names, &used);
+	c->seen = c->input.len;
+	if (result != BRF_HEAD_WHOLE) {
+		brf_answer_head_free(&h);
+		if (result != BRF_HEAD_MORE || c->input.len > HEAD_MAX)
+			fail_conn(c, true);
+		return (false);
+	}
+	c->seen = 0;
+	brf_buf_consume(&c->input, used);
+	if (h.status < 200) { /* interim */
+		brf_answer_head_free(&h);
+		return (true);
+	}
+	begin_reading(c, &h);
+	c->skip = !belongs(run, &h);
+	if (c->skip) {
+		c->target->dropped->value++;
+		brf_answer_head_free(&h);
+		return (true);
+	}
+	c->keep = h.keep;
+	c->keep_s = h.keep_s;
+	run->answer = h;
+	run->state = BRF_FLOW_RUN_ANSWERED;
+	post_owner(run, c->target);
+	return (true);
+}
+
+static size_t
+room(struct brf_flow_target_conn *c)
+{
+	return (c->skip ? c->input.len : brf_pipe_room(&c->run->out));
+}
+
+static void
+deliver(struct brf_flow_target_conn *c, const char *data, size_t len)
+{
+	if (!c->skip)
+		brf_pipe_write(&c->run->out, data, len);
+}
+
+/* The answer that is being read is whole. */
+static void
+end_answer(struct brf_flow_target_conn *c)
+{
+	c->reading = READ_HEAD;
+	if (c->skip)
+		c->skip = false;
+	else
+		finish_run(c);
+}
+
+static bool
+read_length(struct brf_flow_target_conn *c)
+{
+	size_t len = room(c);
+
+	if (len > c->input.len)
+		len = c->input.len;
+	if (len > c->missing)
+		len = c->missing;
+	if (len == 0 && c->missing != 0)
+		return (false);
+	deliver(c, c->input.data, len);
+	brf_buf_consume(&c->input, len);
+	c->missing -= len;
+	if (c->missing == 0)
+		end_answer(c);
+	return (true);
+}
+
+static bool
+read_chunked(struct brf_flow_target_conn *c)
+{
+	size_t given = room(c), len;
+	ssize_t rest;
+
+	if (given > c->input.len)
+		given = c->input.len;
+	if (given == 0)
+		return (false);
+	len = given;
+	rest = phr_decode_chunked(&c->decoder, c->input.data, &len);
+	if (rest == -1) {
+		fail_conn(c, true);
+		return (false);
+	}
+	deliver(c, c->input.data, len);
+	if (rest < 0) {
+		brf_buf_consume(&c->input, given);
+		return (true);
+	}
+	/* what follows the body stands behind its decoded bytes */
+	memmove(c->input.data + given - (size_t)rest, c->input.data + len,
+	    (size_t)rest);
+	brf_buf_consume(&c->input, given - (size_t)rest);
+	end_answer(c);
+	return (true);
+}
+
+static bool
+read_until_close(struct brf_flow_target_conn *c)
+{
+	size_t len = room(c);
+
+	if (len > c->input.len)
+		len = c->input.len;
+	if (len == 0)
+		return (false);
+	deliver(c, c->input.data, len);
+	brf_buf_consume(&c->input, len);
+	return (true);
+}
+
+/* Return: whether to go on. */
+static bool
+read_step(struct brf_flow_target_conn *c)
+{
+	if (c->closing)
+		return (false);
+	if (c->run == NULL) {
+		if (c->input.len != 0)
+			conn_close(c); /* belongs to no request */
+		return (false);
+	}
+	switch (c->reading) {
+	case READ_HEAD:
+		return (c->input.len != 0 && read_head(c));
+	case READ_LENGTH:
+		return (read_length(c));
+	case READ_CHUNKED:
+		return (read_chunked(c));
+	case READ_CLOSE:
+		return (read_until_close(c));
+	}
+	return (false);
+}
+
+/* The target has ended the connection, and all that came is read. */
+static void
+settle_end(struct brf_flow_target_conn *c)
+{
+	bool whole = c->reading == READ_CLOSE && !c->skip && !c->reset;
+
+	if (c->run != NULL && c->input.len != 0 &&
+	    brf_pipe_len(&c->run->out) != 0)
+		return; /* the reader has to make room first */
+	if (whole && c->run != NULL)
+		finish_run(c);
+	else
+		fail_conn(c, c->reading != READ_HEAD || c->input.len != 0);
+}
+
+static void
+pump_body(struct brf_flow_target_conn *c)
+{
+	struct brf_pipe *body = c->run->body;
+	struct brf_buf *out = &c->writer.out;
+	bool chunked = c->run->framing == BRF_BODY_CHUNKED;
+	size_t len;
+
+	if (c->body_sent || c->stop_sending)
+		return;
+	len = brf_pipe_len(body);
+	if (len != 0 && brf_writer_pending(&c->writer) < PENDING_MAX) {
+		if (chunked)
+			brf_buf_printf(out, "%zx\r\n", len);
+		brf_buf_add(out, brf_pipe_data(body), len);
+		if (chunked)
+			brf_buf_add(out, "\r\n", 2);
+		brf_pipe_consume(body, len);
+	}
+	if (!brf_pipe_finished(body))
+		return;
+	if (chunked)
+		brf_buf_puts(out, "0\r\n\r\n");
+	c->body_sent = true;
+}
+
+/* A target that has answered may refuse the rest of the body; what it has
+ * written is still read. */
+static void
+flush(struct brf_flow_target_conn *c)
+{
+	if (c->stop_sending || brf_writer_flush(&c->writer) == 0)
+		return;
+	c->stop_sending = true;
+	brf_buf_free(&c->writer.out);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char shared[READ_SIZE]; /* used up before the next read */
+
+	(void)handle;
+	(void)suggested;
+	*buf = uv_buf_init(shared, sizeof(shared));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
+
+static void
+set_reading(struct brf_flow_target_conn *c)
+{
+	bool pause = c->input.len >= READ_SIZE && !c->ended;
+
+	if (c->ended || pause == c->paused)
+		return;
+	c->paused = pause;
+	if (pause)
+		uv_read_stop((uv_stream_t *)&c->tcp);
+	else
+		uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+static void
+work(struct brf_task *task)
+{
+	struct brf_flow_target_conn *c =
+	    brf_container_of(task, struct brf_flow_target_conn, work);
+
+	if (!c->connected)
+		return;
+	while (read_step(c))
+		;
+	if (!c->closing && c->ended)
+		settle_end(c);
+	if (c->closing || c->run == NULL)
+		return;
+	if (c->run->body != NULL)
+		pump_body(c);
+	flush(c);
+	set_reading(c);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct brf_flow_target_conn *c = stream->data;
+
+	if (c->closing || n == 0)
+		return;
+	if (n > 0)
+		brf_buf_add(&c->input, buf->base, (size_t)n);
+	if (n < 0) {
+		c->ended = true;
+		c->reset = n != UV_EOF;
+		uv_read_stop(stream);
+	}
+	brf_task_post(c->target->config.tasks, &c->work);
+}
+
+static void
+on_drained(struct brf_writer *w, int status)
+{
+	struct brf_flow_target_conn *c =
+	    brf_container_of(w, struct brf_flow_target_conn, writer);
+
+	if (status < 0) {
+		c->stop_sending = true;
+		brf_buf_free(&w->out);
+	}
+	brf_task_post(c->target->config.tasks, &c->work);
+}
+
+/* Return: false when the connection takes nothing; @c is closed then. */
+static bool
+send_head(struct brf_flow_target_conn *c, struct brf_flow_run *run)
+{
+	brf_buf_add(&c->writer.out, run->head.data, run->head.len);
+	if (run->body != NULL) {
+		run->body->reader = &c->work;
+		pump_body(c);
+	}
+	if (brf_writer_flush(&c->writer) != 0) {
+		if (run->body != NULL)
+			run->body->reader = NULL;
+		return (false);
+	}
+	run->state = BRF_FLOW_RUN_SENT;
+	run->sent_at = now(c->target);
+	post_owner(run, c->target);
+	return (true);
+}
+
+/* An idle connection is silent, so that a target that vanishes is noticed
+ * when it is used. */
+static void
+set_options(struct brf_flow_target_conn *c)
+{
+	unsigned ms = UNACKED_MS;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&c->tcp, 1);
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+static void
+on_connect(uv_connect_t *request, int status)
+{
+	struct brf_flow_target_conn *c = request->data;
+
+	if (c->closing)
+		return;
+	brf_timer_stop(c->target->config.timers, &c->timer);
+	if (status < 0 || c->run == NULL) {
+		fail_conn(c, false);
+		return;
+	}
+	c->connected = true;
+	set_options(c);
+	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	if (!send_head(c, c->run))
+		fail_conn(c, false);
+}
+
+static void
+connect_timed_out(struct brf_timer *timer, void *arg)
+{
+	(void)timer;
+	fail_conn(arg, false);
+}
+
+static void
+assign(struct brf_flow_target_conn *c, struct brf_flow_run *run)
+{
+	c->run = run;
+	run->conn = c;
+	run->out.writer = &c->work;
+	c->reading = READ_HEAD;
+	c->seen = 0;
+	c->keep = false;
+	c->body_sent = run->body == NULL;
+}
+
+static void
+open_conn(struct brf_flow_target *t, struct brf_flow_run *run)
+{
+	struct brf_flow_target_conn *c = brf_calloc(1, sizeof(*c));
+
+	c->target = t;
+	brf_task_init(&c->work, work);
+	c->timer.fire = connect_timed_out;
+	c->timer.arg = c;
+	uv_tcp_init(t->config.loop, &c->tcp);
+	c->tcp.data = c;
+	c->connect.data = c;
+	brf_writer_init(&c->writer, (uv_stream_t *)&c->tcp, on_drained);
+	brf_list_append(&t->conns, &c->link);
+	t->count++;
+	t->opened->value++;
+	assign(c, run);
+	brf_timer_start(t->config.timers, &c->timer, CONNECT_US);
+	if (uv_tcp_connect(&c->connect, &c->tcp,
+		(const struct sockaddr *)&t->addr, on_connect) != 0)
+		fail_conn(c, false);
+}
+
+static bool
+reuse(struct brf_flow_target *t, struct brf_flow_run *run)
+{
+	struct brf_flow_target_conn *c;
+	uint64_t at = now(t);
+
+	while (!brf_list_empty(&t->idle)) {
+		c = brf_list_entry(
+		    t->idle.next, struct brf_flow_target_conn, link);
+		if (run->unique && at - c->idle_since > UNIQUE_US)
+			return (false);
+		if (c->good_until <= at || c->input.len != 0 || c->ended) {
+			conn_close(c);
+			continue;
+		}
+		assign(c, run);
+		brf_list_remove(&c->link);
+		brf_list_append(&t->conns, &c->link);
+		run->reused = true;
+		if (send_head(c, run))
+			return (true);
+		c->run = NULL;
+		conn_close(c);
+		run->reused = false;
+	}
+	return (false);
+}
+
+static void
+refuse_run(struct brf_flow_target *t, struct brf_flow_run *run)
+{
+	run->state = BRF_FLOW_RUN_FAILED;
+	run->not_started = true;
+	post_owner(run, t);
+}
+
+void
+brf_flow_target_run(struct brf_flow_target *t, struct brf_flow_run *run)
+{
+	brf_pipe_init(&run->out, t->config.tasks);
+	run->state = BRF_FLOW_RUN_WAITING;
+	if (t->closing) {
+		refuse_run(t, run);
+		return;
+	}
+	if (reuse(t, run))
+		return;
+	if (t->count >= t->config.connections)
+		refuse_run(t, run);
+	else
+		open_conn(t, run);
+}
+
+void
+brf_flow_run_cancel(struct brf_flow_run *run)
+{
+	struct brf_flow_target_conn *c = run->conn;
+
+	if (run->body != NULL)
+		run->body->reader = NULL;
+	run->conn = NULL;
+	if (c == NULL)
+		return;
+	c->run = NULL;
+	conn_close(c);
+}
+
+void
+brf_flow_run_free(struct brf_flow_run *run)
+{
+	brf_buf_free(&run->head);
+	brf_answer_head_free(&run->answer);
+	brf_pipe_free(&run->out);
+}
+
+struct brf_flow_target *
+brf_flow_target_new(
+    const struct brf_flow_target_config *config, const struct sockaddr *addr)
+{
+	struct brf_flow_target *t = brf_calloc(1, sizeof(*t));
+
+	t->config = *config;
+	memcpy(&t->addr, addr, sizeof(struct sockaddr_in));
+	brf_list_init(&t->conns);
+	brf_list_init(&t->idle);
+	t->sweep.fire = sweep;
+	t->sweep.arg = t;
+	t->opened = brf_metrics_counter(config->metrics,
+	    "brf_target_connections_opened_total",
+	    "Connections opened to the target.", "");
+	t->dropped = brf_metrics_counter(config->metrics,
+	    "brf_target_answers_dropped_total",
+	    "Answers that named another request.", "");
+	return (t);
+}
+
+void
+brf_flow_target_bound(struct brf_flow_target *t, uint32_t connections)
+{
+	t->config.connections = connections;
+}
+
+static void
+close_list(struct brf_list *conns)
+{
+	struct brf_flow_target_conn *c;
+
+	while (!brf_list_empty(conns)) {
+		c = brf_list_entry(
+		    conns->next, struct brf_flow_target_conn, link);
+		fail_conn(c, false);
+	}
+}
+
+void
+brf_flow_target_forget(struct brf_flow_target *t)
+{
+	close_list(&t->idle);
+}
+
+void
+brf_flow_target_close(
+    struct brf_flow_target *t, void (*closed)(void *arg), void *arg)
+{
+	t->closing = true;
+	t->closed = closed;
+	t->closed_arg = arg;
+	brf_timer_stop(t->config.timers, &t->sweep);
+	close_list(&t->idle);
+	close_list(&t->conns);
+	check_closed(t);
+}
+
+void
+brf_flow_target_free(struct brf_flow_target *t)
+{
+	free(t);
+}
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -1,6 +1,7 @@
 #include "bulrushford.h"
 #include "http/call.h"
 #include "http/fields.h"
+#include "http/framing.h"
 
 #define FIELDS_MAX 128	/* hop-by-hop ones included */
 #define HEAD_MAX 65536u /* bytes of an answer's head before it is parsed */
@@ -80,54 +81,6 @@
 	brf_http_call_end(call, BRF_RUN_ANSWERED);
 }
 
-struct framing {
-	bool chunked;
-	bool has_length;
-	uint64_t length;
-};
-
-static bool
-parse_length(const struct phr_header *field, uint64_t *length)
-{
-	size_t i;
-
-	*length = 0;
-	for (i = 0; i < field->value_len; i++) {
-		if (field->value[i] < '0' || field->value[i] > '9' || i == 18)
-			return (false);
-		*length = *length * 10 + (uint64_t)(field->value[i] - '0');
-	}
-	return (i != 0);
-}
-
-/* Return: false when the fields contradict each other. */
-static bool
-read_framing(const struct phr_header *fields, size_t count, struct framing *f)
-{
-	uint64_t length;
-	size_t i;
-
-	*f = (struct framing){ .chunked = false };
-	for (i = 0; i < count; i++) {
-		if (brf_http_field_is(&fields[i], "transfer-encoding")) {
-			if (f->chunked ||
-			    !brf_http_fields_name(&fields[i], 1,
-				"transfer-encoding", "chunked", 7) ||
-			    fields[i].value_len != 7)
-				return (false);
-			f->chunked = true;
-		}
-		if (!brf_http_field_is(&fields[i], "content-length"))
-			continue;
-		if (!parse_length(&fields[i], &length) ||
-		    (f->has_length && f->length != length))
-			return (false);
-		f->has_length = true;
-		f->length = length;
-	}
-	return (!(f->chunked && f->has_length));
-}
-
 static bool
 has_no_body(const struct brf_http_call *call, int status)
 {
@@ -137,7 +90,8 @@
 
 /* Choose how the body is read; BRF_RUN_ANSWERED lets it go on. */
 static enum brf_run_end
-begin_body(struct brf_http_call *call, int status, const struct framing *f)
+begin_body(
+    struct brf_http_call *call, int status, const struct brf_http_framing *f)
 {
 	if (has_no_body(call, status)) {
 		call->state = BRF_HTTP_CALL_LENGTH;
@@ -165,9 +119,10 @@
     const struct phr_header *fields, size_t count)
 {
 	struct brf_error err = { .code = BRF_OK };
-	struct framing f;
+	struct brf_http_framing f;
 
-	if (status < 200 || status > 599 || !read_framing(fields, count, &f))
+	if (status < 200 || status > 599 ||
+	    !brf_http_framing_read(&f, fields, count))
 		return (BRF_RUN_BROKEN);
 	call->answer->status = status;
 	call->keep = minor_version >= 1 && !brf_http_fields_name(fields, count,
--- a/src/http/fields.c
+++ b/src/http/fields.c
@@ -46,8 +46,8 @@
 	return (false);
 }
 
-static bool
-is_hop_by_hop(const struct phr_header *field)
+bool
+brf_http_field_is_hop_by_hop(const struct phr_header *field)
 {
 	char name[32]; /* longer than any of them */
 	size_t i;
@@ -75,7 +75,7 @@
 		if (f->name == NULL)
 			return (brf_error_set(
 			    err, BRF_E_HEADERS, 0, "folded field"));
-		if (is_hop_by_hop(f))
+		if (brf_http_field_is_hop_by_hop(f))
 			continue;
 		if (named && brf_http_fields_name(fields, count, "connection",
 				 f->name, f->name_len))
--- a/src/http/fields.h
+++ b/src/http/fields.h
@@ -5,8 +5,7 @@
 #include "http/parser.h"
 
 /**
- * DOC: HTTP fields as they are parsed, and as messages hold them; for
- * src/http only.
+ * DOC: HTTP fields as they are parsed, and as messages hold them.
  */
 
 BRF_BEGIN_DECLS
@@ -14,6 +13,9 @@
 /* Whether the field's name is @name, which is in lower case. */
 bool brf_http_field_is(const struct phr_header *field, const char *name);
 
+/* Whether the field speaks of one connection only. */
+bool brf_http_field_is_hop_by_hop(const struct phr_header *field);
+
 /**
  * brf_http_fields_name() - whether a comma list in a field @list holds @word.
  */
--- a/src/http/request.c
+++ b/src/http/request.c
@@ -5,6 +5,7 @@
 #include "base/outcome.h"
 #include "bulrushford.h"
 #include "http/fields.h"
+#include "http/framing.h"
 #include "http/server_impl.h"
 
 #define HOST_MAX 255
@@ -125,31 +126,6 @@
 	return (status >= 200 && status != 204 && status != 304);
 }
 
-static const char *
-phrase(int status)
-{
-	static const struct {
-		int status;
-		const char *text;
-	} phrases[] = { { 200, "OK" }, { 201, "Created" }, { 202, "Accepted" },
-		{ 204, "No Content" }, { 304, "Not Modified" },
-		{ 400, "Bad Request" }, { 401, "Unauthorized" },
-		{ 403, "Forbidden" }, { 404, "Not Found" },
-		{ 405, "Method Not Allowed" }, { 409, "Conflict" },
-		{ 413, "Content Too Large" }, { 414, "URI Too Long" },
-		{ 429, "Too Many Requests" },
-		{ 431, "Request Header Fields Too Large" },
-		{ 500, "Internal Server Error" }, { 502, "Bad Gateway" },
-		{ 503, "Service Unavailable" }, { 504, "Gateway Timeout" } };
-	size_t i;
-
-	for (i = 0; i < brf_nitems(phrases); i++) {
-		if (phrases[i].status == status)
-			return (phrases[i].text);
-	}
-	return (""); /* RFC 9112, section 4: it may be left out */
-}
-
 static void
 send_whole(h2o_req_t *req, int status, const char *body, size_t len)
 {
@@ -158,7 +134,7 @@
 	h2o_iovec_t buf = h2o_iovec_init(body, len);
 
 	req->res.status = status;
-	req->res.reason = phrase(status);
+	req->res.reason = brf_http_phrase(status);
 	req->res.content_length =
 	    status_has_length(status) && !head ? len : SIZE_MAX;
 	h2o_start_response(req, generator());
--- a/src/wire/client_conn.c
+++ b/src/wire/client_conn.c
@@ -20,13 +20,15 @@
 static uint64_t
 now_of(const struct brf_client_conn *cc)
 {
-	return (brf_now(brf_timers_clock(cc->conn.peers->config.timers)));
+	return (
+	    brf_now(brf_timers_clock(brf_peers_of(&cc->conn)->config.timers)));
 }
 
 static void
 send_hello(struct brf_client_conn *cc)
 {
-	const struct brf_peers_config *config = &cc->conn.peers->config;
+	const struct brf_peers_config *config =
+	    &brf_peers_of(&cc->conn)->config;
 	struct brf_rpc_writer w;
 	brf_xdr_hello hello;
 
@@ -45,7 +47,8 @@
 static void
 send_proof(struct brf_client_conn *cc)
 {
-	const struct brf_peers_config *config = &cc->conn.peers->config;
+	const struct brf_peers_config *config =
+	    &brf_peers_of(&cc->conn)->config;
 	struct brf_rpc_writer w;
 	brf_xdr_proof proof;
 
@@ -62,7 +65,8 @@
 check_challenge(struct brf_client_conn *cc, const brf_xdr_challenge *challenge,
     struct brf_error *err)
 {
-	const struct brf_peers_config *config = &cc->conn.peers->config;
+	const struct brf_peers_config *config =
+	    &brf_peers_of(&cc->conn)->config;
 	struct brf_handshake *h = &cc->handshake;
 
 	h->callee.node = brf_id_from_xdr(&challenge->node);
@@ -82,8 +86,8 @@
 static void
 restart_idle(struct brf_client_conn *cc)
 {
-	brf_timer_start(cc->conn.peers->config.timers, &cc->timer,
-	    cc->conn.peers->config.idle_us);
+	brf_timer_start(brf_peers_of(&cc->conn)->config.timers, &cc->timer,
+	    brf_peers_of(&cc->conn)->config.idle_us);
 }
 
 static bool
@@ -134,7 +138,7 @@
 	struct brf_error err;
 
 	brf_error_set(&err, BRF_E_RPC_UNMATCHED, 0, "xid %u", xid);
-	brf_peers_fault(cc->conn.peers, &err);
+	brf_peers_fault(brf_peers_of(&cc->conn), &err);
 }
 
 /* The callee says that it did not take the call. */
@@ -186,7 +190,7 @@
 	if (header.is_call) {
 		brf_error_set(
 		    err, BRF_E_RPC_PROCEDURE, 0, "call towards the caller");
-		brf_peers_fault(conn->peers, err);
+		brf_peers_fault(brf_peers_of(conn), err);
 		brf_rpc_write_status(
 		    &conn->out, header.xid, BRF_RPC_PROG_UNAVAIL);
 		brf_conn_touch(conn);
@@ -286,7 +290,7 @@
 
 	brf_log(BRF_LOG_DEBUG, "peer_connection_ended",
 	    BRF_LI("peer", peer->node), BRF_LE(err));
-	brf_timer_stop(conn->peers->config.timers, &cc->timer);
+	brf_timer_stop(brf_peers_of(conn)->config.timers, &cc->timer);
 	peer->conn = NULL;
 	peer->past_bytes += conn->accepted + conn->received;
 	peer->open++;
@@ -302,7 +306,7 @@
 static void
 on_release(struct brf_conn *conn)
 {
-	struct brf_peers *peers = conn->peers;
+	struct brf_peers *peers = brf_peers_of(conn);
 
 	free(client_conn(conn));
 	brf_peers_check_closed(peers);
@@ -318,7 +322,7 @@
 static void
 close_idle(struct brf_client_conn *cc)
 {
-	uint64_t idle_us = cc->conn.peers->config.idle_us;
+	uint64_t idle_us = brf_peers_of(&cc->conn)->config.idle_us;
 	uint64_t since = now_of(cc) - cc->used_at;
 	struct brf_error err;
 
@@ -328,7 +332,7 @@
 		brf_conn_close(&cc->conn, &err);
 		return;
 	}
-	brf_timer_start(cc->conn.peers->config.timers, &cc->timer,
+	brf_timer_start(brf_peers_of(&cc->conn)->config.timers, &cc->timer,
 	    since < idle_us ? idle_us - since : idle_us);
 }
 
@@ -384,7 +388,7 @@
 	cc->timer.fire = on_timer;
 	cc->timer.arg = cc;
 	cc->connect.data = cc;
-	brf_conn_init(&cc->conn, &client_conn_vt, peer->peers);
+	brf_conn_init(&cc->conn, &client_conn_vt, &peer->peers->set);
 	peer->conn = cc;
 	/* A failure at once waits for the timer: no end inside a send. */
 	if (uv_tcp_connect(&cc->connect, &cc->conn.tcp,
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -1,26 +1,36 @@
 #include <netinet/tcp.h>
 
 #include "wire/conn.h"
-#include "wire/peers.h"
 
+#define READ_SIZE 65536u		   /* bytes asked of the kernel */
 #define OUT_KEPT ((size_t)256 * 1024)	   /* bytes of memory kept */
 #define OUT_HIGH ((size_t)4 * 1024 * 1024) /* stop reading above */
 #define KEEPALIVE_S 10			   /* seconds of silence */
 #define UNACKED_MS 5000u		   /* milliseconds until given up */
 
+void
+brf_conn_set_init(struct brf_conn_set *set, uv_loop_t *loop,
+    void (*fault)(struct brf_conn_set *set, const struct brf_error *err))
+{
+	set->loop = loop;
+	set->fault = fault;
+	brf_list_init(&set->conns);
+	brf_list_init(&set->dirty);
+}
+
 void
 brf_conn_init(struct brf_conn *conn, const struct brf_conn_vt *vt,
-    struct brf_peers *peers)
+    struct brf_conn_set *set)
 {
 	conn->vt = vt;
-	conn->peers = peers;
-	uv_tcp_init(peers->config.loop, &conn->tcp);
+	conn->set = set;
+	uv_tcp_init(set->loop, &conn->tcp);
 	conn->tcp.data = conn;
 	conn->write.data = conn;
 	brf_list_init(&conn->dirty);
 	brf_list_init(&conn->link);
-	brf_list_append(&peers->conns, &conn->link);
-	peers->connections->value++;
+	brf_list_append(&set->conns, &conn->link);
+	set->connections->value++;
 }
 
 static void
@@ -29,7 +39,7 @@
 	struct brf_conn *conn = handle->data;
 
 	brf_list_remove(&conn->link);
-	conn->peers->connections->value--;
+	conn->set->connections->value--;
 	brf_buf_free(&conn->out);
 	brf_buf_free(&conn->writing);
 	brf_record_reader_free(&conn->reader);
@@ -68,7 +78,7 @@
 	settle_accepted(conn);
 	brf_list_remove(&conn->dirty);
 	if (err->code != BRF_E_CLOSED)
-		brf_peers_fault(conn->peers, err);
+		conn->set->fault(conn->set, err);
 	uv_close((uv_handle_t *)&conn->tcp, on_closed);
 	conn->vt->lost(conn, err);
 }
@@ -78,7 +88,7 @@
 {
 	if (conn->closing || !brf_list_empty(&conn->dirty))
 		return;
-	brf_list_append(&conn->peers->dirty, &conn->dirty);
+	brf_list_append(&conn->set->dirty, &conn->dirty);
 }
 
 static void
@@ -132,12 +142,11 @@
 static void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-	struct brf_conn *conn = handle->data;
-	size_t size;
+	static char shared[READ_SIZE]; /* used up before the next read */
 
+	(void)handle;
 	(void)suggested;
-	buf->base = brf_record_space(&conn->reader, &size);
-	buf->len = size;
+	*buf = uv_buf_init(shared, sizeof(shared));
 }
 
 static void
@@ -176,7 +185,6 @@
 {
 	struct brf_conn *conn = stream->data;
 
-	(void)buf;
 	if (conn->closing || n == 0)
 		return;
 	if (n < 0) {
@@ -184,7 +192,7 @@
 		return;
 	}
 	conn->received += (uint64_t)n;
-	brf_record_added(&conn->reader, (size_t)n);
+	brf_record_feed(&conn->reader, buf->base, (size_t)n);
 	deliver(conn);
 }
 
@@ -204,8 +212,8 @@
 		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
-void
-brf_conn_flush(struct brf_conn *conn)
+static void
+flush(struct brf_conn *conn)
 {
 	int n;
 
@@ -254,3 +262,15 @@
 	set_options(conn);
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
+
+void
+brf_conn_set_flush(struct brf_conn_set *set)
+{
+	struct brf_conn *conn;
+
+	while (!brf_list_empty(&set->dirty)) {
+		conn = brf_list_entry(set->dirty.next, struct brf_conn, dirty);
+		brf_list_remove(&conn->dirty);
+		flush(conn);
+	}
+}
--- a/src/wire/conn.h
+++ b/src/wire/conn.h
@@ -4,7 +4,7 @@
 #include <uv.h>
 
 #include "base/list.h"
-#include "wire/peer.h"
+#include "base/metrics.h"
 #include "wire/rpc.h"
 
 /**
@@ -17,6 +17,21 @@
 
 struct brf_conn;
 
+/**
+ * struct brf_conn_set - what connections share; first member of their owner.
+ * @conns: all whose socket is not closed yet
+ * @dirty: those that have something to send
+ * @connections: number of @conns
+ * @fault: a failure that the other end caused, to be counted and logged
+ */
+struct brf_conn_set {
+	uv_loop_t *loop;
+	struct brf_list conns;
+	struct brf_list dirty;
+	struct brf_metric *connections;
+	void (*fault)(struct brf_conn_set *set, const struct brf_error *err);
+};
+
 /**
  * struct brf_conn_vt - what the two kinds of connection do.
  * @message: a whole message came; false closes the connection with @err
@@ -45,7 +60,7 @@
  */
 struct brf_conn {
 	const struct brf_conn_vt *vt;
-	struct brf_peers *peers;
+	struct brf_conn_set *set;
 	uv_tcp_t tcp;
 	uv_write_t write;
 	struct brf_record_reader reader;
@@ -65,7 +80,7 @@
  * brf_conn_init() - give @conn a socket; brf_conn_close() is needed from here.
  */
 void brf_conn_init(struct brf_conn *conn, const struct brf_conn_vt *vt,
-    struct brf_peers *peers);
+    struct brf_conn_set *set);
 
 /**
  * brf_conn_start() - connected: set options and read.
@@ -84,7 +99,16 @@
  */
 void brf_conn_close(struct brf_conn *conn, const struct brf_error *err);
 
-/* Write what waits; for the owner of all connections. */
-void brf_conn_flush(struct brf_conn *conn);
+/**
+ * brf_conn_set_init() - an empty set; @connections is to be filled.
+ */
+void brf_conn_set_init(struct brf_conn_set *set, uv_loop_t *loop,
+    void (*fault)(struct brf_conn_set *set, const struct brf_error *err));
+
+/**
+ * brf_conn_set_flush() - write what waits on all connections; to be called
+ * before the loop sleeps.
+ */
+void brf_conn_set_flush(struct brf_conn_set *set);
 
 #endif
--- a/src/wire/peer.c
+++ b/src/wire/peer.c
@@ -10,14 +10,14 @@
 on_prepare(uv_prepare_t *prepare)
 {
 	struct brf_peers *peers = prepare->data;
-	struct brf_conn *conn;
 
-	while (!brf_list_empty(&peers->dirty)) {
-		conn =
-		    brf_list_entry(peers->dirty.next, struct brf_conn, dirty);
-		brf_list_remove(&conn->dirty);
-		brf_conn_flush(conn);
-	}
+	brf_conn_set_flush(&peers->set);
+}
+
+static void
+on_fault(struct brf_conn_set *set, const struct brf_error *err)
+{
+	brf_peers_fault(brf_container_of(set, struct brf_peers, set), err);
 }
 
 struct brf_peers *
@@ -26,10 +26,9 @@
 	struct brf_peers *peers = brf_calloc(1, sizeof(*peers));
 
 	peers->config = *config;
-	brf_list_init(&peers->dirty);
-	brf_list_init(&peers->conns);
+	brf_conn_set_init(&peers->set, config->loop, on_fault);
 	brf_list_init(&peers->backends);
-	peers->connections = brf_metrics_gauge(config->metrics,
+	peers->set.connections = brf_metrics_gauge(config->metrics,
 	    "brf_peer_connections", "Connections between nodes.", "");
 	peers->calls_sent = brf_metrics_counter(config->metrics,
 	    "brf_peer_calls_sent_total", "Calls to other nodes.", "");
@@ -136,7 +135,7 @@
 	void (*closed)(void *arg) = peers->closed;
 
 	if (!peers->closing || peers->handles != 0 || peers->open_calls != 0 ||
-	    !brf_list_empty(&peers->conns) || closed == NULL)
+	    !brf_list_empty(&peers->set.conns) || closed == NULL)
 		return;
 	peers->closed = NULL;
 	closed(peers->closed_arg);
@@ -150,7 +149,7 @@
 	struct brf_error err;
 
 	brf_error_set(&err, BRF_E_CLOSED, 0, "stopping");
-	brf_list_foreach_safe (l, tmp, &peers->conns)
+	brf_list_foreach_safe (l, tmp, &peers->set.conns)
 		brf_conn_close(brf_list_entry(l, struct brf_conn, link), &err);
 }
 
--- a/src/wire/peers.h
+++ b/src/wire/peers.h
@@ -3,6 +3,7 @@
 
 #include "wire/conn.h"
 #include "wire/handshake.h"
+#include "wire/peer.h"
 
 /**
  * DOC: What the files of this package share behind peer.h.
@@ -10,19 +11,17 @@
 
 /**
  * struct brf_peers - see peer.h.
- * @dirty: connections that have something to send
- * @conns: all connections whose socket is not closed yet
+ * @set: all connections, first member
  * @backends: all struct brf_peer_backend, forgotten ones included
  * @unproved: connections accepted whose caller has not proved the key
  * @open_calls: calls received and not yet answered
- * @handles: sockets and others of the loop that are open, but for @conns
+ * @handles: sockets and others of the loop that are open, but for connections
  */
 struct brf_peers {
+	struct brf_conn_set set;
 	struct brf_peers_config config;
 	uv_tcp_t listener;
 	uv_prepare_t prepare;
-	struct brf_list dirty;
-	struct brf_list conns;
 	struct brf_list backends;
 	size_t unproved;
 	size_t open_calls;
@@ -31,11 +30,16 @@
 	bool closing;
 	void (*closed)(void *arg);
 	void *closed_arg;
-	struct brf_metric *connections;
 	struct brf_metric *calls_sent;
 	struct brf_metric *calls_received;
 };
 
+static inline struct brf_peers *
+brf_peers_of(const struct brf_conn *conn)
+{
+	return (brf_container_of(conn->set, struct brf_peers, set));
+}
+
 /**
  * brf_peers_fault() - count and log a failure that the other end caused.
  */
--- a/src/wire/rpc.c
+++ b/src/wire/rpc.c
@@ -128,7 +128,14 @@
 brf_rpc_begin_call(struct brf_rpc_writer *w, struct brf_buf *out, size_t most,
     uint32_t xid, uint32_t procedure)
 {
-	const uint32_t words[] = { xid, CALL, RPC_MSG_VERSION, BRF_PEER_PROGRAM,
+	brf_rpc_begin_call_of(w, out, most, xid, BRF_PEER_PROGRAM, procedure);
+}
+
+void
+brf_rpc_begin_call_of(struct brf_rpc_writer *w, struct brf_buf *out,
+    size_t most, uint32_t xid, uint32_t program, uint32_t procedure)
+{
+	const uint32_t words[] = { xid, CALL, RPC_MSG_VERSION, program,
 		BRF_PEER_VERSION, procedure, AUTH_NONE, 0, AUTH_NONE, 0 };
 
 	begin(w, out, most);
--- a/src/wire/server.c
+++ b/src/wire/server.c
@@ -51,7 +51,7 @@
 static void
 free_when_done(struct server_conn *sc)
 {
-	struct brf_peers *peers = sc->conn.peers;
+	struct brf_peers *peers = brf_peers_of(&sc->conn);
 
 	if (!sc->released || sc->open != 0)
 		return;
@@ -71,7 +71,7 @@
 reject(struct server_conn *sc, uint32_t xid, enum brf_rpc_status status,
     const struct brf_error *err)
 {
-	brf_peers_fault(sc->conn.peers, err);
+	brf_peers_fault(brf_peers_of(&sc->conn), err);
 	answer_status(sc, xid, status);
 	return (true);
 }
@@ -99,7 +99,8 @@
 static void
 send_challenge(struct server_conn *sc, uint32_t xid)
 {
-	const struct brf_peers_config *config = &sc->conn.peers->config;
+	const struct brf_peers_config *config =
+	    &brf_peers_of(&sc->conn)->config;
 	struct brf_handshake *h = &sc->handshake;
 	brf_xdr_challenge challenge;
 	struct brf_rpc_writer w;
@@ -141,7 +142,8 @@
 serve_prove(struct server_conn *sc, XDR *xdr, const struct brf_record *record,
     uint32_t xid, struct brf_error *err)
 {
-	const struct brf_peers_config *config = &sc->conn.peers->config;
+	const struct brf_peers_config *config =
+	    &brf_peers_of(&sc->conn)->config;
 	brf_xdr_proof proof;
 
 	if (sc->state != SERVER_CHALLENGED)
@@ -154,7 +156,7 @@
 		    sc, xid, BRF_E_AUTH, "caller's proof does not hold", err));
 	sc->state = SERVER_PROVED;
 	sc->conn.reader.most = 0;
-	sc->conn.peers->unproved--;
+	brf_peers_of(&sc->conn)->unproved--;
 	brf_timer_stop(config->timers, &sc->timer);
 	answer_status(sc, xid, BRF_RPC_SUCCESS);
 	return (true);
@@ -193,7 +195,7 @@
 	brf_message_unref(x->attempt.request);
 	free(in);
 	sc->open--;
-	sc->conn.peers->open_calls--;
+	brf_peers_of(&sc->conn)->open_calls--;
 	free_when_done(sc);
 }
 
@@ -207,7 +209,7 @@
 serve_call(struct server_conn *sc, XDR *xdr, const struct brf_record *record,
     uint32_t xid, struct brf_error *err)
 {
-	struct brf_peers *peers = sc->conn.peers;
+	struct brf_peers *peers = brf_peers_of(&sc->conn);
 	struct inbound_call *in = brf_calloc(1, sizeof(*in));
 	bool ok = brf_attempt_get(xdr, &in->x.attempt, err);
 
@@ -261,7 +263,7 @@
 	answer_status(sc, xid, BRF_RPC_SUCCESS);
 	in = find_inbound(sc, brf_id_from_xdr(&id));
 	if (in != NULL)
-		brf_cancel(sc->conn.peers->config.gate, &in->x);
+		brf_cancel(brf_peers_of(&sc->conn)->config.gate, &in->x);
 	return (true);
 }
 
@@ -271,8 +273,8 @@
 {
 	struct brf_conn *conn = &sc->conn;
 
-	if (!brf_documents_serve(conn->peers->config.documents, xdr, record,
-		xid, &conn->out, err))
+	if (!brf_documents_serve(brf_peers_of(conn)->config.documents, xdr,
+		record, xid, &conn->out, err))
 		return (reject(sc, xid, BRF_RPC_GARBAGE_ARGS, err));
 	brf_conn_touch(conn);
 	return (true);
@@ -332,7 +334,7 @@
 	if (!header.is_call) {
 		brf_error_set(err, BRF_E_RPC_UNMATCHED, 0,
 		    "reply towards the callee, xid %u", header.xid);
-		brf_peers_fault(conn->peers, err);
+		brf_peers_fault(brf_peers_of(conn), err);
 		return (true);
 	}
 	status = check_header(&header, err);
@@ -364,7 +366,7 @@
 		in = brf_list_entry(calls->next, struct inbound_call, link);
 		brf_list_remove(&in->link);
 		brf_list_append(&handed, &in->link);
-		brf_cancel(sc->conn.peers->config.gate, &in->x);
+		brf_cancel(brf_peers_of(&sc->conn)->config.gate, &in->x);
 	}
 	while (!brf_list_empty(&handed)) {
 		in = brf_list_entry(handed.next, struct inbound_call, link);
@@ -379,9 +381,9 @@
 	size_t i;
 
 	(void)err;
-	brf_timer_stop(conn->peers->config.timers, &sc->timer);
+	brf_timer_stop(brf_peers_of(conn)->config.timers, &sc->timer);
 	if (sc->state != SERVER_PROVED)
-		conn->peers->unproved--;
+		brf_peers_of(conn)->unproved--;
 	for (i = 0; i < ID_BUCKETS; i++)
 		cancel_all(sc, &sc->calls[i]);
 }
@@ -426,7 +428,7 @@
 	sc->timer.fire = on_timer;
 	sc->timer.arg = sc;
 	sc->conn.reader.most = UNPROVED_RECORD;
-	brf_conn_init(&sc->conn, &server_conn_vt, peers);
+	brf_conn_init(&sc->conn, &server_conn_vt, &peers->set);
 	peers->unproved++;
 	rc = uv_accept(listener, (uv_stream_t *)&sc->conn.tcp);
 	if (rc < 0) {
