--- a/src/config/store_codec.c
+++ b/src/config/store_codec.c
@@ -2,8 +2,8 @@
 #include <stdlib.h>
 
 #include <jansson.h>
-#include <openssl/evp.h>
 
+#include "base/base64.h"
 #include "config/store_codec.h"
 
 #define STATUS_OK 200
@@ -24,11 +24,9 @@
 static json_t *
 base64(const char *data, size_t len)
 {
-	unsigned char *text = brf_calloc(4 * (len / 3 + 1) + 1, 1);
-	json_t *value;
+	char *text = brf_base64_encode(data, len);
+	json_t *value = json_string(text);
 
-	EVP_EncodeBlock(text, (const unsigned char *)data, (int)len);
-	value = json_string((const char *)text);
 	free(text);
 	return (value);
 }
@@ -161,26 +159,8 @@
 {
 	const json_t *value = json_object_get(object, name);
 	const char *text = value != NULL ? json_string_value(value) : "";
-	size_t n = text != NULL ? strlen(text) : 0;
-	unsigned char *out;
-	int got;
-
-	if (text == NULL || n % 4 != 0 || n > INT32_MAX)
-		return (NULL);
-	out = brf_calloc(n / 4 * 3 + 1, 1);
-	got = EVP_DecodeBlock(out, (const unsigned char *)text, (int)n);
-	if (got < 0) {
-		free(out);
-		return (NULL);
-	}
-	/* padding is decoded as zeros */
-	if (n != 0 && text[n - 1] == '=')
-		got--;
-	if (n != 0 && text[n - 2] == '=')
-		got--;
-	*len = (size_t)got;
-	out[got] = '\0';
-	return ((char *)out);
+
+	return (text != NULL ? brf_base64_decode(text, len) : NULL);
 }
 
 static bool
--- /dev/null
+++ b/src/fleet/directory.c
@@ -0,0 +1,208 @@
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "fleet/directory.h"
+
+struct brf_directory {
+	struct brf_timers *timers;
+	struct brf_directory_watcher *watcher;
+	struct brf_follow *follow;
+	struct brf_list targets;
+	size_t count;
+};
+
+static uint64_t
+now(const struct brf_directory *d)
+{
+	return (brf_now(brf_timers_clock(d->timers)));
+}
+
+static struct brf_directory_target *
+find(const struct brf_directory *d, const char *id)
+{
+	struct brf_directory_target *t;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &d->targets) {
+		t = brf_list_entry(l, struct brf_directory_target, link);
+		if (strcmp(t->entry.id, id) == 0)
+			return (t);
+	}
+	return (NULL);
+}
+
+static void
+drop(struct brf_directory_target *t, const char *why)
+{
+	struct brf_directory *d = t->directory;
+
+	brf_log(BRF_LOG_INFO, "target_gone", BRF_LS("target", t->entry.id),
+	    BRF_LS("service", t->entry.service), BRF_LS("why", why),
+	    BRF_LU("revision", t->revision));
+	brf_list_remove(&t->link);
+	brf_timer_stop(d->timers, &t->lapse);
+	d->count--;
+	d->watcher->gone(d->watcher, t);
+	free(t);
+}
+
+static void
+lapse_over(struct brf_timer *timer, void *arg)
+{
+	(void)timer;
+	drop(arg, "lapsed");
+}
+
+static struct brf_directory_target *
+add(struct brf_directory *d)
+{
+	struct brf_directory_target *t = brf_calloc(1, sizeof(*t));
+
+	t->directory = d;
+	t->lapse.fire = lapse_over;
+	t->lapse.arg = t;
+	brf_list_append(&d->targets, &t->link);
+	d->count++;
+	return (t);
+}
+
+static void
+log_change(const struct brf_directory_target *t)
+{
+	brf_log(BRF_LOG_INFO, "target_known", BRF_LS("target", t->entry.id),
+	    BRF_LS("service", t->entry.service),
+	    BRF_LS("state", brf_target_state_name(t->entry.state)),
+	    BRF_LS("zone", t->entry.zone), BRF_LS("peer", t->entry.node),
+	    BRF_LU("slots", t->entry.slots), BRF_LU("revision", t->revision));
+}
+
+static void
+on_set(void *arg, const struct brf_store_kv *kv)
+{
+	struct brf_directory *d = arg;
+	struct brf_directory_target *t;
+	struct brf_entry entry;
+	struct brf_error err;
+	bool is_new;
+
+	if (!brf_entry_read(&entry, kv->key, kv->value, kv->len, &err)) {
+		brf_log(BRF_LOG_WARN, "entry_unreadable", BRF_LE(&err),
+		    BRF_LU("revision", kv->revision));
+		return;
+	}
+	t = find(d, entry.id);
+	is_new = t == NULL;
+	if (entry.state == BRF_TARGET_LEFT) {
+		if (t != NULL)
+			drop(t, "left");
+		return;
+	}
+	if (is_new)
+		t = add(d);
+	t->entry = entry;
+	t->revision = kv->revision;
+	t->seen = now(d);
+	t->lapsed = false;
+	brf_timer_stop(d->timers, &t->lapse);
+	log_change(t);
+	d->watcher->changed(d->watcher, t, is_new);
+}
+
+static void
+on_gone(void *arg, const char *key, uint64_t revision)
+{
+	struct brf_directory *d = arg;
+	size_t prefix = strlen(BRF_ENTRY_PREFIX);
+	struct brf_directory_target *t = find(d, key + prefix);
+
+	if (t == NULL)
+		return;
+	t->lapsed = true;
+	t->revision = revision;
+	brf_log(BRF_LOG_INFO, "target_lapsed", BRF_LS("target", t->entry.id),
+	    BRF_LS("service", t->entry.service), BRF_LU("revision", revision));
+	brf_timer_start(d->timers, &t->lapse, BRF_DIRECTORY_LAPSE_US);
+	d->watcher->changed(d->watcher, t, false);
+}
+
+static void
+on_synced(void *arg)
+{
+	const struct brf_directory *d = arg;
+
+	brf_log(BRF_LOG_INFO, "directory_read", BRF_LU("targets", d->count));
+}
+
+struct brf_directory *
+brf_directory_new(struct brf_store *store, struct brf_timers *timers,
+    struct brf_random *random, struct brf_directory_watcher *watcher)
+{
+	struct brf_directory *d = brf_calloc(1, sizeof(*d));
+	struct brf_follow_config config = { .store = store,
+		.timers = timers,
+		.random = random,
+		.prefix = BRF_ENTRY_PREFIX,
+		.set = on_set,
+		.gone = on_gone,
+		.synced = on_synced,
+		.arg = d };
+
+	d->timers = timers;
+	d->watcher = watcher;
+	brf_list_init(&d->targets);
+	d->follow = brf_follow_new(&config);
+	return (d);
+}
+
+void
+brf_directory_free(struct brf_directory *d)
+{
+	if (d == NULL)
+		return;
+	brf_follow_free(d->follow);
+	while (!brf_list_empty(&d->targets))
+		drop(brf_list_entry(
+			 d->targets.next, struct brf_directory_target, link),
+		    "stopping");
+	free(d);
+}
+
+bool
+brf_directory_synced(const struct brf_directory *d)
+{
+	return (brf_follow_synced(d->follow));
+}
+
+uint64_t
+brf_directory_heard(const struct brf_directory *d)
+{
+	return (brf_follow_heard(d->follow));
+}
+
+size_t
+brf_directory_count(const struct brf_directory *d)
+{
+	return (d->count);
+}
+
+uint64_t
+brf_directory_revision(const struct brf_directory *d, const char *id)
+{
+	char key[BRF_ENTRY_KEY_MAX];
+
+	brf_entry_key(id, key);
+	return (brf_follow_revision(d->follow, key));
+}
+
+struct brf_list *
+brf_directory_targets(struct brf_directory *d)
+{
+	return (&d->targets);
+}
+
+void
+brf_directory_disprove(struct brf_directory_target *t)
+{
+	if (t->lapsed)
+		drop(t, "its node does not know it");
+}
--- /dev/null
+++ b/src/fleet/directory.h
@@ -0,0 +1,81 @@
+#ifndef BRF_DIRECTORY_H
+#define BRF_DIRECTORY_H
+
+#include "base/list.h"
+#include "base/timer.h"
+#include "fleet/entry.h"
+#include "fleet/follow.h"
+
+/**
+ * DOC: All targets of the fleet, as the store tells of them.
+ *
+ * An entry that is gone without a word of leaving has lapsed with its lease:
+ * its node may be dead, or may just not reach the store.  It is kept for
+ * BRF_DIRECTORY_LAPSE_US, marked as lapsed, so that a store which loses leases
+ * takes no target away; who sends work there finds out which of the two it is.
+ */
+
+#define BRF_DIRECTORY_LAPSE_US (20 * BRF_US_PER_S)
+
+/**
+ * struct brf_directory_target - a target.
+ * @entry: the newest word on it
+ * @lapsed: its entry is gone from the store
+ * @seen: clock time of the entry's arrival
+ * @data: the watcher's
+ */
+struct brf_directory_target {
+	struct brf_list link;
+	struct brf_entry entry;
+	uint64_t revision;
+	uint64_t seen;
+	bool lapsed;
+	struct brf_timer lapse;
+	struct brf_directory *directory;
+	void *data;
+};
+
+/**
+ * struct brf_directory_watcher - hears of changes.
+ * @changed: @t is new or has another entry
+ * @gone: @t is freed when this returns
+ */
+struct brf_directory_watcher {
+	void (*changed)(struct brf_directory_watcher *w,
+	    struct brf_directory_target *t, bool is_new);
+	void (*gone)(
+	    struct brf_directory_watcher *w, struct brf_directory_target *t);
+};
+
+struct brf_directory;
+
+BRF_BEGIN_DECLS
+
+/**
+ * brf_directory_new() - follow the store; all arguments outlive it.
+ */
+struct brf_directory *brf_directory_new(struct brf_store *store,
+    struct brf_timers *timers, struct brf_random *random,
+    struct brf_directory_watcher *watcher);
+void brf_directory_free(struct brf_directory *d);
+
+/* Whether all targets that the store has were read at least once. */
+bool brf_directory_synced(const struct brf_directory *d);
+uint64_t brf_directory_heard(const struct brf_directory *d);
+size_t brf_directory_count(const struct brf_directory *d);
+
+/* The store's revision of a target's entry; 0 when it has none. */
+uint64_t brf_directory_revision(const struct brf_directory *d, const char *id);
+
+/* All struct brf_directory_target, by link. */
+struct brf_list *brf_directory_targets(struct brf_directory *d);
+
+/**
+ * brf_directory_disprove() - the target is not there any more, as its own node
+ * says; drop it if its entry has lapsed.
+ */
+void brf_directory_disprove(struct brf_directory_target *t);
+
+BRF_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/fleet/follow.h
@@ -0,0 +1,55 @@
+#ifndef BRF_FOLLOW_H
+#define BRF_FOLLOW_H
+
+#include "base/backoff.h"
+#include "base/timer.h"
+#include "config/store.h"
+
+/**
+ * DOC: What the store has under a prefix, kept up to date.
+ *
+ * Reads all of it once, then watches from that revision on.  A watch that ends
+ * is taken up where it stopped; when the history for that is gone, all is read
+ * again, and keys that are no longer there count as deleted.  What was learned
+ * stays while the store can't be reached.
+ */
+
+struct brf_follow;
+
+/**
+ * struct brf_follow_config - what brf_follow_new() needs; outlives it.
+ * @prefix: literal
+ * @set: a key has a new value
+ * @gone: a key was deleted, or has lapsed with its lease
+ * @synced: all that the store had was told; called after each reading
+ */
+struct brf_follow_config {
+	struct brf_store *store;
+	struct brf_timers *timers;
+	struct brf_random *random;
+	const char *prefix;
+	void (*set)(void *arg, const struct brf_store_kv *kv);
+	void (*gone)(void *arg, const char *key, uint64_t revision);
+	void (*synced)(void *arg);
+	void *arg;
+};
+
+BRF_BEGIN_DECLS
+
+struct brf_follow *brf_follow_new(const struct brf_follow_config *config);
+void brf_follow_free(struct brf_follow *f);
+
+/**
+ * brf_follow_heard() - clock time of the store's last word; 0 for none.
+ */
+uint64_t brf_follow_heard(const struct brf_follow *f);
+
+/* Whether all was read at least once. */
+bool brf_follow_synced(const struct brf_follow *f);
+
+/* Revision of a key, as far as known; 0 when it is not there. */
+uint64_t brf_follow_revision(const struct brf_follow *f, const char *key);
+
+BRF_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/fleet/local.h
@@ -0,0 +1,81 @@
+#ifndef BRF_LOCAL_H
+#define BRF_LOCAL_H
+
+#include "fleet/entry.h"
+
+/**
+ * DOC: What this VM's target says of itself, in the right order.
+ *
+ * Announcements may come late, also from a life that has ended.  Lives are
+ * ordered by when they began, announcements of a life by their number.  A life
+ * that has left does not come back.
+ */
+
+#define BRF_LOCAL_LEFT_MAX 16u /* lives that are remembered as left */
+
+/**
+ * struct brf_notice - an announcement.
+ * @sequence: rises with each one of a life
+ * @born: see struct brf_entry
+ * @warmup_us: how much longer it is slow
+ */
+struct brf_notice {
+	char id[BRF_ENTRY_ID_MAX + 1];
+	char service[BRF_NAME_MAX + 1];
+	char zone[BRF_NAME_MAX + 1];
+	char version[BRF_NAME_MAX + 1];
+	struct sockaddr_in address;
+	uint32_t slots;
+	uint64_t sequence;
+	uint64_t born;
+	uint64_t warmup_us;
+	enum brf_target_state state;
+};
+
+/**
+ * struct brf_life - one life of a target.
+ */
+struct brf_life {
+	char id[BRF_ENTRY_ID_MAX + 1];
+	uint64_t born;
+};
+
+/**
+ * struct brf_local - a zeroed struct knows nothing.
+ * @current: newest announcement of the newest life, with @known
+ * @left: lives that have left; a ring
+ */
+struct brf_local {
+	bool known;
+	struct brf_notice current;
+	struct brf_life left[BRF_LOCAL_LEFT_MAX];
+	size_t left_count;
+};
+
+/**
+ * enum brf_local_result - what an announcement changed.
+ * @BRF_LOCAL_STALE: nothing, it came late
+ * @BRF_LOCAL_UPDATED: the current life is as it says
+ * @BRF_LOCAL_REPLACED: another life has begun
+ */
+enum brf_local_result {
+	BRF_LOCAL_STALE,
+	BRF_LOCAL_UPDATED,
+	BRF_LOCAL_REPLACED
+};
+
+BRF_BEGIN_DECLS
+
+enum brf_local_result brf_local_notice(
+    struct brf_local *l, const struct brf_notice *notice);
+
+/**
+ * brf_local_leave() - the target @id says that it goes.
+ *
+ * Return: whether that is the current life.
+ */
+bool brf_local_leave(struct brf_local *l, const char *id);
+
+BRF_END_DECLS
+
+#endif
--- a/src/flow/pipe.h
+++ b/src/flow/pipe.h
@@ -66,6 +66,13 @@
  */
 size_t brf_pipe_room(struct brf_pipe *p);
 
+/* Post the writer's task when the pipe is (nearly) empty again. */
+static inline void
+brf_pipe_watch(struct brf_pipe *p)
+{
+	p->choked = true;
+}
+
 static inline size_t
 brf_pipe_len(const struct brf_pipe *p)
 {
--- a/src/flow/server.h
+++ b/src/flow/server.h
@@ -1,7 +1,7 @@
 #ifndef BRF_FLOW_SERVER_H
 #define BRF_FLOW_SERVER_H
 
-#include <sys/socket.h>
+#include <netinet/in.h>
 
 #include <uv.h>
 
@@ -58,6 +58,7 @@
  * struct brf_flow_request - one request; the server's.
  * @head: as it was read
  * @body: comes in here; the handler sets its reader
+ * @from: address of the caller
  * @arrived: clock time at which the head was whole
  * @data: the handler's
  *
@@ -66,6 +67,7 @@
 struct brf_flow_request {
 	struct brf_request_head head;
 	struct brf_pipe body;
+	struct sockaddr_in from;
 	uint64_t arrived;
 	void *data;
 	struct brf_flow_conn *conn;
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -3,12 +3,13 @@
 
 #include "flow/server_impl.h"
 
-#define READ_SIZE 65536u  /* bytes asked of the kernel at once */
-#define INPUT_MAX 65536u  /* bytes read ahead of what is used */
-#define AHEAD_MAX 16u	  /* requests of one connection that are open */
-#define KEEPALIVE_S 15	  /* seconds of silence before a caller is probed */
-#define UNACKED_MS 30000u /* milliseconds for a caller to take what was sent \
-			   */
+#define READ_SIZE 65536u /* bytes asked of the kernel at once */
+#define INPUT_MAX 65536u /* bytes read ahead of what is used */
+#define AHEAD_MAX 16u	 /* requests of one connection that are open */
+#define KEEPALIVE_S 15	 /* seconds of silence before a caller is probed */
+#define UNACKED_MS                                                \
+	30000u /* milliseconds for a caller to take what was sent \
+		*/
 #define LINGER_US BRF_US_PER_S /* for a caller to read the last answer */
 
 static uint64_t
@@ -112,6 +113,7 @@
 	struct brf_flow_request *r = brf_calloc(1, sizeof(*r));
 
 	r->conn = c;
+	r->from = c->from;
 	r->arrived = now(c);
 	brf_pipe_init(&r->body, c->server->config.tasks);
 	r->body.writer = &c->work;
@@ -463,6 +465,7 @@
 brf_flow_conn_accept(struct brf_flow_server *server, uv_stream_t *listener)
 {
 	struct brf_flow_conn *c = brf_calloc(1, sizeof(*c));
+	int len = sizeof(c->from);
 
 	c->server = server;
 	brf_list_init(&c->requests);
@@ -480,6 +483,7 @@
 		brf_flow_conn_close(c, BRF_FLOW_GONE);
 		return;
 	}
+	uv_tcp_getpeername(&c->tcp, (struct sockaddr *)&c->from, &len);
 	set_options(c);
 	c->since = now(c);
 	arm(c);
--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -138,9 +138,10 @@
 	run->conn = NULL;
 	if (run->body != NULL)
 		run->body->reader = NULL;
-	run->out.writer = NULL;
+	run->out->writer = NULL;
 	if (run->state == BRF_FLOW_RUN_ANSWERED) {
-		brf_pipe_break(&run->out);
+		brf_pipe_break(run->out);
+		post_owner(run, c->target);
 		return;
 	}
 	run->not_started = run->state == BRF_FLOW_RUN_WAITING;
@@ -203,8 +204,9 @@
 	run->conn = NULL;
 	if (run->body != NULL)
 		run->body->reader = NULL;
-	run->out.writer = NULL;
-	brf_pipe_end(&run->out);
+	run->out->writer = NULL;
+	brf_pipe_end(run->out);
+	post_owner(run, c->target);
 	if (c->keep && c->body_sent && c->input.len == 0 && !c->ended &&
 	    !c->writer.busy && c->writer.out.len == 0)
 		keep_conn(c);
@@ -276,14 +278,14 @@
 static size_t
 room(struct brf_flow_target_conn *c)
 {
-	return (c->skip ? c->input.len : brf_pipe_room(&c->run->out));
+	return (c->skip ? c->input.len : brf_pipe_room(c->run->out));
 }
 
 static void
 deliver(struct brf_flow_target_conn *c, const char *data, size_t len)
 {
 	if (!c->skip)
-		brf_pipe_write(&c->run->out, data, len);
+		brf_pipe_write(c->run->out, data, len);
 }
 
 /* The answer that is being read is whole. */
@@ -390,7 +392,7 @@
 	bool whole = c->reading == READ_CLOSE && !c->skip && !c->reset;
 
 	if (c->run != NULL && c->input.len != 0 &&
-	    brf_pipe_len(&c->run->out) != 0)
+	    brf_pipe_len(c->run->out) != 0)
 		return; /* the reader has to make room first */
 	if (whole && c->run != NULL)
 		finish_run(c);
@@ -575,7 +577,7 @@
 {
 	c->run = run;
 	run->conn = c;
-	run->out.writer = &c->work;
+	run->out->writer = &c->work;
 	c->reading = READ_HEAD;
 	c->seen = 0;
 	c->keep = false;
@@ -644,7 +646,6 @@
 void
 brf_flow_target_run(struct brf_flow_target *t, struct brf_flow_run *run)
 {
-	brf_pipe_init(&run->out, t->config.tasks);
 	run->state = BRF_FLOW_RUN_WAITING;
 	if (t->closing) {
 		refuse_run(t, run);
@@ -677,7 +678,6 @@
 {
 	brf_buf_free(&run->head);
 	brf_answer_head_free(&run->answer);
-	brf_pipe_free(&run->out);
 }
 
 struct brf_flow_target *
--- a/src/flow/target.h
+++ b/src/flow/target.h
@@ -40,7 +40,7 @@
 /**
  * struct brf_flow_run - one request on a target; embedded by its owner, and
  * zeroed before it is filled.
- * @owner: posted when @state changes
+ * @owner: posted when @state changes, and when an answer has ended
  * @head: request line and fields, up to the blank line
  * @body: of the request; NULL when there is none.  The target becomes its
  *	reader.
@@ -51,7 +51,8 @@
  * @not_started: with BRF_FLOW_RUN_FAILED: no byte has left
  * @broken: with BRF_FLOW_RUN_FAILED: what came was no answer
  * @answer: with BRF_FLOW_RUN_ANSWERED
- * @out: body of the answer; broken when it is not whole
+ * @out: the owner's; gets the body of the answer, and is broken when that is
+ *	not whole
  * @sent_at: clock time when the head left
  * @reused: it went over a kept connection
  */
@@ -68,7 +69,7 @@
 	bool broken;
 	bool reused;
 	struct brf_answer_head answer;
-	struct brf_pipe out;
+	struct brf_pipe *out;
 	uint64_t sent_at;
 	struct brf_flow_target_conn *conn;
 };
@@ -108,7 +109,7 @@
  */
 void brf_flow_run_cancel(struct brf_flow_run *run);
 
-/* Frees what a run holds; it must not be open. */
+/* Frees what a run holds but @out; it must not be open. */
 void brf_flow_run_free(struct brf_flow_run *run);
 
 /* Close kept connections: the process behind them is another one now. */
--- a/src/http/request.c
+++ b/src/http/request.c
@@ -462,6 +462,31 @@
 		    req, answer->status, answer->body.data, answer->body.len);
 }
 
+void
+brf_respond_json(
+    struct brf_http_request *request, int status, struct brf_buf *text)
+{
+	struct brf_message *m = brf_message_new();
+
+	m->status = status;
+	m->body = *text;
+	memset(text, 0, sizeof(*text));
+	brf_message_add_header(
+	    m, "content-type", 12, "application/json", 16, NULL);
+	brf_http_respond(request, m, NULL, 0);
+	brf_message_unref(m);
+}
+
+void
+brf_respond_status(struct brf_http_request *request, int status)
+{
+	struct brf_message *m = brf_message_new();
+
+	m->status = status;
+	brf_http_respond(request, m, NULL, 0);
+	brf_message_unref(m);
+}
+
 void
 brf_http_abort(struct brf_http_request *request)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -113,6 +113,18 @@
     struct brf_message *answer, const struct brf_header *extra,
     size_t extra_count);
 
+/**
+ * brf_respond_json() - brf_http_respond() with a JSON body.
+ * @text: taken over, and emptied
+ */
+void brf_respond_json(
+    struct brf_http_request *request, int status, struct brf_buf *text);
+
+/**
+ * brf_respond_status() - brf_http_respond() without a body.
+ */
+void brf_respond_status(struct brf_http_request *request, int status);
+
 /**
  * brf_http_abort() - close the connection (HTTP/1) or reset the stream
  * (HTTP/2), so that the caller can't take what it has for a whole answer.
--- /dev/null
+++ b/src/link/body.c
@@ -0,0 +1,100 @@
+#include "link/impl.h"
+
+struct brf_link_text
+brf_link_take_part(struct brf_link_out *out, bool *end)
+{
+	struct brf_link_text part = { .data = "", .len = 0 };
+
+	*end = out->pipe == NULL;
+	if (out->pipe == NULL)
+		return (part);
+	part.data = brf_pipe_data(out->pipe);
+	part.len = brf_pipe_len(out->pipe);
+	*end = out->pipe->state == BRF_PIPE_ENDED && part.len <= BRF_LINK_PART;
+	if (part.len > BRF_LINK_PART)
+		part.len = BRF_LINK_PART;
+	if (part.len == 0)
+		part.data = "";
+	return (part);
+}
+
+void
+brf_link_part_taken(struct brf_link_out *out, size_t len, bool end)
+{
+	out->done = end;
+	out->room -= len;
+	if (len != 0)
+		brf_pipe_consume(out->pipe, len);
+}
+
+static void
+write_part(struct brf_link_stream *s, size_t len)
+{
+	struct brf_pipe *pipe = s->out.pipe;
+	struct brf_link_data data = { .stream = s->xid };
+
+	data.part.data = len != 0 ? brf_pipe_data(pipe) : "";
+	data.part.len = len;
+	data.end = pipe->state == BRF_PIPE_ENDED && brf_pipe_len(pipe) == len;
+	data.broken = pipe->state == BRF_PIPE_BROKEN;
+	brf_link_data_put(&s->lc->conn.out, &data);
+	brf_link_part_taken(&s->out, len, data.end || data.broken);
+	brf_conn_touch(&s->lc->conn);
+}
+
+void
+brf_link_pump(struct brf_link_stream *s)
+{
+	struct brf_pipe *pipe = s->out.pipe;
+	size_t len;
+
+	while (pipe != NULL && !s->out.done && !s->lc->conn.closing) {
+		len = brf_pipe_len(pipe);
+		if (len > s->out.room)
+			len = s->out.room;
+		if (len > BRF_LINK_PART)
+			len = BRF_LINK_PART;
+		if (pipe->state == BRF_PIPE_BROKEN)
+			len = 0;
+		else if (len == 0 && !brf_pipe_finished(pipe))
+			return;
+		write_part(s, len);
+	}
+}
+
+void
+brf_link_grant(struct brf_link_stream *s)
+{
+	struct brf_pipe *pipe = s->in.pipe;
+	uint64_t wanted;
+	struct brf_link_room room = { .stream = s->xid };
+
+	if (s->in.done || s->lc == NULL || s->lc->conn.closing)
+		return;
+	wanted = pipe->written - brf_pipe_len(pipe) + BRF_LINK_WINDOW;
+	if (wanted < s->in.granted + BRF_LINK_WINDOW / 2)
+		return;
+	room.bytes = (uint32_t)(wanted - s->in.granted);
+	s->in.granted = wanted;
+	brf_link_room_put(&s->lc->conn.out, &room);
+	brf_conn_touch(&s->lc->conn);
+}
+
+bool
+brf_link_arrived(struct brf_link_stream *s, const struct brf_link_text *part,
+    bool end, bool broken, struct brf_error *err)
+{
+	struct brf_pipe *pipe = s->in.pipe;
+
+	if (s->in.done || pipe->written + part->len > s->in.granted)
+		return (brf_error_set(
+		    err, BRF_E_RPC_ARGUMENT, 0, "body over its window"));
+	brf_pipe_write(pipe, part->data, part->len);
+	brf_pipe_watch(pipe);
+	s->in.done = end || broken;
+	if (end)
+		brf_pipe_end(pipe);
+	else if (broken)
+		brf_pipe_break(pipe);
+	return (true);
+}
--- /dev/null
+++ b/src/link/codec.c
@@ -0,0 +1,431 @@
+#include "bulrushford.h"
+#include "link/codec.h"
+
+#define WORD 4u	       /* bytes of an XDR unit */
+#define FIXED_MAX 128u /* bytes of the numbers of any message */
+
+/* Bits of the first word of a request and of a reply. */
+#define F_REPEATABLE 0x1u
+#define F_NESTED 0x2u
+#define F_REPEAT 0x4u
+#define F_END 0x8u
+#define F_BROKEN 0x40u
+#define F_ARRIVED 0x80u
+#define BODY_SHIFT 4
+#define BODY_MASK 0x3u
+#define RANK_SHIFT 8
+#define RANK_MASK 0xffu
+#define STATUS_SHIFT 16
+#define STATE_MASK 0x3u
+
+static bool
+bad(struct brf_error *err, const char *what)
+{
+	return (brf_error_set(err, BRF_E_RPC_ARGUMENT, 0, "%s", what));
+}
+
+static void
+put_u32(XDR *xdr, uint32_t v)
+{
+	xdr_u_int(xdr, &v);
+}
+
+static void
+put_u64(XDR *xdr, uint64_t v)
+{
+	put_u32(xdr, (uint32_t)(v >> 32));
+	put_u32(xdr, (uint32_t)v);
+}
+
+static void
+put_text(XDR *xdr, const struct brf_link_text *t)
+{
+	put_u32(xdr, (uint32_t)t->len);
+	xdr_opaque(xdr, (char *)t->data, (u_int)t->len);
+}
+
+static bool
+get_u32(XDR *xdr, uint32_t *v)
+{
+	return (xdr_u_int(xdr, v));
+}
+
+static bool
+get_u64(XDR *xdr, uint64_t *v)
+{
+	uint32_t high, low;
+
+	if (!get_u32(xdr, &high) || !get_u32(xdr, &low))
+		return (false);
+	*v = (uint64_t)high << 32 | low;
+	return (true);
+}
+
+static bool
+get_text(XDR *xdr, const struct brf_record *record, struct brf_link_text *t,
+    size_t most)
+{
+	size_t at, padded;
+	uint32_t len;
+
+	if (!get_u32(xdr, &len) || len > most)
+		return (false);
+	at = xdr_getpos(xdr);
+	padded = ((size_t)len + WORD - 1) / WORD * WORD;
+	if (padded > record->len - at)
+		return (false);
+	t->data = record->data + at;
+	t->len = len;
+	return (xdr_setpos(xdr, (u_int)(at + padded)));
+}
+
+/* Texts that go into an HTTP head must not end it early. */
+static bool
+is_line(const struct brf_link_text *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->len; i++) {
+		if ((unsigned char)t->data[i] <= ' ' || t->data[i] == 0x7f)
+			return (false);
+	}
+	return (true);
+}
+
+/* Whole lines, none of them empty, without bare CR, LF or NUL. */
+static bool
+is_block(const struct brf_link_text *t)
+{
+	size_t i, line = 0;
+
+	for (i = 0; i < t->len; i++) {
+		if (t->data[i] == '\0' || t->data[i] == '\n')
+			return (false);
+		if (t->data[i] != '\r') {
+			line++;
+			continue;
+		}
+		if (line == 0 || i + 1 == t->len || t->data[i + 1] != '\n')
+			return (false);
+		i++;
+		line = 0;
+	}
+	return (line == 0);
+}
+
+void
+brf_link_hello_put(struct brf_buf *out, uint32_t xid, bool reply,
+    const struct brf_link_hello *hello)
+{
+	size_t most = FIXED_MAX + hello->node.len + hello->service.len;
+	struct brf_rpc_writer w;
+
+	if (reply)
+		brf_rpc_begin_reply(&w, out, most, xid, BRF_RPC_SUCCESS);
+	else
+		brf_rpc_begin_call_of(
+		    &w, out, most, xid, BRF_LINK_PROGRAM, BRF_LINK_HELLO);
+	put_text(&w.xdr, &hello->node);
+	put_text(&w.xdr, &hello->service);
+	put_u64(&w.xdr, hello->revision);
+	brf_rpc_end(&w, true);
+}
+
+bool
+brf_link_hello_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_hello *hello, struct brf_error *err)
+{
+	if (!get_text(xdr, record, &hello->node, BRF_NAME_MAX) ||
+	    !get_text(xdr, record, &hello->service, BRF_NAME_MAX) ||
+	    !is_line(&hello->service) || !get_u64(xdr, &hello->revision) ||
+	    !brf_rpc_at_end(xdr, record))
+		return (bad(err, "hello"));
+	return (true);
+}
+
+static uint32_t
+send_flags(const struct brf_link_send *s)
+{
+	return ((s->repeatable ? F_REPEATABLE : 0) |
+		(s->nested ? F_NESTED : 0) | (s->repeat ? F_REPEAT : 0) |
+		(s->end ? F_END : 0) | (uint32_t)s->body << BODY_SHIFT |
+		s->rank << RANK_SHIFT);
+}
+
+void
+brf_link_send_put(
+    struct brf_buf *out, uint32_t xid, const struct brf_link_send *s)
+{
+	size_t most = FIXED_MAX + s->id.len + s->target.len + s->method.len +
+		      s->path.len + s->host.len + s->fields.len + s->part.len;
+	struct brf_rpc_writer w;
+
+	brf_rpc_begin_call_of(
+	    &w, out, most, xid, BRF_LINK_PROGRAM, BRF_LINK_SEND);
+	put_u32(&w.xdr, send_flags(s));
+	put_u32(&w.xdr, s->timeout_us);
+	if (s->body == BRF_BODY_LENGTH && !s->end)
+		put_u64(&w.xdr, s->length);
+	put_text(&w.xdr, &s->id);
+	put_text(&w.xdr, &s->target);
+	put_text(&w.xdr, &s->method);
+	put_text(&w.xdr, &s->path);
+	put_text(&w.xdr, &s->host);
+	put_text(&w.xdr, &s->fields);
+	put_text(&w.xdr, &s->part);
+	brf_rpc_end(&w, true);
+}
+
+static bool
+get_send_texts(
+    XDR *xdr, const struct brf_record *record, struct brf_link_send *s)
+{
+	return (get_text(xdr, record, &s->id, BRF_HEAD_ID_MAX) &&
+		get_text(xdr, record, &s->target, BRF_HEAD_ID_MAX) &&
+		get_text(xdr, record, &s->method, BRF_HEAD_METHOD - 1) &&
+		get_text(xdr, record, &s->path, BRF_LINK_TEXT) &&
+		get_text(xdr, record, &s->host, BRF_HEAD_HOST_MAX) &&
+		get_text(xdr, record, &s->fields, BRF_LINK_TEXT) &&
+		get_text(xdr, record, &s->part, BRF_LINK_PART));
+}
+
+bool
+brf_link_send_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_send *s, struct brf_error *err)
+{
+	uint32_t flags = 0;
+
+	if (!get_u32(xdr, &flags) || !get_u32(xdr, &s->timeout_us))
+		return (bad(err, "send"));
+	s->repeatable = (flags & F_REPEATABLE) != 0;
+	s->nested = (flags & F_NESTED) != 0;
+	s->repeat = (flags & F_REPEAT) != 0;
+	s->end = (flags & F_END) != 0;
+	s->body = (enum brf_body_kind)(flags >> BODY_SHIFT & BODY_MASK);
+	s->rank = flags >> RANK_SHIFT & RANK_MASK;
+	s->length = 0;
+	if (s->body == BRF_BODY_CLOSE ||
+	    (s->body == BRF_BODY_LENGTH && !s->end &&
+		!get_u64(xdr, &s->length)) ||
+	    !get_send_texts(xdr, record, s) || !brf_rpc_at_end(xdr, record))
+		return (bad(err, "send"));
+	if (s->method.len == 0 || s->path.len == 0 || !is_line(&s->id) ||
+	    !is_line(&s->target) || !is_line(&s->method) ||
+	    !is_line(&s->path) || !is_line(&s->host) || !is_block(&s->fields))
+		return (bad(err, "send: text"));
+	if (s->end)
+		s->length = s->part.len;
+	return (true);
+}
+
+static void
+put_load(XDR *xdr, const struct brf_gate_load *load)
+{
+	put_u32(xdr, (uint32_t)load->running << 16 | load->limit);
+	put_u32(xdr, (uint32_t)load->waiting << 16 | load->service_ms);
+}
+
+static bool
+get_load(XDR *xdr, struct brf_gate_load *load)
+{
+	uint32_t a, b;
+
+	if (!get_u32(xdr, &a) || !get_u32(xdr, &b))
+		return (false);
+	load->running = (uint16_t)(a >> 16);
+	load->limit = (uint16_t)a;
+	load->waiting = (uint16_t)(b >> 16);
+	load->service_ms = (uint16_t)b;
+	return (true);
+}
+
+void
+brf_link_reply_put(
+    struct brf_buf *out, uint32_t xid, const struct brf_link_reply *r)
+{
+	bool answered = r->state == BRF_HOP_ANSWERED;
+	size_t most = FIXED_MAX + r->fields.len + r->part.len;
+	struct brf_rpc_writer w;
+
+	brf_rpc_begin_reply(&w, out, most, xid, BRF_RPC_SUCCESS);
+	put_u32(&w.xdr, (uint32_t)r->state | (r->end ? F_END : 0) |
+			    (r->arrived ? F_ARRIVED : 0) |
+			    (uint32_t)r->body << BODY_SHIFT |
+			    r->status << STATUS_SHIFT);
+	put_load(&w.xdr, &r->load);
+	if (!answered) {
+		put_u32(&w.xdr, (uint32_t)r->reason);
+		put_u32(&w.xdr, r->retry_after_ms);
+	} else {
+		if (r->body == BRF_BODY_LENGTH && !r->end)
+			put_u64(&w.xdr, r->length);
+		put_text(&w.xdr, &r->fields);
+		put_text(&w.xdr, &r->part);
+	}
+	brf_rpc_end(&w, true);
+}
+
+static bool
+get_answer(XDR *xdr, const struct brf_record *record, struct brf_link_reply *r)
+{
+	if (r->body == BRF_BODY_LENGTH && !r->end && !get_u64(xdr, &r->length))
+		return (false);
+	if (!get_text(xdr, record, &r->fields, BRF_LINK_TEXT) ||
+	    !get_text(xdr, record, &r->part, BRF_LINK_PART) ||
+	    !is_block(&r->fields) || r->status < 200 || r->status > 599)
+		return (false);
+	if (r->end)
+		r->length = r->part.len;
+	return (true);
+}
+
+static bool
+get_refusal(XDR *xdr, struct brf_link_reply *r)
+{
+	uint32_t reason;
+
+	if (!get_u32(xdr, &reason) || reason >= BRF_REASON_COUNT ||
+	    !get_u32(xdr, &r->retry_after_ms))
+		return (false);
+	r->reason = (enum brf_reason)reason;
+	return (true);
+}
+
+bool
+brf_link_reply_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_reply *r, struct brf_error *err)
+{
+	uint32_t flags;
+	bool ok;
+
+	memset(r, 0, sizeof(*r));
+	if (!get_u32(xdr, &flags) || !get_load(xdr, &r->load))
+		return (bad(err, "reply"));
+	r->state = (enum brf_hop_state)(flags & STATE_MASK);
+	r->end = (flags & F_END) != 0;
+	r->arrived = (flags & F_ARRIVED) != 0;
+	r->body = (enum brf_body_kind)(flags >> BODY_SHIFT & BODY_MASK);
+	r->status = flags >> STATUS_SHIFT;
+	if (r->state == BRF_HOP_OPEN)
+		return (bad(err, "reply: state"));
+	ok = r->state == BRF_HOP_ANSWERED ? get_answer(xdr, record, r)
+					  : get_refusal(xdr, r);
+	if (!ok || !brf_rpc_at_end(xdr, record))
+		return (bad(err, "reply"));
+	return (true);
+}
+
+static void
+begin_call(struct brf_rpc_writer *w, struct brf_buf *out, size_t more,
+    uint32_t xid, enum brf_link_procedure procedure)
+{
+	brf_rpc_begin_call_of(
+	    w, out, FIXED_MAX + more, xid, BRF_LINK_PROGRAM, procedure);
+}
+
+void
+brf_link_data_put(struct brf_buf *out, const struct brf_link_data *d)
+{
+	struct brf_rpc_writer w;
+
+	begin_call(&w, out, d->part.len, d->stream, BRF_LINK_DATA);
+	put_u32(&w.xdr, (d->end ? F_END : 0) | (d->broken ? F_BROKEN : 0));
+	put_text(&w.xdr, &d->part);
+	brf_rpc_end(&w, true);
+}
+
+bool
+brf_link_data_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_data *d, struct brf_error *err)
+{
+	uint32_t flags;
+
+	if (!get_u32(xdr, &flags) ||
+	    !get_text(xdr, record, &d->part, BRF_LINK_PART) ||
+	    !brf_rpc_at_end(xdr, record))
+		return (bad(err, "data"));
+	d->end = (flags & F_END) != 0;
+	d->broken = (flags & F_BROKEN) != 0;
+	return (true);
+}
+
+void
+brf_link_room_put(struct brf_buf *out, const struct brf_link_room *room)
+{
+	struct brf_rpc_writer w;
+
+	begin_call(&w, out, 0, room->stream, BRF_LINK_ROOM);
+	put_u32(&w.xdr, room->bytes);
+	brf_rpc_end(&w, true);
+}
+
+bool
+brf_link_room_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_room *room, struct brf_error *err)
+{
+	if (!get_u32(xdr, &room->bytes) || !brf_rpc_at_end(xdr, record))
+		return (bad(err, "room"));
+	return (true);
+}
+
+void
+brf_link_cancel_put(struct brf_buf *out, uint32_t stream)
+{
+	struct brf_rpc_writer w;
+
+	begin_call(&w, out, 0, stream, BRF_LINK_CANCEL);
+	brf_rpc_end(&w, true);
+}
+
+void
+brf_link_revision_put(struct brf_buf *out, uint32_t xid,
+    enum brf_link_procedure procedure, uint64_t revision)
+{
+	struct brf_rpc_writer w;
+
+	begin_call(&w, out, 0, xid, procedure);
+	put_u64(&w.xdr, revision);
+	brf_rpc_end(&w, true);
+}
+
+bool
+brf_link_revision_get(XDR *xdr, const struct brf_record *record,
+    uint64_t *revision, struct brf_error *err)
+{
+	if (!get_u64(xdr, revision) || !brf_rpc_at_end(xdr, record))
+		return (bad(err, "revision"));
+	return (true);
+}
+
+void
+brf_link_table_put(struct brf_buf *out, uint32_t xid, uint64_t revision,
+    const struct brf_link_text *text)
+{
+	struct brf_rpc_writer w;
+
+	brf_rpc_begin_reply(
+	    &w, out, FIXED_MAX + text->len, xid, BRF_RPC_SUCCESS);
+	put_u64(&w.xdr, revision);
+	put_text(&w.xdr, text);
+	brf_rpc_end(&w, true);
+}
+
+bool
+brf_link_table_get(XDR *xdr, const struct brf_record *record,
+    uint64_t *revision, struct brf_link_text *text, struct brf_error *err)
+{
+	if (!get_u64(xdr, revision) ||
+	    !get_text(xdr, record, text, BRF_BODY_MAX) ||
+	    !brf_rpc_at_end(xdr, record))
+		return (bad(err, "table"));
+	return (true);
+}
+
+void
+brf_link_null_put(struct brf_buf *out, uint32_t xid)
+{
+	struct brf_rpc_writer w;
+
+	begin_call(&w, out, 0, xid, BRF_LINK_NULL);
+	brf_rpc_end(&w, true);
+}
--- /dev/null
+++ b/src/link/conn.c
@@ -0,0 +1,194 @@
+#include "base/log.h"
+#include "link/impl.h"
+
+#define XID_HELLO 0xffffffffu
+#define XID_TABLE 0xfffffffeu
+#define XID_REVISION 0xfffffffdu
+
+void
+brf_link_conn_init(struct brf_link_conn *lc, struct brf_links *links,
+    const struct brf_conn_vt *vt)
+{
+	size_t i;
+
+	for (i = 0; i < BRF_LINK_BUCKETS; i++)
+		brf_list_init(&lc->streams[i]);
+	lc->heard = brf_links_now(links);
+	brf_conn_init(&lc->conn, vt, &links->set);
+}
+
+static uint64_t
+revision(const struct brf_links *links)
+{
+	struct brf_link_news *news = links->config.news;
+
+	return (news != NULL ? news->vt->revision(news) : 0);
+}
+
+static struct brf_link_text
+text_of(const char *s)
+{
+	return ((struct brf_link_text){ .data = s, .len = strlen(s) });
+}
+
+void
+brf_link_conn_hello(struct brf_link_conn *lc, uint32_t xid, bool reply)
+{
+	const struct brf_links *links = brf_links_of(lc);
+	struct brf_link_hello hello = {
+		.node = text_of(links->config.node),
+		.service = text_of(links->config.service),
+		.revision = revision(links),
+	};
+
+	brf_link_hello_put(
+	    &lc->conn.out, reply ? xid : XID_HELLO, reply, &hello);
+	brf_conn_touch(&lc->conn);
+}
+
+void
+brf_link_conn_learn(struct brf_link_conn *lc, uint64_t theirs)
+{
+	uint64_t ours = revision(brf_links_of(lc));
+
+	if (theirs <= ours || lc->fetching)
+		return;
+	lc->fetching = true;
+	brf_link_revision_put(&lc->conn.out, XID_TABLE, BRF_LINK_TABLE, ours);
+	brf_conn_touch(&lc->conn);
+}
+
+static void
+serve_table(struct brf_link_conn *lc, uint32_t xid, uint64_t theirs)
+{
+	struct brf_link_news *news = brf_links_of(lc)->config.news;
+	struct brf_link_text text = { .data = "", .len = 0 };
+	uint64_t ours = revision(brf_links_of(lc));
+
+	if (ours <= theirs || !news->vt->text(news, &text.data, &text.len))
+		ours = 0;
+	brf_link_table_put(&lc->conn.out, xid, ours, &text);
+	brf_conn_touch(&lc->conn);
+}
+
+static bool
+take_table(struct brf_link_conn *lc, XDR *xdr, const struct brf_record *record,
+    struct brf_error *err)
+{
+	struct brf_link_news *news = brf_links_of(lc)->config.news;
+	struct brf_link_text text;
+	uint64_t theirs;
+
+	lc->fetching = false;
+	if (!brf_link_table_get(xdr, record, &theirs, &text, err))
+		return (false);
+	if (theirs > revision(brf_links_of(lc)))
+		news->vt->got(news, theirs, text.data, text.len);
+	return (true);
+}
+
+static bool
+common_call(struct brf_link_conn *lc, const struct brf_rpc_header *header,
+    XDR *xdr, const struct brf_record *record, bool *known,
+    struct brf_error *err)
+{
+	struct brf_link_hello hello;
+	uint64_t theirs;
+
+	switch (header->procedure) {
+	case BRF_LINK_NULL:
+		brf_rpc_write_status(
+		    &lc->conn.out, header->xid, BRF_RPC_SUCCESS);
+		brf_conn_touch(&lc->conn);
+		return (true);
+	case BRF_LINK_HELLO:
+		if (!brf_link_hello_get(xdr, record, &hello, err))
+			return (false);
+		brf_link_conn_hello(lc, header->xid, true);
+		brf_link_conn_learn(lc, hello.revision);
+		return (true);
+	case BRF_LINK_REVISION:
+		if (!brf_link_revision_get(xdr, record, &theirs, err))
+			return (false);
+		brf_link_conn_learn(lc, theirs);
+		return (true);
+	case BRF_LINK_TABLE:
+		if (!brf_link_revision_get(xdr, record, &theirs, err))
+			return (false);
+		serve_table(lc, header->xid, theirs);
+		return (true);
+	default:
+		*known = false;
+		return (true);
+	}
+}
+
+bool
+brf_link_conn_common(struct brf_link_conn *lc,
+    const struct brf_rpc_header *header, XDR *xdr,
+    const struct brf_record *record, bool *known, struct brf_error *err)
+{
+	struct brf_link_hello hello;
+
+	*known = true;
+	if (header->is_call) {
+		if (header->rpc_version != RPC_MSG_VERSION ||
+		    header->program != BRF_LINK_PROGRAM)
+			return (brf_error_set(err, BRF_E_RPC_VERSION, 0,
+			    "program %x", header->program));
+		return (common_call(lc, header, xdr, record, known, err));
+	}
+	if (header->xid != XID_HELLO && header->xid != XID_TABLE) {
+		*known = false;
+		return (true);
+	}
+	if (header->status != BRF_RPC_SUCCESS)
+		return (brf_error_set(
+		    err, BRF_E_RPC_DENIED, 0, "status %d", header->status));
+	if (header->xid == XID_TABLE)
+		return (take_table(lc, xdr, record, err));
+	if (!brf_link_hello_get(xdr, record, &hello, err))
+		return (false);
+	brf_link_conn_learn(lc, hello.revision);
+	return (true);
+}
+
+struct brf_link_stream *
+brf_link_find(const struct brf_link_conn *lc, uint32_t xid)
+{
+	const struct brf_list *bucket = &lc->streams[xid % BRF_LINK_BUCKETS];
+	struct brf_link_stream *s;
+	struct brf_list *l;
+
+	brf_list_foreach (l, bucket) {
+		s = brf_list_entry(l, struct brf_link_stream, link);
+		if (s->xid == xid)
+			return (s);
+	}
+	return (NULL);
+}
+
+void
+brf_link_add(struct brf_link_conn *lc, struct brf_link_stream *s)
+{
+	s->lc = lc;
+	brf_list_append(&lc->streams[s->xid % BRF_LINK_BUCKETS], &s->link);
+	lc->open++;
+}
+
+void
+brf_links_tell(struct brf_links *links)
+{
+	uint64_t ours = revision(links);
+	struct brf_link_conn *lc;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &links->set.conns) {
+		lc = brf_list_entry(l, struct brf_link_conn, conn.link);
+		if (lc->conn.closing || !lc->connected)
+			continue;
+		brf_link_revision_put(
+		    &lc->conn.out, XID_REVISION, BRF_LINK_REVISION, ours);
+		brf_conn_touch(&lc->conn);
+	}
+}
--- /dev/null
+++ b/src/link/dial.c
@@ -0,0 +1,481 @@
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "link/impl.h"
+
+#define CONNECT_US (400 * BRF_US_PER_MS)    /* for a connection to open */
+#define DOWN_FIRST_US (100 * BRF_US_PER_MS) /* after one failure */
+#define DOWN_MOST_US BRF_US_PER_S	    /* after many in a row */
+#define XID_PING 0xfffffffcu
+#define XID_CALLS 0xf0000000u /* xids of streams are below */
+
+/**
+ * struct sent_hop - a hop as its sender's side keeps it.
+ * @at: place of its first byte in the connection's stream
+ */
+struct sent_hop {
+	struct brf_link_stream s;
+	struct brf_link *link;
+	struct brf_hop *hop;
+	uint64_t at;
+};
+
+static struct sent_hop *
+sent_of(struct brf_link_stream *s)
+{
+	return (brf_container_of(s, struct sent_hop, s));
+}
+
+static struct brf_link_conn *
+conn_of(struct brf_conn *conn)
+{
+	return (brf_container_of(conn, struct brf_link_conn, conn));
+}
+
+/* The stream goes; its hop stays its sender's. */
+static void
+sent_free(struct sent_hop *sh)
+{
+	if (sh->s.lc != NULL)
+		sh->s.lc->open--;
+	brf_list_remove(&sh->s.link);
+	brf_task_cancel(&sh->s.work);
+	if (sh->s.out.pipe != NULL)
+		sh->s.out.pipe->reader = NULL;
+	sh->hop->down.writer = NULL;
+	sh->hop->impl = NULL;
+	free(sh);
+}
+
+static void
+end_hop(struct sent_hop *sh, enum brf_hop_state state, enum brf_reason reason)
+{
+	struct brf_hop *hop = sh->hop;
+	struct brf_links *links = sh->link->links;
+
+	sent_free(sh);
+	if (hop->state == BRF_HOP_ANSWERED) {
+		brf_pipe_break(&hop->down);
+		return;
+	}
+	hop->state = state;
+	hop->reason = reason;
+	brf_task_post(links->config.tasks, hop->owner);
+}
+
+static bool
+both_done(const struct sent_hop *sh)
+{
+	return (sh->hop->state == BRF_HOP_ANSWERED && sh->s.in.done);
+}
+
+static void
+stream_work(struct brf_task *task)
+{
+	struct brf_link_stream *s =
+	    brf_container_of(task, struct brf_link_stream, work);
+
+	if (s->lc == NULL)
+		return; /* not written yet */
+	brf_link_pump(s);
+	brf_link_grant(s);
+}
+
+static struct brf_link_text
+text_of(const char *s)
+{
+	return ((struct brf_link_text){ .data = s, .len = strlen(s) });
+}
+
+static uint32_t
+time_left(const struct brf_links *links, const struct brf_hop_request *rq)
+{
+	uint64_t t = brf_links_now(links);
+
+	if (rq->deadline <= t)
+		return (0);
+	return (rq->deadline - t < UINT32_MAX ? (uint32_t)(rq->deadline - t)
+					      : UINT32_MAX);
+}
+
+static void
+write_send(struct brf_link_conn *lc, struct sent_hop *sh)
+{
+	const struct brf_hop_request *rq = &sh->hop->request;
+	struct brf_link_send send = {
+		.timeout_us = time_left(brf_links_of(lc), rq),
+		.rank = rq->rank,
+		.body = rq->body,
+		.repeatable = rq->repeatable,
+		.nested = rq->nested,
+		.repeat = rq->repeat,
+		.length = rq->length,
+		.id = text_of(rq->id),
+		.target = text_of(rq->target),
+		.method = text_of(rq->method),
+		.path = text_of(rq->path),
+		.host = text_of(rq->host),
+		.fields = { .data = rq->fields, .len = rq->fields_len },
+	};
+
+	send.part = brf_link_take_part(&sh->s.out, &send.end);
+	sh->at = lc->conn.flushed + lc->conn.out.len;
+	sh->s.xid = lc->next_xid++ % XID_CALLS;
+	brf_link_send_put(&lc->conn.out, sh->s.xid, &send);
+	brf_link_part_taken(&sh->s.out, send.part.len, send.end);
+	brf_list_remove(&sh->s.link);
+	brf_link_add(lc, &sh->s);
+	brf_links_of(lc)->sent->value++;
+}
+
+static void
+watch_silence(struct brf_link_conn *lc)
+{
+	if (lc->open != 0 && !brf_timer_active(&lc->timer))
+		brf_timer_start(brf_links_of(lc)->config.timers, &lc->timer,
+		    BRF_LINK_PING_US);
+}
+
+static void
+on_fill(struct brf_conn *conn)
+{
+	struct brf_link_conn *lc = conn_of(conn);
+	struct brf_link *link = lc->link;
+
+	if (!lc->connected || link == NULL)
+		return;
+	if (lc->open == 0)
+		lc->heard = brf_links_now(link->links);
+	while (!brf_list_empty(&link->queue) && conn->out.len < BRF_LINK_BATCH)
+		write_send(lc, sent_of(brf_list_entry(link->queue.next,
+				   struct brf_link_stream, link)));
+	watch_silence(lc);
+}
+
+static void
+take_answer(struct sent_hop *sh, const struct brf_link_reply *r)
+{
+	struct brf_hop *hop = sh->hop;
+
+	hop->state = BRF_HOP_ANSWERED;
+	hop->arrived = true;
+	hop->answer.status = (int)r->status;
+	hop->answer.body = r->body;
+	hop->answer.length = r->length;
+	brf_buf_add(&hop->answer.fields, r->fields.data, r->fields.len);
+}
+
+static bool
+take_reply(struct brf_link_conn *lc, struct brf_link_stream *s, XDR *xdr,
+    const struct brf_record *record, struct brf_error *err)
+{
+	struct sent_hop *sh = sent_of(s);
+	struct brf_hop *hop = sh->hop;
+	struct brf_link_reply r;
+
+	if (hop->state != BRF_HOP_OPEN)
+		return (brf_error_set(
+		    err, BRF_E_RPC_UNMATCHED, 0, "second reply to one call"));
+	if (!brf_link_reply_get(xdr, record, &r, err))
+		return (false);
+	hop->load = r.load;
+	hop->has_load = true;
+	hop->arrived = r.arrived;
+	hop->retry_after_ms = r.retry_after_ms;
+	if (r.state != BRF_HOP_ANSWERED) {
+		end_hop(sh, r.state, r.reason);
+		return (true);
+	}
+	take_answer(sh, &r);
+	if (!brf_link_arrived(s, &r.part, r.end, false, err))
+		return (false);
+	brf_task_post(brf_links_of(lc)->config.tasks, hop->owner);
+	if (both_done(sh))
+		sent_free(sh);
+	return (true);
+}
+
+static bool
+take_data(struct brf_link_stream *s, XDR *xdr, const struct brf_record *record,
+    struct brf_error *err)
+{
+	struct sent_hop *sh = sent_of(s);
+	struct brf_link_data data;
+
+	if (!brf_link_data_get(xdr, record, &data, err))
+		return (false);
+	if (sh->hop->state != BRF_HOP_ANSWERED)
+		return (brf_error_set(
+		    err, BRF_E_RPC_UNMATCHED, 0, "body before its head"));
+	if (!brf_link_arrived(s, &data.part, data.end, data.broken, err))
+		return (false);
+	if (both_done(sh))
+		sent_free(sh);
+	return (true);
+}
+
+static bool
+take_room(struct brf_link_stream *s, XDR *xdr, const struct brf_record *record,
+    struct brf_error *err)
+{
+	struct brf_link_room room;
+
+	if (!brf_link_room_get(xdr, record, &room, err))
+		return (false);
+	s->out.room += room.bytes;
+	brf_link_pump(s);
+	return (true);
+}
+
+static bool
+on_message(struct brf_conn *conn, const struct brf_record *record,
+    struct brf_error *err)
+{
+	struct brf_link_conn *lc = conn_of(conn);
+	struct brf_rpc_header header;
+	struct brf_link_stream *s;
+	bool known;
+	XDR xdr;
+
+	lc->heard = brf_links_now(brf_links_of(lc));
+	lc->asked = 0;
+	lc->silent = false;
+	if (lc->link != NULL)
+		lc->link->failures = 0;
+	if (!brf_rpc_read(&xdr, record, &header, err) ||
+	    !brf_link_conn_common(lc, &header, &xdr, record, &known, err))
+		return (false);
+	if (known || header.xid == XID_PING)
+		return (true);
+	s = brf_link_find(lc, header.xid);
+	if (s == NULL)
+		return (true); /* cancelled */
+	if (!header.is_call && header.status != BRF_RPC_SUCCESS) {
+		end_hop(sent_of(s), BRF_HOP_REFUSED, BRF_R_NOT_SENT);
+		return (true);
+	}
+	if (!header.is_call)
+		return (take_reply(lc, s, &xdr, record, err));
+	if (header.procedure == BRF_LINK_DATA)
+		return (take_data(s, &xdr, record, err));
+	if (header.procedure == BRF_LINK_ROOM)
+		return (take_room(s, &xdr, record, err));
+	return (brf_error_set(
+	    err, BRF_E_RPC_PROCEDURE, 0, "procedure %u", header.procedure));
+}
+
+static void
+end_queue(struct brf_link *link)
+{
+	while (!brf_list_empty(&link->queue))
+		end_hop(sent_of(brf_list_entry(
+			    link->queue.next, struct brf_link_stream, link)),
+		    BRF_HOP_REFUSED, BRF_R_NOT_SENT);
+}
+
+static void
+end_streams(struct brf_link_conn *lc)
+{
+	struct sent_hop *sh;
+	size_t i;
+
+	for (i = 0; i < BRF_LINK_BUCKETS; i++) {
+		while (!brf_list_empty(&lc->streams[i])) {
+			sh = sent_of(brf_list_entry(
+			    lc->streams[i].next, struct brf_link_stream, link));
+			if (sh->at >= lc->conn.accepted)
+				end_hop(sh, BRF_HOP_REFUSED, BRF_R_NOT_SENT);
+			else
+				end_hop(
+				    sh, BRF_HOP_FAILED, BRF_R_CONNECTION_LOST);
+		}
+	}
+}
+
+static void
+mark_down(struct brf_link *link)
+{
+	uint64_t wait = DOWN_FIRST_US
+			<< (link->failures < 4 ? link->failures : 4);
+
+	link->failures++;
+	link->down_until = brf_links_now(link->links) +
+			   (wait < DOWN_MOST_US ? wait : DOWN_MOST_US);
+}
+
+static void
+on_lost(struct brf_conn *conn, const struct brf_error *err)
+{
+	struct brf_link_conn *lc = conn_of(conn);
+	struct brf_links *links = brf_links_of(lc);
+	struct brf_link *link = lc->link;
+
+	brf_timer_stop(links->config.timers, &lc->timer);
+	lc->link = NULL;
+	end_streams(lc);
+	if (link == NULL)
+		return;
+	link->lc = NULL;
+	if (!links->closing) {
+		mark_down(link);
+		brf_log(BRF_LOG_INFO, "link_lost", BRF_LE(err),
+		    BRF_LU("failures", link->failures));
+	}
+	end_queue(link);
+	if (link->forgotten)
+		brf_link_free(link);
+}
+
+static void
+on_release(struct brf_conn *conn)
+{
+	struct brf_links *links =
+	    brf_container_of(conn->set, struct brf_links, set);
+
+	free(conn_of(conn));
+	brf_links_check_closed(links);
+}
+
+const struct brf_conn_vt brf_link_dialed_vt = {
+	.message = on_message,
+	.fill = on_fill,
+	.lost = on_lost,
+	.release = on_release,
+};
+
+static void
+give_up(struct brf_link_conn *lc, const char *what)
+{
+	struct brf_error err;
+
+	brf_error_set(&err, BRF_E_CLOSED, 0, "%s", what);
+	brf_conn_close(&lc->conn, &err);
+}
+
+static void
+look_for_silence(struct brf_timer *timer, void *arg)
+{
+	struct brf_link_conn *lc = arg;
+	struct brf_links *links = brf_links_of(lc);
+	uint64_t silence = brf_links_now(links) - lc->heard;
+
+	(void)timer;
+	if (!lc->connected) {
+		give_up(lc, "connecting took too long");
+		return;
+	}
+	if (lc->open == 0) {
+		if (lc->link != NULL && lc->link->forgotten)
+			give_up(lc, "no further use");
+		return;
+	}
+	if (silence >= BRF_LINK_DEAD_US) {
+		give_up(lc, "silent");
+		return;
+	}
+	if (silence >= BRF_LINK_SILENT_US && !lc->silent) {
+		lc->silent = true;
+		links->silences->value++;
+		brf_log(BRF_LOG_INFO, "link_silent", BRF_LU("open", lc->open));
+	}
+	if (silence >= BRF_LINK_PING_US && lc->asked == 0) {
+		lc->asked = brf_links_now(links);
+		brf_link_null_put(&lc->conn.out, XID_PING);
+		brf_conn_touch(&lc->conn);
+	}
+	brf_timer_start(links->config.timers, &lc->timer,
+	    silence < BRF_LINK_PING_US ? BRF_LINK_PING_US - silence
+				       : BRF_LINK_PING_US);
+}
+
+static void
+on_connect(uv_connect_t *request, int status)
+{
+	struct brf_link_conn *lc = request->data;
+
+	if (lc->conn.closing)
+		return;
+	if (status < 0) {
+		give_up(lc, uv_strerror(status));
+		return;
+	}
+	brf_timer_stop(brf_links_of(lc)->config.timers, &lc->timer);
+	lc->connected = true;
+	lc->heard = brf_links_now(brf_links_of(lc));
+	brf_conn_start(&lc->conn);
+	brf_link_conn_hello(lc, 0, false);
+}
+
+static void
+dial(struct brf_link *link)
+{
+	struct brf_links *links = link->links;
+	struct brf_link_conn *lc = brf_calloc(1, sizeof(*lc));
+	int rc;
+
+	lc->link = link;
+	link->lc = lc;
+	lc->timer.fire = look_for_silence;
+	lc->timer.arg = lc;
+	lc->connect.data = lc;
+	brf_link_conn_init(lc, links, &brf_link_dialed_vt);
+	brf_timer_start(links->config.timers, &lc->timer, CONNECT_US);
+	rc = uv_tcp_connect(&lc->connect, &lc->conn.tcp,
+	    (const struct sockaddr *)&link->addr, on_connect);
+	if (rc != 0)
+		give_up(lc, uv_strerror(rc));
+}
+
+static void
+link_send(struct brf_hop_backend *backend, struct brf_hop *hop)
+{
+	struct brf_link *link =
+	    brf_container_of(backend, struct brf_link, backend);
+	struct brf_links *links = link->links;
+	struct sent_hop *sh = brf_calloc(1, sizeof(*sh));
+
+	sh->link = link;
+	sh->hop = hop;
+	hop->impl = sh;
+	brf_task_init(&sh->s.work, stream_work);
+	brf_pipe_init(&hop->down, links->config.tasks);
+	hop->down.writer = &sh->s.work;
+	sh->s.in.pipe = &hop->down;
+	sh->s.in.granted = BRF_LINK_WINDOW;
+	sh->s.out.pipe = hop->up;
+	sh->s.out.room = BRF_LINK_WINDOW;
+	if (hop->up != NULL)
+		hop->up->reader = &sh->s.work;
+	brf_list_append(&link->queue, &sh->s.link);
+	if (link->lc == NULL &&
+	    (brf_links_now(links) < link->down_until || links->closing)) {
+		end_queue(link);
+		return;
+	}
+	if (link->lc == NULL)
+		dial(link);
+	if (link->lc != NULL && link->lc->connected)
+		brf_conn_touch(&link->lc->conn);
+}
+
+static void
+link_cancel(struct brf_hop_backend *backend, struct brf_hop *hop)
+{
+	struct sent_hop *sh = hop->impl;
+	struct brf_link_conn *lc;
+
+	(void)backend;
+	if (sh == NULL)
+		return;
+	lc = sh->s.lc;
+	if (lc != NULL && !lc->conn.closing) {
+		brf_link_cancel_put(&lc->conn.out, sh->s.xid);
+		brf_conn_touch(&lc->conn);
+	}
+	sent_free(sh);
+}
+
+const struct brf_hop_backend_vt brf_link_backend_vt = {
+	.send = link_send,
+	.cancel = link_cancel,
+};
--- /dev/null
+++ b/src/mesh/call.c
@@ -0,0 +1,528 @@
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "mesh/call.h"
+#include "mesh/gate.h"
+
+#define REPLAY_MAX 65536u /* bytes of a body that are kept for another hop */
+#define HOPS_MAX 6u	  /* gates that one request is offered to */
+#define TIMEOUT_PRESET_MS 60000u /* where a caller doesn't say how long */
+
+/* Requests sent for one that came back, by rank; see policy/throttle.h. */
+static const double margins[] = { 2.0, 1.5, 1.2 };
+
+/* When a refused caller is to come back: this share of the objective, and up
+ * to as much again. */
+#define RETURN_SHARE 0.2
+#define RETURN_LEAST_MS 50u
+#define RETURN_PRESET_MS 500u
+
+/**
+ * struct call - one request.
+ * @table: that it is judged by
+ * @kept: what is remembered of its route
+ * @peers: where it was, @hops of them
+ * @up: the request's body on its way to the present hop
+ * @replay: what of the body has gone there so far, for the next one
+ * @spent: it is more than what is kept
+ * @arrivals: targets that have seen it
+ * @doubt: why it may have run; BRF_R_NONE when it has not
+ * @refusal: why the last hop was not run
+ * @open: a hop is under way
+ */
+struct call {
+	struct brf_mesh_callers *callers;
+	struct brf_flow_request *rq;
+	struct brf_table *table;
+	const struct brf_route *route;
+	struct brf_mesh_route *kept;
+	struct brf_mesh_service *service;
+	struct brf_hop hop;
+	struct brf_task work;
+	struct brf_timer timer;
+	struct brf_mesh_peer *peers[HOPS_MAX];
+	uint32_t hops;
+	uint32_t arrivals;
+	uint64_t began;
+	uint64_t deadline;
+	enum brf_reason doubt;
+	enum brf_reason refusal;
+	uint32_t retry_after_ms;
+	struct brf_pipe up;
+	struct brf_buf replay;
+	bool spent;
+	bool admitted;
+	bool open;
+	bool answered;
+	bool nested;
+};
+
+static uint64_t
+now(const struct brf_mesh_callers *callers)
+{
+	return (brf_now(brf_timers_clock(callers->timers)));
+}
+
+static uint32_t
+elapsed_ms(const struct call *call)
+{
+	return ((uint32_t)((now(call->callers) - call->began) / BRF_US_PER_MS));
+}
+
+static double
+margin(const struct brf_route *route)
+{
+	size_t rank = route->rank < brf_nitems(margins)
+			  ? route->rank
+			  : brf_nitems(margins) - 1;
+
+	return (margins[rank]);
+}
+
+static void
+log_end(const struct call *call, int status, enum brf_reason reason)
+{
+	brf_log(BRF_LOG_INFO, "request_failed",
+	    BRF_LS("request", call->rq->head.id),
+	    BRF_LS("route", call->route != NULL ? call->route->name : ""),
+	    BRF_LS("service", call->service != NULL ? call->service->name : ""),
+	    BRF_LU("status", (uint64_t)status),
+	    BRF_LS("reason", brf_reason_name(reason)),
+	    BRF_LU("hops", call->hops), BRF_LU("arrivals", call->arrivals),
+	    BRF_LU("ms", elapsed_ms(call)),
+	    BRF_LU("table",
+		call->table != NULL ? brf_table_revision(call->table) : 0),
+	    BRF_LU("nested", call->nested));
+}
+
+/* End the hop that is under way, if any, without an answer. */
+static void
+release_hop(struct call *call, enum brf_place_end end)
+{
+	struct brf_mesh_peer *peer;
+
+	if (!call->open)
+		return;
+	call->open = false;
+	peer = call->peers[call->hops - 1];
+	brf_place_ended(&peer->place, end,
+	    call->hop.has_load ? &call->hop.load : NULL, now(call->callers));
+	brf_hop_release(&call->hop);
+}
+
+static void
+call_free(struct call *call)
+{
+	size_t i;
+
+	release_hop(call, BRF_PLACE_NEUTRAL);
+	brf_hop_release(&call->hop);
+	for (i = 0; i < call->hops; i++)
+		brf_mesh_peer_unref(call->peers[i]);
+	brf_task_cancel(&call->work);
+	brf_timer_stop(call->callers->timers, &call->timer);
+	brf_table_unref(call->table);
+	brf_pipe_free(&call->up);
+	brf_buf_free(&call->replay);
+	call->callers->open--;
+	free(call);
+}
+
+/* Seconds with fractions, as callers honour them. */
+static void
+put_retry_after(struct call *call, struct brf_buf *fields)
+{
+	uint64_t base = RETURN_PRESET_MS, ms;
+
+	if (call->route != NULL)
+		base = (uint64_t)((double)call->route->objective_us /
+				  BRF_US_PER_MS * RETURN_SHARE);
+	if (base < RETURN_LEAST_MS)
+		base = RETURN_LEAST_MS;
+	ms = base + brf_random_below(call->callers->random, base + 1);
+	brf_buf_printf(fields, "retry-after: %llu.%03llu\r\n",
+	    (unsigned long long)(ms / 1000), (unsigned long long)(ms % 1000));
+}
+
+/* End with an answer of this node's own. */
+static void
+answer_own(struct call *call, int status, enum brf_reason reason)
+{
+	struct brf_buf fields = { .data = NULL };
+
+	release_hop(call, BRF_PLACE_NEUTRAL);
+	call->answered = true;
+	brf_timer_stop(call->callers->timers, &call->timer);
+	log_end(call, status, reason);
+	if (status == 503)
+		put_retry_after(call, &fields);
+	brf_flow_answer(
+	    call->rq, status, fields.data, fields.len, BRF_BODY_NONE, 0, NULL);
+	brf_buf_free(&fields);
+}
+
+/* No target has answered and none will be asked any more. */
+static void
+give_up(struct call *call)
+{
+	if (call->doubt == BRF_R_NONE)
+		answer_own(call, 503, call->refusal);
+	else
+		answer_own(call, call->doubt == BRF_R_TIMEOUT ? 504 : 502,
+		    call->doubt);
+}
+
+static void
+deadline_passed(struct brf_timer *timer, void *arg)
+{
+	struct call *call = arg;
+
+	(void)timer;
+	if (call->open)
+		call->doubt = BRF_R_TIMEOUT;
+	else
+		call->refusal = BRF_R_EXPIRED;
+	release_hop(call, BRF_PLACE_NEUTRAL);
+	answer_own(call, 504, BRF_R_TIMEOUT);
+}
+
+/*
+ * Pass on what has come of the body.  It is kept as long as a gate may still
+ * refuse the request, which it does before it has asked for more than this.
+ */
+static void
+move_body(struct call *call)
+{
+	struct brf_pipe *body = &call->rq->body;
+	size_t len = brf_pipe_len(body), room = brf_pipe_room(&call->up);
+
+	if (len > room)
+		len = room;
+	if (len != 0 && !call->spent) {
+		if (call->replay.len + len > REPLAY_MAX)
+			call->spent = true;
+		else
+			brf_buf_add(&call->replay, brf_pipe_data(body), len);
+	}
+	if (call->spent)
+		brf_buf_free(&call->replay);
+	if (len != 0) {
+		brf_pipe_write(&call->up, brf_pipe_data(body), len);
+		brf_pipe_consume(body, len);
+	}
+	if (brf_pipe_finished(body))
+		brf_pipe_end(&call->up);
+	else if (body->state == BRF_PIPE_BROKEN)
+		brf_pipe_break(&call->up);
+}
+
+static void
+begin_body(struct call *call)
+{
+	brf_pipe_free(&call->up);
+	brf_pipe_init(&call->up, call->callers->tasks);
+	call->up.writer = &call->work;
+	call->rq->body.reader = &call->work;
+	brf_pipe_write(&call->up, call->replay.data, call->replay.len);
+	move_body(call);
+	call->hop.up = &call->up;
+}
+
+static void
+send_hop(struct call *call, struct brf_mesh_peer *peer)
+{
+	struct brf_mesh_callers *callers = call->callers;
+	struct brf_request_head *head = &call->rq->head;
+	struct brf_hop *hop = &call->hop;
+
+	memset(hop, 0, sizeof(*hop));
+	hop->owner = &call->work;
+	hop->request = (struct brf_hop_request){
+		.id = head->id,
+		.target = peer->id,
+		.caller = callers->service,
+		.method = head->method,
+		.path = head->path.data,
+		.host = head->host,
+		.fields = head->fields.data != NULL ? head->fields.data : "",
+		.fields_len = head->fields.len,
+		.deadline = call->deadline,
+		.length = head->length,
+		.body = head->body,
+		.rank = call->route->rank,
+		.repeatable = call->route->repeatable,
+		.nested = call->nested,
+		.repeat = call->arrivals > 0,
+	};
+	if (head->body != BRF_BODY_NONE)
+		begin_body(call);
+	call->peers[call->hops++] = peer;
+	call->open = true;
+	brf_place_sent(&peer->place, now(callers));
+	brf_hop_send(peer->link != NULL ? brf_link_backend(peer->link)
+					: brf_mesh_gate_backend(callers->gate),
+	    hop);
+}
+
+/* Offer the request to the next target. */
+static void
+go_on(struct call *call)
+{
+	struct brf_mesh_callers *callers = call->callers;
+	struct brf_place_request request = {
+		.rank = call->route->rank,
+		.nested = call->nested,
+		.repeatable = call->route->repeatable,
+	};
+	struct brf_mesh_peer *peer = NULL;
+
+	if (call->hops < HOPS_MAX)
+		peer = brf_mesh_service_choose(call->service, &request,
+		    call->peers, call->hops, callers->random, now(callers));
+	if (peer != NULL) {
+		send_hop(call, peer);
+		return;
+	}
+	if (call->hops == 0)
+		call->refusal = BRF_R_NO_TARGET;
+	give_up(call);
+}
+
+static const enum brf_place_end refusal_ends[BRF_REASON_COUNT] = {
+	[BRF_R_NONE] = BRF_PLACE_NEUTRAL,
+	[BRF_R_OVERLOAD] = BRF_PLACE_FULL,
+	[BRF_R_SHARE] = BRF_PLACE_FULL,
+	[BRF_R_DEADLINE] = BRF_PLACE_FULL,
+	[BRF_R_EXPIRED] = BRF_PLACE_FULL,
+	[BRF_R_DRAINING] = BRF_PLACE_FULL,
+	[BRF_R_TARGET_SHED] = BRF_PLACE_SHED,
+	[BRF_R_NO_TARGET] = BRF_PLACE_LOST,
+	[BRF_R_TARGET_DOWN] = BRF_PLACE_LOST,
+	[BRF_R_NOT_SENT] = BRF_PLACE_LOST,
+};
+
+/* The request was not run there. */
+static void
+hop_refused(struct call *call)
+{
+	struct brf_hop *hop = &call->hop;
+	struct brf_mesh_peer *peer = call->peers[call->hops - 1];
+	uint64_t t = now(call->callers);
+
+	call->refusal = hop->reason;
+	if (hop->arrived)
+		call->arrivals++;
+	release_hop(call, refusal_ends[hop->reason]);
+	if (call->refusal == BRF_R_NO_TARGET && peer->target != NULL)
+		brf_directory_disprove(peer->target);
+	if (call->arrivals >= call->route->attempts || call->spent ||
+	    (call->arrivals > 0 &&
+		!brf_repeat_take(&call->service->repeats, t)))
+		give_up(call);
+	else
+		go_on(call);
+}
+
+/* It may have run there. */
+static void
+hop_failed(struct call *call)
+{
+	uint64_t t = now(call->callers);
+
+	call->doubt = call->hop.reason;
+	call->arrivals++;
+	release_hop(call, BRF_PLACE_LOST);
+	if (!call->route->repeatable ||
+	    call->arrivals >= call->route->attempts || call->spent ||
+	    !brf_repeat_take(&call->service->repeats, t))
+		give_up(call);
+	else
+		go_on(call);
+}
+
+static void
+hop_answered(struct call *call)
+{
+	struct brf_answer_head *a = &call->hop.answer;
+	struct brf_mesh_peer *peer = call->peers[call->hops - 1];
+	bool good = a->status < 500;
+	uint64_t t = now(call->callers);
+
+	call->open = false;
+	call->answered = true;
+	brf_timer_stop(call->callers->timers, &call->timer);
+	brf_place_ended(&peer->place, BRF_PLACE_GOOD,
+	    call->hop.has_load ? &call->hop.load : NULL, t);
+	if (good && call->admitted)
+		brf_throttle_served(&call->kept->throttle, t);
+	if (!good)
+		log_end(call, a->status, BRF_R_NONE);
+	brf_flow_answer(call->rq, a->status, a->fields.data, a->fields.len,
+	    a->body, a->length, &call->hop.down);
+}
+
+static void
+work(struct brf_task *task)
+{
+	struct call *call = brf_container_of(task, struct call, work);
+
+	if (call->hop.up != NULL)
+		move_body(call);
+	if (!call->open)
+		return;
+	switch (call->hop.state) {
+	case BRF_HOP_OPEN:
+		break;
+	case BRF_HOP_ANSWERED:
+		hop_answered(call);
+		break;
+	case BRF_HOP_REFUSED:
+		hop_refused(call);
+		break;
+	case BRF_HOP_FAILED:
+		hop_failed(call);
+		break;
+	}
+}
+
+static void
+set_deadline(struct call *call)
+{
+	const struct brf_request_head *head = &call->rq->head;
+	uint64_t left =
+	    (head->has_timeout ? head->timeout_ms : TIMEOUT_PRESET_MS) *
+	    BRF_US_PER_MS;
+
+	if (left > call->route->timeout_us)
+		left = call->route->timeout_us;
+	call->deadline = call->began + left;
+}
+
+static const char *
+pick_service(struct call *call)
+{
+	const struct brf_route *route = call->route;
+	uint32_t weights[BRF_SPLIT_MAX];
+	size_t i, count = route->share_count;
+
+	if (count > BRF_SPLIT_MAX)
+		count = BRF_SPLIT_MAX;
+	for (i = 0; i < count; i++)
+		weights[i] = route->shares[i].weight;
+	i = count == 1 ? 0
+		       : brf_split_next(&call->kept->split, weights, count,
+			     call->callers->random);
+	return (brf_table_service(call->table, route->shares[i].service)->name);
+}
+
+/* Find out where the request goes; false when it has been answered. */
+static bool
+find_route(struct call *call)
+{
+	struct brf_mesh_callers *callers = call->callers;
+	struct brf_request_head *head = &call->rq->head;
+
+	if (callers->tables->current == NULL) {
+		answer_own(call, 503, BRF_R_NO_TARGET);
+		return (false);
+	}
+	call->table = brf_table_ref(callers->tables->current);
+	call->route = brf_table_match(call->table, head->host, head->path.data);
+	if (call->route == NULL) {
+		answer_own(call, 404, BRF_R_NO_SERVICE);
+		return (false);
+	}
+	call->kept = brf_mesh_tables_route(callers->tables, call->route);
+	return (true);
+}
+
+/* A running request's calls are let through: its work would be lost. */
+static bool
+admit(struct call *call)
+{
+	if (call->nested)
+		return (true);
+	call->admitted = true;
+	return (brf_throttle_admit(&call->kept->throttle, margin(call->route),
+	    call->callers->random, call->began));
+}
+
+static void
+on_request(struct brf_flow_handler *handler, struct brf_flow_request *rq)
+{
+	struct brf_mesh_callers *callers =
+	    brf_container_of(handler, struct brf_mesh_callers, handler);
+	struct call *call = brf_calloc(1, sizeof(*call));
+
+	callers->open++;
+	call->callers = callers;
+	call->rq = rq;
+	rq->data = call;
+	call->began = rq->arrived;
+	call->nested = rq->from.sin_addr.s_addr == callers->self.s_addr;
+	brf_task_init(&call->work, work);
+	call->timer.fire = deadline_passed;
+	call->timer.arg = call;
+	if (!find_route(call))
+		return;
+	set_deadline(call);
+	call->service =
+	    brf_mesh_service_get(callers->services, pick_service(call));
+	if (!admit(call)) {
+		answer_own(call, 503, BRF_R_SHED_EARLY);
+		return;
+	}
+	brf_repeat_first(&call->service->repeats, call->began);
+	brf_timer_start(callers->timers, &call->timer,
+	    call->deadline > now(callers) ? call->deadline - now(callers) : 0);
+	go_on(call);
+}
+
+static bool
+may_run_ahead(
+    struct brf_flow_handler *handler, const struct brf_flow_request *rq)
+{
+	struct brf_mesh_callers *callers =
+	    brf_container_of(handler, struct brf_mesh_callers, handler);
+	const struct brf_route *route;
+
+	if (callers->tables->current == NULL)
+		return (true);
+	route = brf_table_match(
+	    callers->tables->current, rq->head.host, rq->head.path.data);
+	return (route == NULL || route->repeatable);
+}
+
+static void
+on_ended(struct brf_flow_handler *handler, struct brf_flow_request *rq,
+    enum brf_flow_end end)
+{
+	struct call *call = rq->data;
+
+	(void)handler;
+	if (end != BRF_FLOW_SENT && call->admitted && !call->answered)
+		brf_throttle_forget(&call->kept->throttle, now(call->callers));
+	call_free(call);
+}
+
+static void
+on_refused(struct brf_flow_handler *handler, int status)
+{
+	(void)handler;
+	brf_log(BRF_LOG_INFO, "request_malformed",
+	    BRF_LU("status", (uint64_t)status));
+}
+
+static const struct brf_flow_handler_vt handler_vt = {
+	.may_run_ahead = may_run_ahead,
+	.request = on_request,
+	.ended = on_ended,
+	.refused = on_refused,
+};
+
+void
+brf_mesh_callers_init(struct brf_mesh_callers *callers)
+{
+	callers->handler.vt = &handler_vt;
+	callers->open = 0;
+}
--- /dev/null
+++ b/src/mesh/call.h
@@ -0,0 +1,52 @@
+#ifndef BRF_MESH_CALL_H
+#define BRF_MESH_CALL_H
+
+#include "flow/server.h"
+#include "mesh/services.h"
+#include "mesh/tables.h"
+
+/**
+ * DOC: A request where it begins, over as many hops as it takes.
+ *
+ * Takes the requests of this VM's callers and of its target, finds their route
+ * and a target, and goes on to another target when the first one did not run
+ * it.  What may have run is sent again only when the route allows it, and
+ * within a budget.  It ends with the target's answer as it is, or with one of
+ * this node's own:
+ *
+ *	404		no route; not run
+ *	503		not run, and never will be; says when to come back
+ *	502, 504	it may have run
+ */
+
+struct brf_mesh_gate;
+
+/**
+ * struct brf_mesh_callers - what all calls share; the first member takes the
+ * server's requests.
+ * @self: this VM's address, by which the target's own calls are told
+ * @service: of this VM's target; may change
+ * @open: calls that have not ended
+ */
+struct brf_mesh_callers {
+	struct brf_flow_handler handler;
+	struct brf_tasks *tasks;
+	struct brf_timers *timers;
+	struct brf_random *random;
+	struct brf_metrics *metrics;
+	struct brf_mesh_tables *tables;
+	struct brf_mesh_services *services;
+	struct brf_mesh_gate *gate;
+	struct in_addr self;
+	const char *service;
+	size_t open;
+};
+
+BRF_BEGIN_DECLS
+
+/* All members but @handler and @open are filled before. */
+void brf_mesh_callers_init(struct brf_mesh_callers *callers);
+
+BRF_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/mesh/gate.c
@@ -0,0 +1,549 @@
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "flow/target.h"
+#include "mesh/gate.h"
+#include "policy/admission.h"
+
+#define QUEUE_PER_SLOT 1u /* hops that wait, per slot */
+#define QUEUE_LEAST 16u
+#define CONNECTIONS_PRESET 1024u /* until a routing table says otherwise */
+#define WHOLE_BYTES 32768u /* of an answer that is held until it is whole */
+#define WHOLE_US (50 * BRF_US_PER_MS) /* for how long at most */
+#define LATE_US                                                       \
+	(100 * BRF_US_PER_MS) /* after the deadline, for the target's \
+			       * own word on it */
+#define SERVICE_STEP 0.05     /* weight of one run in the usual time */
+
+/**
+ * struct visit - one hop at the gate.
+ * @entered: clock time
+ * @running: it has a slot
+ * @timer: its deadline; while an answer is held, how long that may last
+ */
+struct visit {
+	struct brf_list link;
+	struct brf_mesh_gate *gate;
+	struct brf_hop *hop;
+	struct brf_ticket ticket;
+	struct brf_flow_run run;
+	struct brf_task work;
+	struct brf_timer timer;
+	uint64_t entered;
+	bool running;
+	bool held;
+};
+
+struct brf_mesh_gate {
+	struct brf_hop_backend backend;
+	struct brf_mesh_gate_config config;
+	struct brf_flow_target *target;
+	struct brf_admission *admission;
+	struct brf_notice notice;
+	struct brf_list open;
+	size_t open_count;
+	size_t running;
+	enum brf_reason refusing;
+	double service_us;
+	struct brf_metric *runs;
+	struct brf_metric *refusals;
+	struct brf_metric *failures;
+	struct brf_histogram *waited;
+	struct brf_histogram *ran;
+};
+
+static struct brf_mesh_gate *
+gate_of(struct brf_hop_backend *backend)
+{
+	return (brf_container_of(backend, struct brf_mesh_gate, backend));
+}
+
+static uint64_t
+now(const struct brf_mesh_gate *gate)
+{
+	return (brf_now(brf_timers_clock(gate->config.timers)));
+}
+
+static uint16_t
+clip(double value)
+{
+	return (value < UINT16_MAX ? (uint16_t)value : UINT16_MAX);
+}
+
+void
+brf_mesh_gate_load(const struct brf_mesh_gate *gate, struct brf_gate_load *load)
+{
+	struct brf_level level;
+
+	brf_admission_level(gate->admission, &level);
+	load->running = clip(level.in_flight);
+	load->limit = clip(level.limit);
+	load->waiting = clip(level.waiting);
+	load->service_ms = clip(gate->service_us / BRF_US_PER_MS);
+}
+
+/* Give up the slot. */
+static void
+leave_slot(struct visit *v, bool useful)
+{
+	struct brf_mesh_gate *gate = v->gate;
+	uint64_t took = now(gate) - v->run.sent_at;
+
+	if (!v->running)
+		return;
+	v->running = false;
+	gate->running--;
+	if (useful) {
+		brf_histogram_add(gate->ran, took);
+		gate->service_us +=
+		    SERVICE_STEP * ((double)took - gate->service_us);
+	}
+	brf_admission_finish(gate->admission, &v->ticket, useful);
+}
+
+/* The visit goes; its hop stays its sender's. */
+static void
+visit_free(struct visit *v)
+{
+	struct brf_mesh_gate *gate = v->gate;
+
+	brf_flow_run_cancel(&v->run);
+	leave_slot(v, false);
+	brf_flow_run_free(&v->run);
+	brf_list_remove(&v->link);
+	brf_task_cancel(&v->work);
+	brf_timer_stop(gate->config.timers, &v->timer);
+	gate->open_count--;
+	v->hop->impl = NULL;
+	free(v);
+}
+
+static void
+report(struct visit *v, enum brf_hop_state state)
+{
+	struct brf_hop *hop = v->hop;
+
+	hop->state = state;
+	hop->has_load = true;
+	brf_mesh_gate_load(v->gate, &hop->load);
+	brf_task_post(v->gate->config.tasks, hop->owner);
+}
+
+static void
+refuse(struct visit *v, enum brf_reason reason, bool arrived)
+{
+	struct brf_hop *hop = v->hop;
+
+	leave_slot(v, false);
+	v->gate->refusals->value++;
+	hop->reason = reason;
+	hop->arrived = arrived;
+	hop->retry_after_ms = brf_admission_retry_after_ms(v->gate->admission);
+	report(v, BRF_HOP_REFUSED);
+	visit_free(v);
+}
+
+static void
+fail(struct visit *v, enum brf_reason reason)
+{
+	struct brf_hop *hop = v->hop;
+
+	leave_slot(v, false);
+	v->gate->failures->value++;
+	hop->reason = reason;
+	hop->arrived = true;
+	report(v, BRF_HOP_FAILED);
+	visit_free(v);
+}
+
+/* Whether the hop's sender can have the answer now. */
+static bool
+is_ready(const struct visit *v)
+{
+	const struct brf_pipe *down = &v->hop->down;
+
+	return (down->state == BRF_PIPE_ENDED ||
+		brf_pipe_len(down) >= WHOLE_BYTES || v->held);
+}
+
+static void
+pass_on(struct visit *v)
+{
+	struct brf_hop *hop = v->hop;
+
+	if (hop->down.state == BRF_PIPE_ENDED)
+		leave_slot(v, true);
+	hop->answer = v->run.answer;
+	memset(&v->run.answer, 0, sizeof(v->run.answer));
+	hop->arrived = true;
+	hop->down.reader = hop->owner;
+	report(v, BRF_HOP_ANSWERED);
+}
+
+/* What the target's own word makes of a hop; BRF_R_NONE passes it on. */
+static enum brf_reason
+judge(const struct visit *v)
+{
+	const struct brf_answer_head *a = &v->run.answer;
+
+	if (a->not_run && a->status != 400)
+		return (a->status == 421 ? BRF_R_NO_TARGET : BRF_R_TARGET_SHED);
+	if (a->status == 421 && !a->sealed)
+		return (BRF_R_NO_TARGET);
+	if (a->status < 300 && (!a->sealed || a->encoded || a->id[0] == '\0'))
+		return (BRF_R_BROKEN_ANSWER);
+	return (BRF_R_NONE);
+}
+
+static void
+hold_over(struct brf_timer *timer, void *arg)
+{
+	struct visit *v = arg;
+
+	(void)timer;
+	v->held = true;
+	brf_task_post(v->gate->config.tasks, &v->work);
+}
+
+/* A short answer is held until it is whole, so that a torn one can be told
+ * from it and its request may be tried elsewhere. */
+static void
+take_answer(struct visit *v)
+{
+	struct brf_timers *timers = v->gate->config.timers;
+	enum brf_reason why = judge(v);
+	struct brf_pipe *down = &v->hop->down;
+
+	if (why == BRF_R_BROKEN_ANSWER || down->state == BRF_PIPE_BROKEN) {
+		fail(v, BRF_R_BROKEN_ANSWER);
+		return;
+	}
+	if (why != BRF_R_NONE) {
+		refuse(v, why, true);
+		return;
+	}
+	if (is_ready(v)) {
+		brf_timer_stop(timers, &v->timer);
+		pass_on(v);
+		return;
+	}
+	if (v->timer.fire != hold_over) {
+		v->timer.fire = hold_over;
+		brf_timer_start(timers, &v->timer, WHOLE_US);
+	}
+}
+
+static void
+run_failed(struct visit *v)
+{
+	if (v->run.not_started)
+		refuse(v, BRF_R_TARGET_DOWN, false);
+	else
+		fail(
+		    v, v->run.broken ? BRF_R_BROKEN_ANSWER : BRF_R_TARGET_LOST);
+}
+
+static void
+work(struct brf_task *task)
+{
+	struct visit *v = brf_container_of(task, struct visit, work);
+
+	if (v->run.state == BRF_FLOW_RUN_FAILED) {
+		run_failed(v);
+		return;
+	}
+	if (v->run.state != BRF_FLOW_RUN_ANSWERED)
+		return;
+	if (v->hop->state == BRF_HOP_OPEN) {
+		take_answer(v);
+		if (v->hop->impl != v || v->hop->state == BRF_HOP_OPEN)
+			return;
+	}
+	if (v->hop->down.state != BRF_PIPE_OPEN) {
+		leave_slot(v, v->hop->down.state == BRF_PIPE_ENDED);
+		visit_free(v);
+	}
+}
+
+static void
+put_number(struct brf_buf *b, const char *name, uint64_t value)
+{
+	brf_buf_printf(b, "%s: %llu\r\n", name, (unsigned long long)value);
+}
+
+static void
+build_head(struct visit *v)
+{
+	const struct brf_hop_request *rq = &v->hop->request;
+	const struct brf_field_names *names = v->gate->config.names;
+	struct brf_buf *b = &v->run.head;
+	uint64_t t = now(v->gate);
+	uint64_t left = rq->deadline > t ? rq->deadline - t : 0;
+
+	brf_buf_reserve(b, rq->fields_len + strlen(rq->path) + 512);
+	brf_buf_printf(b, "%s %s HTTP/1.1\r\n", rq->method, rq->path);
+	brf_field_put(b, "host", rq->host);
+	brf_buf_add(b, rq->fields, rq->fields_len);
+	put_number(b, names->timeout, left / BRF_US_PER_MS);
+	brf_field_put(b, names->target, v->gate->notice.id);
+	brf_field_put(b, names->caller, rq->caller);
+	if (rq->body == BRF_BODY_LENGTH)
+		put_number(b, "content-length", rq->length);
+	else if (rq->body == BRF_BODY_CHUNKED)
+		brf_field_put(b, "transfer-encoding", "chunked");
+	brf_buf_add(b, "\r\n", 2);
+}
+
+static void
+start(struct visit *v)
+{
+	struct brf_mesh_gate *gate = v->gate;
+	struct brf_flow_run *run = &v->run;
+	struct brf_hop *hop = v->hop;
+
+	v->running = true;
+	gate->running++;
+	gate->runs->value++;
+	brf_histogram_add(gate->waited, now(gate) - v->entered);
+	build_head(v);
+	run->owner = &v->work;
+	run->body = hop->up;
+	run->framing = hop->request.body;
+	run->id = hop->request.id;
+	run->to_head = strcmp(hop->request.method, "HEAD") == 0;
+	run->unique = !hop->request.repeatable;
+	run->out = &hop->down;
+	hop->down.reader = &v->work;
+	brf_flow_target_run(gate->target, run);
+}
+
+static void
+ticket_granted(struct brf_ticket *ticket)
+{
+	start(brf_container_of(ticket, struct visit, ticket));
+}
+
+static void
+ticket_refused(struct brf_ticket *ticket, enum brf_reason reason)
+{
+	refuse(brf_container_of(ticket, struct visit, ticket), reason, false);
+}
+
+static void
+deadline_passed(struct brf_timer *timer, void *arg)
+{
+	struct visit *v = arg;
+
+	(void)timer;
+	if (v->running) {
+		fail(v, BRF_R_TIMEOUT);
+		return;
+	}
+	if (brf_admission_withdraw(v->gate->admission, &v->ticket))
+		refuse(v, BRF_R_EXPIRED, false);
+}
+
+/* What running requests need goes before what begins; then by rank. */
+static uint32_t
+class_of(const struct brf_hop_request *rq)
+{
+	if (rq->nested)
+		return (0);
+	return (rq->rank + 1 < BRF_CLASSES ? rq->rank + 1 : BRF_CLASSES - 1);
+}
+
+static struct visit *
+visit_new(struct brf_mesh_gate *gate, struct brf_hop *hop)
+{
+	const struct brf_hop_request *rq = &hop->request;
+	struct visit *v = brf_calloc(1, sizeof(*v));
+
+	v->gate = gate;
+	v->hop = hop;
+	v->entered = now(gate);
+	brf_task_init(&v->work, work);
+	v->timer.fire = deadline_passed;
+	v->timer.arg = v;
+	v->ticket.cls = class_of(rq);
+	v->ticket.rank = v->ticket.cls * BRF_RANK_CLASS;
+	v->ticket.workspace = "";
+	v->ticket.deadline = rq->deadline;
+	v->ticket.grant = ticket_granted;
+	v->ticket.refuse = ticket_refused;
+	brf_list_append(&gate->open, &v->link);
+	gate->open_count++;
+	hop->impl = v;
+	brf_pipe_init(&hop->down, gate->config.tasks);
+	return (v);
+}
+
+/* Why a hop can't be taken at all, or BRF_R_NONE. */
+static enum brf_reason
+objection(const struct brf_mesh_gate *gate, const struct brf_hop_request *rq)
+{
+	if (gate->refusing != BRF_R_NONE)
+		return (gate->refusing);
+	if (strcmp(rq->target, gate->notice.id) != 0)
+		return (BRF_R_NO_TARGET);
+	if (rq->deadline <= now(gate))
+		return (BRF_R_EXPIRED);
+	return (BRF_R_NONE);
+}
+
+static void
+gate_send(struct brf_hop_backend *backend, struct brf_hop *hop)
+{
+	struct brf_mesh_gate *gate = gate_of(backend);
+	enum brf_reason why = objection(gate, &hop->request);
+	struct visit *v = visit_new(gate, hop);
+
+	if (why != BRF_R_NONE) {
+		refuse(v, why, false);
+		return;
+	}
+	brf_timer_start(gate->config.timers, &v->timer,
+	    hop->request.deadline - v->entered + LATE_US);
+	switch (brf_admission_submit(gate->admission, &v->ticket, &why)) {
+	case BRF_ADMISSION_RUN:
+		start(v);
+		break;
+	case BRF_ADMISSION_WAIT:
+		break;
+	case BRF_ADMISSION_REFUSE:
+		refuse(v, why, false);
+		break;
+	}
+}
+
+static void
+gate_cancel(struct brf_hop_backend *backend, struct brf_hop *hop)
+{
+	struct visit *v = hop->impl;
+
+	(void)backend;
+	if (v == NULL)
+		return;
+	if (!v->running)
+		brf_admission_withdraw(v->gate->admission, &v->ticket);
+	visit_free(v);
+}
+
+static const struct brf_hop_backend_vt gate_vt = {
+	.send = gate_send,
+	.cancel = gate_cancel,
+};
+
+static void
+make_metrics(struct brf_mesh_gate *gate)
+{
+	struct brf_metrics *m = gate->config.metrics;
+
+	gate->runs = brf_metrics_counter(
+	    m, "brf_gate_runs_total", "Requests sent to this VM's target.", "");
+	gate->refusals = brf_metrics_counter(
+	    m, "brf_gate_refusals_total", "Hops that were not run.", "");
+	gate->failures = brf_metrics_counter(m, "brf_gate_failures_total",
+	    "Hops that may have run and have no answer.", "");
+	gate->waited = brf_metrics_histogram(m, "brf_gate_wait_seconds",
+	    "Time that a hop waited for a slot.", "");
+	gate->ran = brf_metrics_histogram(
+	    m, "brf_gate_run_seconds", "Time of a request at the target.", "");
+}
+
+struct brf_mesh_gate *
+brf_mesh_gate_new(const struct brf_mesh_gate_config *config)
+{
+	struct brf_mesh_gate *gate = brf_calloc(1, sizeof(*gate));
+	struct brf_admission_config admission = { .slots = 1 };
+	struct brf_flow_target_config target = {
+		.loop = config->loop,
+		.tasks = config->tasks,
+		.timers = config->timers,
+		.metrics = config->metrics,
+		.names = config->names,
+		.connections = CONNECTIONS_PRESET,
+	};
+
+	gate->backend.vt = &gate_vt;
+	gate->config = *config;
+	gate->refusing = BRF_R_NO_TARGET;
+	brf_list_init(&gate->open);
+	gate->admission = brf_admission_new(config->timers, &admission);
+	gate->target = brf_flow_target_new(
+	    &target, (const struct sockaddr *)&config->target);
+	make_metrics(gate);
+	return (gate);
+}
+
+struct brf_hop_backend *
+brf_mesh_gate_backend(struct brf_mesh_gate *gate)
+{
+	return (&gate->backend);
+}
+
+void
+brf_mesh_gate_refuse(struct brf_mesh_gate *gate, enum brf_reason reason)
+{
+	gate->refusing = reason;
+	brf_admission_drain(gate->admission, reason);
+}
+
+void
+brf_mesh_gate_notice(
+    struct brf_mesh_gate *gate, const struct brf_notice *notice, bool is_new)
+{
+	struct brf_admission_config admission = {
+		.slots = notice->slots,
+		.queue = notice->slots * QUEUE_PER_SLOT > QUEUE_LEAST
+			     ? notice->slots * QUEUE_PER_SLOT
+			     : QUEUE_LEAST,
+	};
+
+	if (is_new)
+		brf_flow_target_forget(gate->target);
+	gate->notice = *notice;
+	if (is_new && gate->open_count == 0) {
+		brf_admission_free(gate->admission);
+		gate->admission =
+		    brf_admission_new(gate->config.timers, &admission);
+	} else {
+		brf_admission_configure(gate->admission, &admission);
+	}
+	if (notice->state == BRF_TARGET_READY)
+		brf_mesh_gate_refuse(gate, BRF_R_NONE);
+	else
+		brf_mesh_gate_refuse(gate, BRF_R_DRAINING);
+}
+
+void
+brf_mesh_gate_connections(struct brf_mesh_gate *gate, uint32_t most)
+{
+	brf_flow_target_bound(gate->target, most);
+}
+
+size_t
+brf_mesh_gate_open(const struct brf_mesh_gate *gate)
+{
+	return (gate->open_count);
+}
+
+const char *
+brf_mesh_gate_target(const struct brf_mesh_gate *gate)
+{
+	return (gate->refusing == BRF_R_NONE ? gate->notice.id : "");
+}
+
+void
+brf_mesh_gate_close(
+    struct brf_mesh_gate *gate, void (*closed)(void *arg), void *arg)
+{
+	brf_flow_target_close(gate->target, closed, arg);
+}
+
+void
+brf_mesh_gate_free(struct brf_mesh_gate *gate)
+{
+	brf_admission_free(gate->admission);
+	brf_flow_target_free(gate->target);
+	free(gate);
+}
--- /dev/null
+++ b/src/mesh/gate.h
@@ -0,0 +1,80 @@
+#ifndef BRF_MESH_GATE_H
+#define BRF_MESH_GATE_H
+
+#include <uv.h>
+
+#include "base/metrics.h"
+#include "base/random.h"
+#include "base/timer.h"
+#include "fleet/local.h"
+#include "flow/hop.h"
+
+/**
+ * DOC: The only way to this VM's target, for streams.
+ *
+ * Takes hops from this node and from links, lets as many run as the target has
+ * slots for, and says how each ended from its own memory alone: a hop that was
+ * refused was not run and never will be.  Since nothing else reaches the
+ * target, what was acknowledged to it (that it drains, that it has left) binds
+ * from that moment on.
+ */
+
+struct brf_mesh_gate;
+
+/**
+ * struct brf_mesh_gate_config - what brf_mesh_gate_new() needs; all of it
+ * outlives the gate.
+ * @target: address of this VM's target
+ */
+struct brf_mesh_gate_config {
+	uv_loop_t *loop;
+	struct brf_tasks *tasks;
+	struct brf_timers *timers;
+	struct brf_metrics *metrics;
+	const struct brf_field_names *names;
+	struct sockaddr_in target;
+};
+
+BRF_BEGIN_DECLS
+
+struct brf_mesh_gate *brf_mesh_gate_new(
+    const struct brf_mesh_gate_config *config);
+
+/* The gate as links and calls see it. */
+struct brf_hop_backend *brf_mesh_gate_backend(struct brf_mesh_gate *gate);
+
+/**
+ * brf_mesh_gate_notice() - the target as it says it is.
+ * @is_new: another life than before
+ */
+void brf_mesh_gate_notice(
+    struct brf_mesh_gate *gate, const struct brf_notice *notice, bool is_new);
+
+/* Most connections to the target. */
+void brf_mesh_gate_connections(struct brf_mesh_gate *gate, uint32_t most);
+
+/**
+ * brf_mesh_gate_refuse() - refuse what waits and what comes as not run, until
+ * a target says that it is ready; what runs goes on.
+ */
+void brf_mesh_gate_refuse(struct brf_mesh_gate *gate, enum brf_reason reason);
+
+/* Hops that wait or run. */
+size_t brf_mesh_gate_open(const struct brf_mesh_gate *gate);
+
+/* Id of the target that hops may run on; empty when there is none. */
+const char *brf_mesh_gate_target(const struct brf_mesh_gate *gate);
+void brf_mesh_gate_load(
+    const struct brf_mesh_gate *gate, struct brf_gate_load *load);
+
+/**
+ * brf_mesh_gate_close() - close connections to the target; run the loop until
+ * @closed is called, then brf_mesh_gate_free().  No hop may be open.
+ */
+void brf_mesh_gate_close(
+    struct brf_mesh_gate *gate, void (*closed)(void *arg), void *arg);
+void brf_mesh_gate_free(struct brf_mesh_gate *gate);
+
+BRF_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/mesh/node.c
@@ -0,0 +1,491 @@
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+
+#include "base/log.h"
+#include "mesh/node.h"
+
+#define SETTINGS_EVERY_US (500 * BRF_US_PER_MS) /* looks at the file */
+#define STOP_EVERY_US (50 * BRF_US_PER_MS)	/* looks at what is left */
+/* Callers are told within two questions, a second apart, that this node is
+ * not ready; until then they send. */
+#define STOP_LEAST_US (2500 * BRF_US_PER_MS)
+#define STOP_QUIET_US (200 * BRF_US_PER_MS) /* with nothing open */
+#define STOP_SLACK_US (500 * BRF_US_PER_MS) /* of the grace, for closing */
+/* Repeats at a service also come from repeats at those that call it; a request
+ * passes so many levels with calls of their own. */
+#define REPEAT_LEVELS 4.0
+
+static uint64_t
+now(const struct brf_mesh_node *node)
+{
+	return (brf_now(brf_timers_clock(node->turn.timers)));
+}
+
+static void
+turn_ended(void *arg)
+{
+	struct brf_mesh_node *node = arg;
+
+	brf_links_flush(node->links);
+}
+
+static void
+table_changed(void *arg)
+{
+	struct brf_mesh_node *node = arg;
+	const struct brf_table *t = node->tables.current;
+	uint32_t i = brf_table_find_service(t, node->settings.service);
+
+	if (i != UINT32_MAX)
+		brf_mesh_gate_connections(
+		    node->gate, brf_table_service(t, i)->connections);
+	brf_links_tell(node->links);
+}
+
+static void
+table_set(void *arg, const struct brf_store_kv *kv)
+{
+	struct brf_mesh_node *node = arg;
+
+	if (strcmp(kv->key, node->adapter->table_key) == 0)
+		brf_mesh_tables_offer(
+		    &node->tables, kv->value, kv->len, "store");
+}
+
+/* What was in force stays so. */
+static void
+table_gone(void *arg, const char *key, uint64_t revision)
+{
+	(void)arg;
+	brf_log(BRF_LOG_WARN, "table_missing", BRF_LS("key", key),
+	    BRF_LU("revision", revision));
+}
+
+static void
+table_synced(void *arg)
+{
+	(void)arg;
+}
+
+static void
+follow_table(struct brf_mesh_node *node)
+{
+	struct brf_follow_config config = { .store = node->store,
+		.timers = node->turn.timers,
+		.random = node->random,
+		.prefix = node->adapter->table_prefix,
+		.set = table_set,
+		.gone = table_gone,
+		.synced = table_synced,
+		.arg = node };
+
+	node->table_follow = brf_follow_new(&config);
+}
+
+static void
+fill_entry(struct brf_mesh_node *node, struct brf_entry *e)
+{
+	const struct brf_notice *n = &node->local.current;
+	const struct brf_mesh_settings *s = &node->settings;
+
+	memset(e, 0, sizeof(*e));
+	brf_copy_name(e->id, sizeof(e->id), n->id);
+	brf_copy_name(e->service, sizeof(e->service), n->service);
+	brf_copy_name(e->zone, sizeof(e->zone), s->zone);
+	brf_copy_name(e->region, sizeof(e->region), s->region);
+	brf_copy_name(e->version, sizeof(e->version), n->version);
+	brf_copy_name(e->node, sizeof(e->node), s->node);
+	e->gate = s->peers;
+	e->slots = n->slots;
+	e->born = n->born;
+	e->warmup_us = n->warmup_us;
+	e->state = n->state;
+	if (node->phase != BRF_MESH_SERVING && e->state == BRF_TARGET_READY)
+		e->state = BRF_TARGET_DRAINING;
+}
+
+static void
+publish(struct brf_mesh_node *node)
+{
+	struct brf_entry entry;
+
+	if (!node->local.known)
+		return;
+	fill_entry(node, &entry);
+	brf_register_set(node->registration, &entry);
+}
+
+static void
+log_notice(const struct brf_notice *n, const char *event)
+{
+	brf_log(BRF_LOG_INFO, event, BRF_LS("target", n->id),
+	    BRF_LS("service", n->service),
+	    BRF_LS("state", brf_target_state_name(n->state)),
+	    BRF_LU("sequence", n->sequence), BRF_LU("born", n->born),
+	    BRF_LU("slots", n->slots),
+	    BRF_LU("warmup_ms", n->warmup_us / BRF_US_PER_MS));
+}
+
+void
+brf_mesh_node_notice(
+    struct brf_mesh_node *node, const struct brf_notice *notice)
+{
+	struct brf_notice before = node->local.current;
+	enum brf_local_result result = brf_local_notice(&node->local, notice);
+
+	if (result == BRF_LOCAL_STALE) {
+		log_notice(notice, "announcement_stale");
+		return;
+	}
+	if (result == BRF_LOCAL_UPDATED && before.state == notice->state &&
+	    before.slots == notice->slots)
+		return;
+	log_notice(notice, "target_announced");
+	if (node->phase == BRF_MESH_SERVING)
+		brf_mesh_gate_notice(
+		    node->gate, notice, result == BRF_LOCAL_REPLACED);
+	publish(node);
+}
+
+void
+brf_mesh_node_leave(struct brf_mesh_node *node, const char *id)
+{
+	if (!brf_local_leave(&node->local, id))
+		return;
+	log_notice(&node->local.current, "target_leaves");
+	brf_mesh_gate_refuse(node->gate, BRF_R_DRAINING);
+	publish(node);
+}
+
+bool
+brf_mesh_node_is_ready(const struct brf_mesh_node *node)
+{
+	return (node->phase == BRF_MESH_SERVING &&
+		node->tables.current != NULL &&
+		brf_directory_synced(node->directory));
+}
+
+static uint64_t
+modified_at(const char *path)
+{
+	struct stat st;
+
+	if (stat(path, &st) != 0)
+		return (0);
+	return ((uint64_t)st.st_mtim.tv_sec * 1000000000u +
+		(uint64_t)st.st_mtim.tv_nsec);
+}
+
+static void
+reload(struct brf_mesh_node *node, const char *why)
+{
+	struct brf_mesh_settings fresh;
+	struct brf_error err = { .code = BRF_OK };
+
+	node->changed_at = modified_at(node->path);
+	if (!brf_mesh_settings_load(&fresh, node->path, &err)) {
+		brf_log(BRF_LOG_WARN, "reload_failed", BRF_LS("why", why),
+		    BRF_LE(&err));
+		return;
+	}
+	/* listeners stay where they are until a restart */
+	brf_copy_name(node->settings.service, sizeof(node->settings.service),
+	    fresh.service);
+	node->settings.grace_us = fresh.grace_us;
+	node->settings.drain_us = fresh.drain_us;
+	brf_log(BRF_LOG_INFO, "reloaded", BRF_LS("why", why),
+	    BRF_LS("service", fresh.service));
+}
+
+static void
+look_at_settings(struct brf_timer *timer, void *arg)
+{
+	struct brf_mesh_node *node = arg;
+
+	brf_timer_start(node->turn.timers, timer, SETTINGS_EVERY_US);
+	if (modified_at(node->path) != node->changed_at)
+		reload(node, "file changed");
+}
+
+static void
+one_closed(void *arg)
+{
+	struct brf_mesh_node *node = arg;
+
+	if (--node->closing == 0)
+		uv_stop(&node->loop);
+}
+
+static void
+close_all(struct brf_mesh_node *node)
+{
+	node->phase = BRF_MESH_CLOSED;
+	node->closing = 5;
+	brf_timer_stop(node->turn.timers, &node->stop_poll);
+	brf_timer_stop(node->turn.timers, &node->watch_settings);
+	brf_flow_server_close(node->entry, one_closed, node);
+	brf_http_server_close(node->ready, one_closed, node);
+	brf_http_server_close(node->admin, one_closed, node);
+	brf_links_close(node->links, one_closed, node);
+	brf_mesh_gate_close(node->gate, one_closed, node);
+}
+
+static size_t
+left(const struct brf_mesh_node *node)
+{
+	return (node->callers.open + brf_mesh_gate_open(node->gate) +
+		brf_links_served(node->links));
+}
+
+static void
+look_at_rest(struct brf_timer *timer, void *arg)
+{
+	struct brf_mesh_node *node = arg;
+	uint64_t t = now(node), since = t - node->stopping_since;
+	size_t rest = left(node);
+
+	if (rest != 0)
+		node->busy_at = t;
+	node->unfinished = rest != 0;
+	if ((since >= STOP_LEAST_US && t - node->busy_at >= STOP_QUIET_US) ||
+	    since + STOP_SLACK_US >= node->settings.grace_us) {
+		brf_log(BRF_LOG_INFO, "stopped", BRF_LU("left", rest),
+		    BRF_LU("after_ms", since / BRF_US_PER_MS));
+		brf_register_end(node->registration);
+		close_all(node);
+		return;
+	}
+	brf_timer_start(node->turn.timers, timer, STOP_EVERY_US);
+}
+
+static void
+stop(struct brf_mesh_node *node)
+{
+	if (node->phase != BRF_MESH_SERVING)
+		return;
+	brf_log(BRF_LOG_INFO, "stopping", BRF_LU("left", left(node)));
+	node->phase = BRF_MESH_STOPPING;
+	node->stopping_since = now(node);
+	node->busy_at = now(node);
+	brf_mesh_gate_refuse(node->gate, BRF_R_DRAINING);
+	brf_flow_drain(node->entry);
+	publish(node);
+	brf_timer_start(node->turn.timers, &node->stop_poll, STOP_EVERY_US);
+}
+
+static void
+on_signal(uv_signal_t *signal, int number)
+{
+	struct brf_mesh_node *node = signal->data;
+
+	if (number == SIGHUP)
+		reload(node, "signal");
+	else
+		stop(node);
+}
+
+static void
+make_loop(struct brf_mesh_node *node)
+{
+	static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+	size_t i;
+
+	uv_loop_init(&node->loop);
+	brf_turn_init(&node->turn, &node->loop);
+	node->turn.ended = turn_ended;
+	node->turn.arg = node;
+	for (i = 0; i < brf_nitems(numbers); i++) {
+		uv_signal_init(&node->loop, &node->signals[i]);
+		node->signals[i].data = node;
+		uv_signal_start(&node->signals[i], on_signal, numbers[i]);
+	}
+	node->random = brf_random_system();
+	node->metrics = brf_metrics_new();
+	node->started = now(node);
+	node->watch_settings.fire = look_at_settings;
+	node->watch_settings.arg = node;
+	node->stop_poll.fire = look_at_rest;
+	node->stop_poll.arg = node;
+}
+
+static void
+make_gate(struct brf_mesh_node *node)
+{
+	struct brf_mesh_gate_config gate = { .loop = &node->loop,
+		.tasks = &node->turn.tasks,
+		.timers = node->turn.timers,
+		.metrics = node->metrics,
+		.names = node->adapter->names,
+		.target = node->settings.target };
+	struct brf_links_config links = { .loop = &node->loop,
+		.tasks = &node->turn.tasks,
+		.timers = node->turn.timers,
+		.metrics = node->metrics,
+		.news = &node->tables.news,
+		.node = node->settings.node,
+		.service = node->settings.service };
+
+	brf_mesh_tables_init(&node->tables, &node->turn.clock,
+	    node->adapter->vt->read_table, table_changed, node);
+	node->gate = brf_mesh_gate_new(&gate);
+	links.gate = brf_mesh_gate_backend(node->gate);
+	node->links = brf_links_new(&links);
+}
+
+static void
+lapsed_here(void *arg, const char *id)
+{
+	struct brf_mesh_node *node = arg;
+
+	brf_register_missing(node->registration, id);
+}
+
+static void
+make_fleet(struct brf_mesh_node *node)
+{
+	const struct brf_mesh_settings *s = &node->settings;
+	struct brf_mesh_services_config config = {
+		.timers = node->turn.timers,
+		.links = node->links,
+		.self = s->peers,
+		.zone = s->zone,
+		.region = s->region,
+		.repeat_ratio = s->retry_ratio / REPEAT_LEVELS,
+		.repeat_window_us = s->retry_window_us,
+	};
+
+	node->http =
+	    brf_http_loop_new(&node->loop, node->turn.timers, node->metrics);
+	node->store = node->adapter->vt->store_new(
+	    node->http, node->turn.timers, node->metrics, &s->store);
+	brf_mesh_services_init(&node->services, &config);
+	node->services.lapsed_here = lapsed_here;
+	node->services.arg = node;
+	node->registration =
+	    brf_register_new(node->store, node->turn.timers, node->random);
+	node->directory = brf_directory_new(node->store, node->turn.timers,
+	    node->random, &node->services.watcher);
+	follow_table(node);
+}
+
+static void
+make_callers(struct brf_mesh_node *node)
+{
+	struct brf_mesh_callers *c = &node->callers;
+
+	c->tasks = &node->turn.tasks;
+	c->timers = node->turn.timers;
+	c->random = node->random;
+	c->metrics = node->metrics;
+	c->tables = &node->tables;
+	c->services = &node->services;
+	c->gate = node->gate;
+	c->self = node->settings.target.sin_addr;
+	c->service = node->settings.service;
+	brf_mesh_callers_init(c);
+}
+
+static bool
+listen_all(struct brf_mesh_node *node, struct brf_error *err)
+{
+	struct brf_mesh_settings *s = &node->settings;
+	struct brf_flow_server_config config = { .loop = &node->loop,
+		.tasks = &node->turn.tasks,
+		.timers = node->turn.timers,
+		.metrics = node->metrics,
+		.names = node->adapter->names,
+		.limits = &node->tables.limits,
+		.handler = &node->callers.handler,
+		.name = "entry" };
+	uint16_t port;
+
+	if (!brf_links_listen(
+		node->links, (const struct sockaddr *)&s->peers, &port, err))
+		return (false);
+	s->peers.sin_port = htons(port);
+	node->services.config.self = s->peers;
+	node->entry = brf_flow_server_new(
+	    &config, (const struct sockaddr *)&s->callers, &port, err);
+	if (node->entry == NULL)
+		return (false);
+	brf_mesh_admin_init(node);
+	node->ready = brf_http_server_new(node->http, "ready",
+	    (const struct sockaddr *)&s->ready, &node->ready_handler, &port,
+	    err);
+	if (node->ready == NULL)
+		return (false);
+	node->admin = brf_http_server_new(node->http, "admin",
+	    (const struct sockaddr *)&s->admin, &node->admin_handler, &port,
+	    err);
+	return (node->admin != NULL);
+}
+
+struct brf_mesh_node *
+brf_mesh_node_start(const struct brf_mesh_adapter *adapter, const char *path,
+    struct brf_error *err)
+{
+	struct brf_mesh_node *node = brf_calloc(1, sizeof(*node));
+
+	node->adapter = adapter;
+	node->path = path;
+	node->changed_at = modified_at(path);
+	if (!brf_mesh_settings_load(&node->settings, path, err)) {
+		free(node);
+		return (NULL);
+	}
+	brf_log_open(
+	    STDOUT_FILENO, node->settings.log_level, node->settings.node);
+	make_loop(node);
+	make_gate(node);
+	make_fleet(node);
+	make_callers(node);
+	if (!listen_all(node, err))
+		return (NULL); /* the process ends */
+	brf_timer_start(
+	    node->turn.timers, &node->watch_settings, SETTINGS_EVERY_US);
+	brf_log(BRF_LOG_INFO, "started", BRF_LS("version", BRF_VERSION),
+	    BRF_LS("zone", node->settings.zone),
+	    BRF_LS("service", node->settings.service));
+	return (node);
+}
+
+int
+brf_mesh_node_run(struct brf_mesh_node *node)
+{
+	uv_run(&node->loop, UV_RUN_DEFAULT);
+	return (node->unfinished ? BRF_EXIT_UNFINISHED : BRF_EXIT_OK);
+}
+
+static void
+close_handles(struct brf_mesh_node *node)
+{
+	size_t i;
+
+	brf_http_loop_free(node->http);
+	for (i = 0; i < brf_nitems(node->signals); i++)
+		uv_close((uv_handle_t *)&node->signals[i], NULL);
+	brf_turn_close(&node->turn);
+	uv_run(&node->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&node->loop);
+}
+
+void
+brf_mesh_node_free(struct brf_mesh_node *node)
+{
+	brf_flow_server_free(node->entry);
+	brf_http_server_free(node->ready);
+	brf_http_server_free(node->admin);
+	brf_follow_free(node->table_follow);
+	brf_directory_free(node->directory);
+	brf_register_free(node->registration);
+	brf_mesh_services_finish(&node->services);
+	node->adapter->vt->store_free(node->store);
+	brf_links_free(node->links);
+	brf_mesh_gate_free(node->gate);
+	close_handles(node);
+	brf_mesh_tables_finish(&node->tables);
+	brf_metrics_free(node->metrics);
+	brf_turn_free(&node->turn);
+	free(node);
+}
--- /dev/null
+++ b/src/mesh/tables.c
@@ -0,0 +1,161 @@
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "mesh/tables.h"
+
+/* Bounds until a table says otherwise. */
+static const struct brf_flow_limits preset_limits = {
+	.head_bytes = 16384,
+	.body_bytes = 67108864,
+	.head_us = 10 * BRF_US_PER_S,
+	.idle_us = 30 * BRF_US_PER_S,
+};
+
+static struct brf_mesh_tables *
+tables_of(struct brf_link_news *news)
+{
+	return (brf_container_of(news, struct brf_mesh_tables, news));
+}
+
+static uint64_t
+news_revision(struct brf_link_news *news)
+{
+	const struct brf_mesh_tables *t = tables_of(news);
+
+	return (t->current != NULL ? brf_table_revision(t->current) : 0);
+}
+
+static bool
+news_text(struct brf_link_news *news, const char **text, size_t *len)
+{
+	const struct brf_mesh_tables *t = tables_of(news);
+
+	*text = t->text.data;
+	*len = t->text.len;
+	return (t->current != NULL);
+}
+
+static void
+news_got(
+    struct brf_link_news *news, uint64_t revision, const char *text, size_t len)
+{
+	(void)revision; /* the text has it as well */
+	brf_mesh_tables_offer(tables_of(news), text, len, "peer");
+}
+
+static const struct brf_link_news_vt news_vt = {
+	.revision = news_revision,
+	.text = news_text,
+	.got = news_got,
+};
+
+void
+brf_mesh_tables_init(struct brf_mesh_tables *t, struct brf_clock *clock,
+    brf_table_read_fn read, void (*changed)(void *arg), void *arg)
+{
+	memset(t, 0, sizeof(*t));
+	t->news.vt = &news_vt;
+	t->clock = clock;
+	t->read = read;
+	t->changed = changed;
+	t->arg = arg;
+	t->limits = preset_limits;
+	brf_list_init(&t->routes);
+}
+
+static void
+route_free(struct brf_mesh_route *r)
+{
+	brf_list_remove(&r->link);
+	free(r->name);
+	free(r);
+}
+
+void
+brf_mesh_tables_finish(struct brf_mesh_tables *t)
+{
+	while (!brf_list_empty(&t->routes))
+		route_free(brf_list_entry(
+		    t->routes.next, struct brf_mesh_route, link));
+	brf_table_unref(t->current);
+	brf_buf_free(&t->text);
+}
+
+/* Forget what was kept of routes that are in no table any more. */
+static void
+forget_routes(struct brf_mesh_tables *t)
+{
+	struct brf_list *l, *next;
+	struct brf_mesh_route *r;
+	size_t i;
+
+	brf_list_foreach_safe (l, next, &t->routes) {
+		r = brf_list_entry(l, struct brf_mesh_route, link);
+		for (i = 0; i < brf_table_routes(t->current); i++) {
+			if (strcmp(brf_table_route(t->current, i)->name,
+				r->name) == 0)
+				break;
+		}
+		if (i == brf_table_routes(t->current))
+			route_free(r);
+	}
+}
+
+static void
+put_in_force(struct brf_mesh_tables *t, struct brf_table *table,
+    const char *text, size_t len, const char *source)
+{
+	uint64_t before =
+	    t->current != NULL ? brf_table_revision(t->current) : 0;
+
+	brf_table_unref(t->current);
+	t->current = table;
+	t->limits = *brf_table_limits(table);
+	t->since = brf_now(t->clock);
+	brf_buf_clear(&t->text);
+	brf_buf_add(&t->text, text, len);
+	forget_routes(t);
+	brf_log(BRF_LOG_INFO, "table_in_force",
+	    BRF_LU("revision", brf_table_revision(table)),
+	    BRF_LU("before", before), BRF_LS("source", source),
+	    BRF_LU("routes", brf_table_routes(table)));
+	t->changed(t->arg);
+}
+
+bool
+brf_mesh_tables_offer(
+    struct brf_mesh_tables *t, const char *text, size_t len, const char *source)
+{
+	struct brf_error err = { .code = BRF_OK };
+	struct brf_table *table = t->read(text, len, &err);
+
+	if (table == NULL) {
+		brf_log(BRF_LOG_WARN, "table_refused", BRF_LS("source", source),
+		    BRF_LE(&err));
+		return (false);
+	}
+	if (t->current != NULL &&
+	    brf_table_revision(table) <= brf_table_revision(t->current)) {
+		brf_table_unref(table);
+		return (false);
+	}
+	put_in_force(t, table, text, len, source);
+	return (true);
+}
+
+struct brf_mesh_route *
+brf_mesh_tables_route(struct brf_mesh_tables *t, const struct brf_route *route)
+{
+	struct brf_mesh_route *r;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &t->routes) {
+		r = brf_list_entry(l, struct brf_mesh_route, link);
+		if (strcmp(r->name, route->name) == 0)
+			return (r);
+	}
+	r = brf_calloc(1, sizeof(*r));
+	r->name = brf_strdup(route->name, strlen(route->name));
+	brf_list_append(&t->routes, &r->link);
+	return (r);
+}
--- a/src/node/pending.c
+++ b/src/node/pending.c
@@ -168,18 +168,3 @@
 	out[i] = '\0';
 	return (i != 0);
 }
-
-void
-brf_respond_json(
-    struct brf_http_request *http, int status, struct brf_buf *text)
-{
-	struct brf_message *m = brf_message_new();
-
-	m->status = status;
-	m->body = *text;
-	memset(text, 0, sizeof(*text));
-	brf_message_add_header(
-	    m, "content-type", 12, "application/json", 16, NULL);
-	brf_http_respond(http, m, NULL, 0);
-	brf_message_unref(m);
-}
--- a/src/node/pending.h
+++ b/src/node/pending.h
@@ -35,13 +35,6 @@
 bool brf_pending_service(
     const struct brf_http_request *http, char out[BRF_NAME_MAX + 1]);
 
-/**
- * brf_respond_json() - answer with a JSON body.
- * @text: taken over, and emptied
- */
-void brf_respond_json(
-    struct brf_http_request *http, int status, struct brf_buf *text);
-
 BRF_END_DECLS
 
 #endif
--- /dev/null
+++ b/src/policy/place.c
@@ -0,0 +1,163 @@
+#include "policy/place.h"
+
+#define SERVICE_MS 50.0		 /* taken for a target that was never heard */
+#define LOAD_AGE_US BRF_US_PER_S /* life of a gate's word on its load */
+#define COLD_FACTOR 2.0 /* a target that warms up takes so much longer */
+#define GOOD_STEP 0.05	/* weight of one hop in the share of good ones */
+#define GOOD_LEAST 0.05 /* lowest share that is reckoned with */
+#define STREAK_MAX 3u	/* failures in a row before it gets nothing */
+#define EJECT_FIRST_US (500 * BRF_US_PER_MS)
+#define EJECT_MOST_US (4 * BRF_US_PER_S)
+#define FILL_FROM 0.8 /* share of slots in use that counts as filling */
+
+/* Penalties of distance, microseconds of estimated time. */
+static const double ring_penalty[BRF_PLACE_RINGS] = {
+	[BRF_PLACE_SELF] = 0,
+	[BRF_PLACE_ZONE] = 0,
+	[BRF_PLACE_REGION] = 15e3,
+	[BRF_PLACE_FAR] = 400e3,
+};
+
+void
+brf_place_target_init(
+    struct brf_place_target *t, enum brf_place_ring ring, uint32_t slots)
+{
+	memset(t, 0, sizeof(*t));
+	t->ring = ring;
+	t->slots = slots;
+	t->good = 1;
+}
+
+/* Requests at the target, as far as one can know it here. */
+static double
+busy(const struct brf_place_target *t, uint64_t now)
+{
+	double known = t->open, told;
+
+	if (t->load_at == 0 || now - t->load_at > LOAD_AGE_US)
+		return (known);
+	told = (double)t->load.running + t->load.waiting;
+	if (t->open > t->open_then)
+		told += t->open - t->open_then;
+	return (told > known ? told : known);
+}
+
+double
+brf_place_estimate(const struct brf_place_target *t, uint64_t now)
+{
+	double limit = t->slots, service = SERVICE_MS, load, time;
+
+	if (t->load_at != 0) {
+		service = t->load.service_ms != 0 ? t->load.service_ms : 1;
+		if (t->load.limit != 0)
+			limit = t->load.limit;
+	}
+	if (t->warm_at > now)
+		service *= COLD_FACTOR;
+	load = busy(t, now) / limit;
+	time = service;
+	if (load > FILL_FROM)
+		time *= 1 + (load - FILL_FROM) / (1 - FILL_FROM);
+	return (time * BRF_US_PER_MS /
+		(t->good > GOOD_LEAST ? t->good : GOOD_LEAST));
+}
+
+static bool
+may_get(const struct brf_place_target *t,
+    const struct brf_place_request *request, uint64_t now)
+{
+	if (t->draining || t->ejected_until > now)
+		return (false);
+	/* who was ejected is tried with one request, which can be repeated */
+	if (t->streak >= STREAK_MAX)
+		return (!t->probing && request->repeatable);
+	return (true);
+}
+
+static double
+cost(const struct brf_place_target *t, struct brf_random *random, uint64_t now)
+{
+	double c = brf_place_estimate(t, now) + ring_penalty[t->ring];
+
+	if (t->silent || t->down)
+		c += 1e6;
+	/* of equals a random one */
+	return (c * (1 + 0.05 * brf_random_unit(random)));
+}
+
+size_t
+brf_place_choose(struct brf_place_target *const *targets, size_t count,
+    const struct brf_place_request *request, struct brf_random *random,
+    uint64_t now)
+{
+	size_t i, best = BRF_PLACE_NONE;
+	double least = 0, c;
+
+	for (i = 0; i < count; i++) {
+		if (request->tried[i] || !may_get(targets[i], request, now))
+			continue;
+		c = cost(targets[i], random, now);
+		if (best == BRF_PLACE_NONE || c < least) {
+			best = i;
+			least = c;
+		}
+	}
+	return (best);
+}
+
+void
+brf_place_sent(struct brf_place_target *t, uint64_t now)
+{
+	(void)now;
+	t->open++;
+	if (t->streak >= STREAK_MAX)
+		t->probing = true;
+}
+
+static void
+eject(struct brf_place_target *t, uint64_t now)
+{
+	uint32_t times = t->streak - STREAK_MAX;
+	uint64_t wait = EJECT_FIRST_US << (times < 4 ? times : 4);
+
+	t->ejected_until = now + (wait < EJECT_MOST_US ? wait : EJECT_MOST_US);
+}
+
+static void
+learn(struct brf_place_target *t, double good)
+{
+	t->good += GOOD_STEP * (good - t->good);
+}
+
+void
+brf_place_ended(struct brf_place_target *t, enum brf_place_end end,
+    const struct brf_gate_load *load, uint64_t now)
+{
+	t->open--;
+	t->probing = false;
+	if (load != NULL) {
+		t->load = *load;
+		t->load_at = now;
+		t->open_then = t->open;
+	}
+	switch (end) {
+	case BRF_PLACE_GOOD:
+		t->streak = 0;
+		learn(t, 1);
+		break;
+	case BRF_PLACE_FULL:
+		t->streak = 0;
+		break;
+	case BRF_PLACE_SHED:
+		t->streak = 0;
+		learn(t, 0);
+		break;
+	case BRF_PLACE_LOST:
+		learn(t, 0);
+		if (++t->streak >= STREAK_MAX)
+			eject(t, now);
+		break;
+	case BRF_PLACE_NEUTRAL:
+		break;
+	}
+}
