--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -385,11 +385,25 @@
 	return (false);
 }
 
+/* libuv takes a reset that comes together with the last bytes for an end. */
+static bool
+was_reset(const struct brf_flow_target_conn *c)
+{
+	socklen_t len = sizeof(int);
+	uv_os_fd_t fd;
+	int error = 0;
+
+	if (c->reset || uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
+		return (true);
+	return (error != 0);
+}
+
 /* The target has ended the connection, and all that came is read. */
 static void
 settle_end(struct brf_flow_target_conn *c)
 {
-	bool whole = c->reading == READ_CLOSE && !c->skip && !c->reset;
+	bool whole = c->reading == READ_CLOSE && !c->skip && !was_reset(c);
 
 	if (c->run != NULL && c->input.len != 0 &&
 	    brf_pipe_len(c->run->out) != 0)
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -205,9 +205,13 @@
 	brf_task_post(v->gate->config.tasks, &v->work);
 }
 
-/* A short answer is held until it is whole, so that a torn one can be told
- * from it and its request may be tried elsewhere. */
-static void
+/*
+ * A short answer is held until it is whole, so that a torn one can be told
+ * from it and its request may be tried elsewhere.
+ *
+ * Return: whether the answer was passed on; else @v waits or is gone.
+ */
+static bool
 take_answer(struct visit *v)
 {
 	struct brf_timers *timers = v->gate->config.timers;
@@ -216,21 +220,22 @@
 
 	if (why == BRF_R_BROKEN_ANSWER || down->state == BRF_PIPE_BROKEN) {
 		fail(v, BRF_R_BROKEN_ANSWER);
-		return;
+		return (false);
 	}
 	if (why != BRF_R_NONE) {
 		refuse(v, why, true);
-		return;
+		return (false);
 	}
 	if (is_ready(v)) {
 		brf_timer_stop(timers, &v->timer);
 		pass_on(v);
-		return;
+		return (true);
 	}
 	if (v->timer.fire != hold_over) {
 		v->timer.fire = hold_over;
 		brf_timer_start(timers, &v->timer, WHOLE_US);
 	}
+	return (false);
 }
 
 static void
@@ -254,11 +259,8 @@
 	}
 	if (v->run.state != BRF_FLOW_RUN_ANSWERED)
 		return;
-	if (v->hop->state == BRF_HOP_OPEN) {
-		take_answer(v);
-		if (v->hop->impl != v || v->hop->state == BRF_HOP_OPEN)
-			return;
-	}
+	if (v->hop->state == BRF_HOP_OPEN && !take_answer(v))
+		return;
 	if (v->hop->down.state != BRF_PIPE_OPEN) {
 		leave_slot(v, v->hop->down.state == BRF_PIPE_ENDED);
 		visit_free(v);
--- /dev/null
+++ b/test/flow_fake.h
@@ -0,0 +1,145 @@
+#ifndef BRF_FLOW_FAKE_H
+#define BRF_FLOW_FAKE_H
+
+#include <gtest/gtest.h>
+
+#include "flow/server.h"
+#include "flow/turn.h"
+#include "http_fake.h"
+
+/* A loop with its turn, turned by hand. */
+struct flow_bench {
+	uv_loop_t loop;
+	struct brf_turn turn;
+	struct brf_metrics *metrics;
+
+	flow_bench()
+	{
+		uv_loop_init(&loop);
+		brf_turn_init(&turn, &loop);
+		metrics = brf_metrics_new();
+	}
+
+	/* Turn the loop until @done; false after some ten thousand turns. */
+	bool
+	until(const std::function<bool()> &done)
+	{
+		for (int i = 0; i < 50000; i++) {
+			if (done())
+				return (true);
+			uv_run(&loop, UV_RUN_NOWAIT);
+			if (i % 4 == 3)
+				usleep(200);
+		}
+		return (done());
+	}
+
+	void
+	turns(int times)
+	{
+		until([&] { return (times-- <= 0); });
+	}
+
+	/* The wall clock's passing is only waited for, never judged. */
+	void
+	pause(unsigned ms)
+	{
+		uint64_t end = uv_hrtime() + ms * 1000000ull;
+
+		until([&] { return (uv_hrtime() >= end); });
+	}
+
+	~flow_bench()
+	{
+		brf_turn_close(&turn);
+		until([&] { return (uv_loop_alive(&loop) == 0); });
+		EXPECT_EQ(uv_loop_close(&loop), 0);
+		brf_turn_free(&turn);
+		brf_metrics_free(metrics);
+	}
+};
+
+static const struct brf_field_names test_names = {
+	"x-id",
+	"x-timeout",
+	"x-target",
+	"x-caller",
+	"x-seal",
+	"x-not-run",
+	"x-instance",
+};
+
+/* A listener whose connections a test reads and writes by hand. */
+struct raw_listener {
+	int fd;
+	uint16_t port;
+	std::vector<raw_peer *> peers;
+
+	raw_listener()
+	{
+		struct sockaddr_in addr = loopback(0);
+		socklen_t len = sizeof(addr);
+
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		EXPECT_EQ(bind(fd, (struct sockaddr *)&addr, len), 0);
+		EXPECT_EQ(listen(fd, 64), 0);
+		getsockname(fd, (struct sockaddr *)&addr, &len);
+		port = ntohs(addr.sin_port);
+	}
+
+	/* Take new connections, and what has come on all of them. */
+	void
+	serve()
+	{
+		int c;
+
+		while (
+		    (c = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK)) >= 0) {
+			peers.push_back(new raw_peer());
+			peers.back()->fd = c;
+		}
+		for (auto *p : peers)
+			p->get();
+	}
+
+	size_t
+	requests() const
+	{
+		size_t n = 0;
+
+		for (const auto *p : peers)
+			for (size_t at = 0; (at = p->got.find("\r\n\r\n",
+						 at)) != std::string::npos;
+			     at += 4)
+				n++;
+		return (n);
+	}
+
+	/* The connection on which @text has come, or NULL. */
+	raw_peer *
+	with(const std::string &text)
+	{
+		for (auto *p : peers)
+			if (p->got.find(text) != std::string::npos)
+				return (p);
+		return (nullptr);
+	}
+
+	~raw_listener()
+	{
+		for (auto *p : peers)
+			delete p;
+		close(fd);
+	}
+};
+
+/* Have the kernel answer with a reset when @p is dropped. */
+static inline void
+reset_on_drop(raw_peer &p)
+{
+	struct linger reset = { 1, 0 };
+
+	setsockopt(p.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+#endif
--- /dev/null
+++ b/test/flow_server_test.cc
@@ -0,0 +1,408 @@
+#include "flow_fake.h"
+
+namespace
+{
+
+/* Takes requests and lets a test answer them. */
+struct keeper {
+	struct brf_flow_handler handler;
+	std::vector<struct brf_flow_request *> open;
+	std::vector<std::string> paths;
+	std::vector<enum brf_flow_end> ends;
+	std::vector<int> refused;
+	std::string never_ahead = "/once";
+};
+
+bool
+may_run_ahead(struct brf_flow_handler *h, const struct brf_flow_request *r)
+{
+	auto *k = reinterpret_cast<struct keeper *>(h);
+
+	return (k->never_ahead != r->head.path.data);
+}
+
+void
+on_request(struct brf_flow_handler *h, struct brf_flow_request *r)
+{
+	auto *k = reinterpret_cast<struct keeper *>(h);
+
+	k->open.push_back(r);
+	k->paths.push_back(r->head.path.data);
+}
+
+void
+on_ended(struct brf_flow_handler *h, struct brf_flow_request *r,
+    enum brf_flow_end end)
+{
+	auto *k = reinterpret_cast<struct keeper *>(h);
+
+	k->ends.push_back(end);
+	for (auto &o : k->open)
+		if (o == r)
+			o = nullptr;
+	if (r->data != nullptr) {
+		brf_pipe_free(static_cast<struct brf_pipe *>(r->data));
+		delete static_cast<struct brf_pipe *>(r->data);
+	}
+}
+
+void
+on_refused(struct brf_flow_handler *h, int status)
+{
+	reinterpret_cast<struct keeper *>(h)->refused.push_back(status);
+}
+
+const struct brf_flow_handler_vt keeper_vt = { may_run_ahead, on_request,
+	on_ended, on_refused };
+
+class flow_server : public ::testing::Test
+{
+      protected:
+	struct flow_bench bench;
+	struct keeper keeper = {};
+	struct brf_flow_limits limits = { 1024, 100000, 30000000, 30000000 };
+	struct brf_flow_server *srv = nullptr;
+	uint16_t port = 0;
+	bool closed = false;
+
+	void
+	SetUp() override
+	{
+		struct brf_flow_server_config config = { &bench.loop,
+			&bench.turn.tasks, bench.turn.timers, bench.metrics,
+			&test_names, &limits, &keeper.handler, "test" };
+		struct sockaddr_in addr = loopback(0);
+
+		keeper.handler.vt = &keeper_vt;
+		srv = brf_flow_server_new(
+		    &config, (struct sockaddr *)&addr, &port, nullptr);
+		ASSERT_NE(srv, nullptr);
+	}
+
+	void
+	TearDown() override
+	{
+		brf_flow_server_close(
+		    srv, [](void *arg) { *static_cast<bool *>(arg) = true; },
+		    &closed);
+		EXPECT_TRUE(bench.until([&] { return (closed); }));
+		EXPECT_EQ(brf_flow_open(srv), 0u);
+		brf_flow_server_free(srv);
+	}
+
+	/* Send @bytes, then turn until @done or the peer has ended. */
+	void
+	talk(raw_peer &p, std::string bytes, const std::function<bool()> &done)
+	{
+		bench.until([&] {
+			if (!bytes.empty())
+				bytes = p.put(bytes);
+			p.get();
+			return (done() || p.ended);
+		});
+	}
+
+	void
+	answer(size_t i, const std::string &body, int status = 200)
+	{
+		auto *pipe = new struct brf_pipe;
+
+		brf_pipe_init(pipe, &bench.turn.tasks);
+		keeper.open[i]->data = pipe;
+		brf_pipe_write(pipe, body.data(), body.size());
+		brf_pipe_end(pipe);
+		brf_flow_answer(keeper.open[i], status, "x-a: 1\r\n", 8,
+		    BRF_BODY_LENGTH, body.size(), pipe);
+	}
+};
+
+std::string
+get(const std::string &path, const std::string &fields = "")
+{
+	return ("GET " + path + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+}
+
+size_t
+count(const std::string &in, const std::string &what)
+{
+	size_t n = 0;
+
+	for (size_t at = 0; (at = in.find(what, at)) != std::string::npos;
+	     at += what.size())
+		n++;
+	return (n);
+}
+
+TEST_F(flow_server, pipelined_requests_run_side_by_side_and_end_in_order)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	talk(p, get("/1") + get("/2") + get("/3"),
+	    [&] { return (keeper.open.size() == 3); });
+	ASSERT_EQ(keeper.open.size(), 3u);
+	answer(2, "third");
+	answer(1, "second");
+	bench.turns(20);
+	p.get();
+	EXPECT_EQ(p.got, "");
+	answer(0, "first");
+	talk(p, "", [&] { return (count(p.got, "HTTP/1.1 200") == 3); });
+	EXPECT_LT(p.got.find("first"), p.got.find("second"));
+	EXPECT_LT(p.got.find("second"), p.got.find("third"));
+}
+
+TEST_F(flow_server, what_must_not_run_ahead_waits_for_its_turn)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	talk(p, get("/1") + get("/once") + get("/3"),
+	    [&] { return (keeper.open.size() == 1); });
+	bench.turns(20);
+	ASSERT_EQ(keeper.open.size(), 1u);
+	answer(0, "a");
+	talk(p, "", [&] { return (keeper.open.size() == 3); });
+	ASSERT_EQ(
+	    keeper.paths, (std::vector<std::string>{ "/1", "/once", "/3" }));
+	answer(1, "b");
+	answer(2, "c");
+	talk(p, "", [&] { return (count(p.got, "HTTP/1.1 200") == 3); });
+	EXPECT_EQ(count(p.got, "HTTP/1.1 200"), 3u);
+}
+
+TEST_F(flow_server, bodies_stream_in_bounded_memory)
+{
+	raw_peer p;
+	std::string sent(90000, 'b'), got;
+
+	p.connect_to(port);
+	talk(p,
+	    "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" +
+		sent,
+	    [&] { return (keeper.open.size() == 1); });
+	ASSERT_EQ(keeper.open.size(), 1u);
+	struct brf_pipe *body = &keeper.open[0]->body;
+
+	bench.turns(50);
+	EXPECT_LE(brf_pipe_len(body), BRF_PIPE_HIGH);
+	bench.until([&] {
+		got.append(brf_pipe_data(body), brf_pipe_len(body));
+		brf_pipe_consume(body, brf_pipe_len(body));
+		return (brf_pipe_finished(body));
+	});
+	EXPECT_EQ(got, sent);
+	answer(0, "ok");
+	talk(p, "", [&] { return (count(p.got, "ok") == 1); });
+}
+
+TEST_F(flow_server, chunked_bodies_end_where_they_end)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	talk(p,
+	    "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nabc\r\n5\r\ndefgh\r\n0\r\n\r\n" +
+		get("/next"),
+	    [&] { return (keeper.open.size() == 2); });
+	ASSERT_EQ(keeper.open.size(), 2u);
+	EXPECT_EQ(std::string(brf_pipe_data(&keeper.open[0]->body),
+		      brf_pipe_len(&keeper.open[0]->body)),
+	    "abcdefgh");
+	EXPECT_EQ(keeper.open[0]->body.state, BRF_PIPE_ENDED);
+}
+
+TEST_F(flow_server, a_body_over_the_limit_gets_a_readable_413)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	talk(p,
+	    "POST /big HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n" +
+		std::string(2000000, 'x'),
+	    [&] { return (false); });
+	EXPECT_EQ(p.got.substr(0, 12), "HTTP/1.1 413");
+	EXPECT_TRUE(keeper.open.empty());
+	EXPECT_EQ(keeper.refused, std::vector<int>{ 413 });
+}
+
+TEST_F(flow_server, a_chunked_body_over_the_limit_is_taken_back)
+{
+	raw_peer p;
+	std::string chunk = "10000\r\n" + std::string(65536, 'x') + "\r\n";
+
+	p.connect_to(port);
+	std::string bytes = "POST /big HTTP/1.1\r\nHost: h\r\n"
+			    "Transfer-Encoding: chunked\r\n\r\n" +
+			    chunk + chunk + chunk;
+	bench.until([&] {
+		if (!bytes.empty())
+			bytes = p.put(bytes);
+		p.get();
+		if (!keeper.open.empty() && keeper.open[0] != nullptr)
+			brf_pipe_consume(&keeper.open[0]->body,
+			    brf_pipe_len(&keeper.open[0]->body));
+		return (p.ended);
+	});
+	EXPECT_EQ(p.got.substr(0, 12), "HTTP/1.1 413");
+	EXPECT_EQ(
+	    keeper.ends, std::vector<enum brf_flow_end>{ BRF_FLOW_REFUSED });
+}
+
+struct bad_request {
+	const char *what;
+	std::string bytes;
+	int status;
+};
+
+TEST_F(flow_server, what_is_no_request_is_refused_in_a_table)
+{
+	const std::vector<struct bad_request> cases = {
+		{ "no HTTP", "nonsense\r\n\r\n", 400 },
+		{ "no host", "GET / HTTP/1.1\r\n\r\n", 400 },
+		{ "two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+		    400 },
+		{ "length and chunks",
+		    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+		    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		    400 },
+		{ "two lengths",
+		    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+		    "Content-Length: 4\r\n\r\nabcd",
+		    400 },
+		{ "length with a sign",
+		    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\n"
+		    "abc",
+		    400 },
+		{ "folded field",
+		    "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n", 400 },
+		{ "another coding",
+		    "POST / HTTP/1.1\r\nHost: h\r\n"
+		    "Transfer-Encoding: gzip, chunked\r\n\r\n",
+		    400 },
+		{ "unknown coding",
+		    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip"
+		    "\r\n\r\n",
+		    501 },
+		{ "timeout that is no number", get("/", "X-Timeout: soon\r\n"),
+		    400 },
+		{ "head too large",
+		    get("/", "A: " + std::string(2000, 'a') + "\r\n"), 431 },
+		{ "broken chunk",
+		    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+		    "\r\n\r\nzz\r\n",
+		    400 },
+	};
+
+	for (const auto &c : cases) {
+		raw_peer p;
+
+		p.connect_to(port);
+		talk(p, c.bytes, [&] { return (false); });
+		EXPECT_EQ(
+		    p.got.substr(0, 12), "HTTP/1.1 " + std::to_string(c.status))
+		    << c.what;
+	}
+}
+
+TEST_F(flow_server, a_refusal_waits_for_the_answers_before_it)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	talk(p, get("/1") + "nonsense\r\n\r\n",
+	    [&] { return (keeper.refused.size() == 1); });
+	bench.turns(20);
+	p.get();
+	EXPECT_EQ(p.got, "");
+	answer(0, "a");
+	talk(p, "", [&] { return (false); });
+	EXPECT_LT(p.got.find("200"), p.got.find("400"));
+}
+
+TEST_F(flow_server, the_callers_leaving_ends_all_its_requests)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	talk(p, get("/1") + get("/2"),
+	    [&] { return (keeper.open.size() == 2); });
+	p.drop();
+	bench.until([&] { return (keeper.ends.size() == 2); });
+	EXPECT_EQ(keeper.ends,
+	    (std::vector<enum brf_flow_end>{ BRF_FLOW_GONE, BRF_FLOW_GONE }));
+}
+
+TEST_F(flow_server, a_torn_answer_does_not_look_whole)
+{
+	raw_peer p;
+	auto *pipe = new struct brf_pipe;
+
+	p.connect_to(port);
+	talk(p, get("/1"), [&] { return (keeper.open.size() == 1); });
+	brf_pipe_init(pipe, &bench.turn.tasks);
+	keeper.open[0]->data = pipe;
+	brf_flow_answer(keeper.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	brf_pipe_write(pipe, "part", 4);
+	talk(p, "", [&] { return (count(p.got, "part") == 1); });
+	brf_pipe_break(pipe);
+	talk(p, "", [&] { return (false); });
+	EXPECT_TRUE(p.ended);
+	EXPECT_EQ(count(p.got, "0\r\n\r\n"), 0u);
+	EXPECT_EQ(keeper.ends, std::vector<enum brf_flow_end>{ BRF_FLOW_CUT });
+}
+
+TEST_F(flow_server, an_early_answer_ends_the_connection_after_it)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	talk(p,
+	    "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" +
+		std::string(100, 'b'),
+	    [&] { return (keeper.open.size() == 1); });
+	answer(0, "early", 429);
+	talk(p, std::string(80000, 'b'), [&] { return (false); });
+	EXPECT_EQ(p.got.substr(0, 12), "HTTP/1.1 429");
+	EXPECT_EQ(count(p.got, "connection: close"), 1u);
+	EXPECT_EQ(count(p.got, "early"), 1u);
+	EXPECT_TRUE(p.ended);
+}
+
+TEST_F(flow_server, while_it_drains_the_last_answer_ends_the_connection)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	talk(p, get("/1") + get("/2"),
+	    [&] { return (keeper.open.size() == 2); });
+	brf_flow_drain(srv);
+	answer(0, "a");
+	answer(1, "b");
+	talk(p, "", [&] { return (false); });
+	EXPECT_EQ(count(p.got, "HTTP/1.1 200"), 2u);
+	EXPECT_EQ(count(p.got, "connection: close"), 1u);
+	EXPECT_TRUE(p.ended);
+}
+
+TEST_F(flow_server, own_fields_of_a_caller_do_not_go_on)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	talk(p,
+	    get("/1", "X-Id: 7\r\nX-Caller: forged\r\nX-Target: t\r\n"
+		      "X-Timeout: 50\r\nConnection: close, X-Hop\r\n"
+		      "X-Hop: 1\r\nX-Kept: 2\r\n"),
+	    [&] { return (keeper.open.size() == 1); });
+	ASSERT_EQ(keeper.open.size(), 1u);
+	const struct brf_request_head &h = keeper.open[0]->head;
+
+	EXPECT_STREQ(h.fields.data, "X-Id: 7\r\nX-Kept: 2\r\n");
+	EXPECT_STREQ(h.id, "7");
+	EXPECT_EQ(h.timeout_ms, 50u);
+	EXPECT_FALSE(h.keep);
+}
+
+} // namespace
