Meet pressure where requests begin; use free slots before fast ones

Change: policy/lanes (who runs, waits, is refused at a target, by the root's rank), policy/pace (marks of waiting carried up with answers, requests paced where they begin), policy/kinship (calls told from requests that begin, by deadline and connection), policy/place (a free slot near first, the other region only in need), half of the repeats kept for requests that begin. Ruled out: processor time (0.02 cores a node), links.

--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -20,8 +20,9 @@
  * @caller: service of the VM where the request began
  * @fields: block of fields
  * @deadline: clock time after which nobody waits
+ * @patience_us: longest time that it may wait for a slot, microseconds
  * @length: of the body, with BRF_BODY_LENGTH
- * @rank: 0 is the most important
+ * @rank: of the root request; 0 is the most important
  * @repeatable: it may run more than once
  * @nested: a running request needs it
  * @repeat: another target was sent it before
@@ -36,6 +37,7 @@
 	const char *fields;
 	size_t fields_len;
 	uint64_t deadline;
+	uint64_t patience_us;
 	uint64_t length;
 	enum brf_body_kind body;
 	uint32_t rank;
@@ -81,6 +83,7 @@
  * @state: from here on filled by the backend
  * @reason: why, unless BRF_HOP_ANSWERED
  * @arrived: the target has seen it, also when it refused
+ * @marked: it met pressure, there or in the calls that it made
  * @has_load: @load is filled
  * @retry_after_ms: with BRF_HOP_REFUSED, when to come back; 0 for no word
  * @down: body of the answer; its reader is @owner unless the sender sets
@@ -94,6 +97,7 @@
 	enum brf_hop_state state;
 	enum brf_reason reason;
 	bool arrived;
+	bool marked;
 	bool has_load;
 	struct brf_gate_load load;
 	uint32_t retry_after_ms;
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -113,7 +113,7 @@
 	struct brf_flow_request *r = brf_calloc(1, sizeof(*r));
 
 	r->conn = c;
-	r->from = c->from;
+	r->origin = &c->origin;
 	r->arrived = now(c);
 	brf_pipe_init(&r->body, c->server->config.tasks);
 	r->body.writer = &c->work;
@@ -465,7 +465,6 @@
 brf_flow_conn_accept(struct brf_flow_server *server, uv_stream_t *listener)
 {
 	struct brf_flow_conn *c = brf_calloc(1, sizeof(*c));
-	int len = sizeof(c->from);
 
 	c->server = server;
 	brf_list_init(&c->requests);
@@ -483,7 +482,6 @@
 		brf_flow_conn_close(c, BRF_FLOW_GONE);
 		return;
 	}
-	uv_tcp_getpeername(&c->tcp, (struct sockaddr *)&c->from, &len);
 	set_options(c);
 	c->since = now(c);
 	arm(c);
--- a/src/link/codec.c
+++ b/src/link/codec.c
@@ -11,6 +11,7 @@
 #define F_END 0x8u
 #define F_BROKEN 0x40u
 #define F_ARRIVED 0x80u
+#define F_MARKED 0x100u
 #define BODY_SHIFT 4
 #define BODY_MASK 0x3u
 #define RANK_SHIFT 8
@@ -164,6 +165,7 @@
 	    &w, out, most, xid, BRF_LINK_PROGRAM, BRF_LINK_SEND);
 	put_u32(&w.xdr, send_flags(s));
 	put_u32(&w.xdr, s->timeout_us);
+	put_u32(&w.xdr, s->patience_us);
 	if (s->body == BRF_BODY_LENGTH && !s->end)
 		put_u64(&w.xdr, s->length);
 	put_text(&w.xdr, &s->id);
@@ -195,7 +197,8 @@
 {
 	uint32_t flags = 0;
 
-	if (!get_u32(xdr, &flags) || !get_u32(xdr, &s->timeout_us))
+	if (!get_u32(xdr, &flags) || !get_u32(xdr, &s->timeout_us) ||
+	    !get_u32(xdr, &s->patience_us))
 		return (bad(err, "send"));
 	s->repeatable = (flags & F_REPEATABLE) != 0;
 	s->nested = (flags & F_NESTED) != 0;
@@ -248,10 +251,10 @@
 	struct brf_rpc_writer w;
 
 	brf_rpc_begin_reply(&w, out, most, xid, BRF_RPC_SUCCESS);
-	put_u32(&w.xdr, (uint32_t)r->state | (r->end ? F_END : 0) |
-			    (r->arrived ? F_ARRIVED : 0) |
-			    (uint32_t)r->body << BODY_SHIFT |
-			    r->status << STATUS_SHIFT);
+	put_u32(&w.xdr,
+	    (uint32_t)r->state | (r->end ? F_END : 0) |
+		(r->arrived ? F_ARRIVED : 0) | (r->marked ? F_MARKED : 0) |
+		(uint32_t)r->body << BODY_SHIFT | r->status << STATUS_SHIFT);
 	put_load(&w.xdr, &r->load);
 	if (!answered) {
 		put_u32(&w.xdr, (uint32_t)r->reason);
@@ -304,6 +307,7 @@
 	r->state = (enum brf_hop_state)(flags & STATE_MASK);
 	r->end = (flags & F_END) != 0;
 	r->arrived = (flags & F_ARRIVED) != 0;
+	r->marked = (flags & F_MARKED) != 0;
 	r->body = (enum brf_body_kind)(flags >> BODY_SHIFT & BODY_MASK);
 	r->status = flags >> STATUS_SHIFT;
 	if (r->state == BRF_HOP_OPEN)
--- a/src/link/codec.h
+++ b/src/link/codec.h
@@ -59,12 +59,14 @@
 /**
  * struct brf_link_send - the request of a hop.
  * @timeout_us: time left; a duration, since clocks differ
+ * @patience_us: longest wait for a slot
  * @length: of the whole body, with BRF_BODY_LENGTH and without @end
  * @end: @part is the whole body
  * @part: its beginning
  */
 struct brf_link_send {
 	uint32_t timeout_us;
+	uint32_t patience_us;
 	uint32_t rank;
 	enum brf_body_kind body;
 	bool repeatable;
@@ -89,6 +91,7 @@
 	enum brf_hop_state state;
 	enum brf_reason reason;
 	bool arrived;
+	bool marked;
 	uint32_t retry_after_ms;
 	struct brf_gate_load load;
 	uint32_t status;
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -104,6 +104,9 @@
 	const struct brf_hop_request *rq = &sh->hop->request;
 	struct brf_link_send send = {
 		.timeout_us = time_left(brf_links_of(lc), rq),
+		.patience_us = rq->patience_us < UINT32_MAX
+				   ? (uint32_t)rq->patience_us
+				   : UINT32_MAX,
 		.rank = rq->rank,
 		.body = rq->body,
 		.repeatable = rq->repeatable,
@@ -181,6 +184,7 @@
 	hop->load = r.load;
 	hop->has_load = true;
 	hop->arrived = r.arrived;
+	hop->marked = r.marked;
 	hop->retry_after_ms = r.retry_after_ms;
 	if (r.state != BRF_HOP_ANSWERED) {
 		end_hop(sh, r.state, r.reason);
--- a/src/link/serve.c
+++ b/src/link/serve.c
@@ -51,6 +51,7 @@
 		.state = hop->state,
 		.reason = hop->reason,
 		.arrived = hop->arrived,
+		.marked = hop->marked,
 		.retry_after_ms = hop->retry_after_ms,
 		.load = hop->load,
 	};
@@ -118,6 +119,7 @@
 	rq->fields = keep_text(b, &send->fields);
 	rq->fields_len = send->fields.len;
 	rq->deadline = now + send->timeout_us;
+	rq->patience_us = send->patience_us;
 	rq->length = send->length;
 	rq->body = send->body;
 	rq->rank = send->rank;
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -8,8 +8,12 @@
 #define HOPS_MAX 6u	  /* gates that one request is offered to */
 #define TIMEOUT_PRESET_MS 60000u /* where a caller doesn't say how long */
 
-/* Requests sent for one that came back, by rank; see policy/throttle.h. */
-static const double margins[] = { 2.0, 1.5, 1.2 };
+/* After the deadline, for a gate's word. */
+#define LATE_US (30 * BRF_US_PER_MS)
+/* Part of its time that a request may wait for a slot. */
+#define PATIENCE_SHARE 0.3
+/* Gates without room that a request is offered to. */
+#define FULL_MAX 2u
 
 /* When a refused caller is to come back: this share of the objective, and up
  * to as much again. */
@@ -25,7 +29,11 @@
  * @up: the request's body on its way to the present hop
  * @replay: what of the body has gone there so far, for the next one
  * @spent: it is more than what is kept
+ * @parent: the request that makes it, with @has_parent
+ * @full: gates that had no room for it
  * @arrivals: targets that have seen it
+ * @deadline_asked: clock time until which its caller waits
+ * @deadline: until which the route lets it, too
  * @doubt: why it may have run; BRF_R_NONE when it has not
  * @refusal: why the last hop was not run
  * @open: a hop is under way
@@ -41,9 +49,12 @@
 	struct brf_task work;
 	struct brf_timer timer;
 	struct brf_mesh_peer *peers[HOPS_MAX];
+	struct brf_mesh_parent parent;
 	uint32_t hops;
+	uint32_t full;
 	uint32_t arrivals;
 	uint64_t began;
+	uint64_t deadline_asked;
 	uint64_t deadline;
 	enum brf_reason doubt;
 	enum brf_reason refusal;
@@ -55,6 +66,8 @@
 	bool open;
 	bool answered;
 	bool nested;
+	bool has_parent;
+	bool marked;
 };
 
 static uint64_t
@@ -69,16 +82,6 @@
 	return ((uint32_t)((now(call->callers) - call->began) / BRF_US_PER_MS));
 }
 
-static double
-margin(const struct brf_route *route)
-{
-	size_t rank = route->rank < brf_nitems(margins)
-			  ? route->rank
-			  : brf_nitems(margins) - 1;
-
-	return (margins[rank]);
-}
-
 static void
 log_end(const struct call *call, int status, enum brf_reason reason)
 {
@@ -144,6 +147,21 @@
 	    (unsigned long long)(ms / 1000), (unsigned long long)(ms % 1000));
 }
 
+/* Pass on what is known of pressure to where it can be met. */
+static void
+settle_pace(struct call *call)
+{
+	struct brf_mesh_callers *callers = call->callers;
+	uint64_t t = now(callers);
+
+	if (call->has_parent && call->marked)
+		brf_mesh_gate_mark(callers->gate, call->parent.serial);
+	if (call->admitted)
+		brf_pace_ended(
+		    &call->kept->pace, call->marked, t - call->began, t);
+	call->admitted = false;
+}
+
 /* End with an answer of this node's own. */
 static void
 answer_own(struct call *call, int status, enum brf_reason reason)
@@ -152,6 +170,7 @@
 
 	release_hop(call, BRF_PLACE_NEUTRAL);
 	call->answered = true;
+	settle_pace(call);
 	brf_timer_stop(call->callers->timers, &call->timer);
 	log_end(call, status, reason);
 	if (status == 503)
@@ -228,6 +247,26 @@
 	call->hop.up = &call->up;
 }
 
+static uint32_t
+rank(const struct call *call)
+{
+	return (call->has_parent ? call->parent.rank : call->route->rank);
+}
+
+/* What a running request needs is waited for as long as that can last. */
+static uint64_t
+patience(const struct call *call)
+{
+	const struct brf_route *route = call->route;
+	uint64_t time = route->objective_us < route->timeout_us
+			    ? route->objective_us
+			    : route->timeout_us;
+
+	if (call->nested)
+		return (UINT64_MAX);
+	return ((uint64_t)((double)time * PATIENCE_SHARE));
+}
+
 static void
 send_hop(struct call *call, struct brf_mesh_peer *peer)
 {
@@ -247,12 +286,14 @@
 		.fields = head->fields.data != NULL ? head->fields.data : "",
 		.fields_len = head->fields.len,
 		.deadline = call->deadline,
+		.patience_us = patience(call),
 		.length = head->length,
 		.body = head->body,
-		.rank = call->route->rank,
+		.rank = rank(call),
 		.repeatable = call->route->repeatable,
 		.nested = call->nested,
-		.repeat = call->arrivals > 0,
+		.repeat = call->arrivals > 0 ||
+			  (call->has_parent && call->parent.repeat),
 	};
 	if (head->body != BRF_BODY_NONE)
 		begin_body(call);
@@ -270,13 +311,13 @@
 {
 	struct brf_mesh_callers *callers = call->callers;
 	struct brf_place_request request = {
-		.rank = call->route->rank,
+		.rank = rank(call),
 		.nested = call->nested,
 		.repeatable = call->route->repeatable,
 	};
 	struct brf_mesh_peer *peer = NULL;
 
-	if (call->hops < HOPS_MAX)
+	if (call->hops < HOPS_MAX && call->full < FULL_MAX)
 		peer = brf_mesh_service_choose(call->service, &request,
 		    call->peers, call->hops, callers->random, now(callers));
 	if (peer != NULL) {
@@ -310,14 +351,17 @@
 	uint64_t t = now(call->callers);
 
 	call->refusal = hop->reason;
+	call->marked = call->marked || hop->marked;
 	if (hop->arrived)
 		call->arrivals++;
+	if (refusal_ends[hop->reason] == BRF_PLACE_FULL)
+		call->full++;
 	release_hop(call, refusal_ends[hop->reason]);
 	if (call->refusal == BRF_R_NO_TARGET && peer->target != NULL)
 		brf_directory_disprove(peer->target);
 	if (call->arrivals >= call->route->attempts || call->spent ||
 	    (call->arrivals > 0 &&
-		!brf_repeat_take(&call->service->repeats, t)))
+		!brf_repeat_take(&call->service->repeats, call->nested, t)))
 		give_up(call);
 	else
 		go_on(call);
@@ -330,11 +374,12 @@
 	uint64_t t = now(call->callers);
 
 	call->doubt = call->hop.reason;
+	call->marked = call->marked || call->hop.marked;
 	call->arrivals++;
 	release_hop(call, BRF_PLACE_LOST);
 	if (!call->route->repeatable ||
 	    call->arrivals >= call->route->attempts || call->spent ||
-	    !brf_repeat_take(&call->service->repeats, t))
+	    !brf_repeat_take(&call->service->repeats, call->nested, t))
 		give_up(call);
 	else
 		go_on(call);
@@ -345,7 +390,6 @@
 {
 	struct brf_answer_head *a = &call->hop.answer;
 	struct brf_mesh_peer *peer = call->peers[call->hops - 1];
-	bool good = a->status < 500;
 	uint64_t t = now(call->callers);
 
 	call->open = false;
@@ -353,9 +397,9 @@
 	brf_timer_stop(call->callers->timers, &call->timer);
 	brf_place_ended(&peer->place, BRF_PLACE_GOOD,
 	    call->hop.has_load ? &call->hop.load : NULL, t);
-	if (good && call->admitted)
-		brf_throttle_served(&call->kept->throttle, t);
-	if (!good)
+	call->marked = call->marked || call->hop.marked;
+	settle_pace(call);
+	if (a->status >= 500)
 		log_end(call, a->status, BRF_R_NONE);
 	brf_flow_answer(call->rq, a->status, a->fields.data, a->fields.len,
 	    a->body, a->length, &call->hop.down);
@@ -393,11 +437,24 @@
 	    (head->has_timeout ? head->timeout_ms : TIMEOUT_PRESET_MS) *
 	    BRF_US_PER_MS;
 
+	call->deadline_asked = call->began + left;
 	if (left > call->route->timeout_us)
 		left = call->route->timeout_us;
 	call->deadline = call->began + left;
 }
 
+/* Whether a running request makes this one, and which. */
+static void
+find_parent(struct call *call)
+{
+	bool matched = brf_mesh_gate_parent(
+	    call->callers->gate, call->deadline_asked, &call->parent);
+
+	call->nested =
+	    brf_kinship_judge(&call->kept->kinship, call->rq->origin, matched);
+	call->has_parent = matched && call->nested;
+}
+
 static const char *
 pick_service(struct call *call)
 {
@@ -442,9 +499,9 @@
 {
 	if (call->nested)
 		return (true);
-	call->admitted = true;
-	return (brf_throttle_admit(&call->kept->throttle, margin(call->route),
-	    call->callers->random, call->began));
+	call->admitted = brf_pace_admit(
+	    &call->kept->pace, call->callers->random, call->began);
+	return (call->admitted);
 }
 
 static void
@@ -459,22 +516,27 @@
 	call->rq = rq;
 	rq->data = call;
 	call->began = rq->arrived;
-	call->nested = rq->from.sin_addr.s_addr == callers->self.s_addr;
 	brf_task_init(&call->work, work);
 	call->timer.fire = deadline_passed;
 	call->timer.arg = call;
 	if (!find_route(call))
 		return;
 	set_deadline(call);
+	find_parent(call);
 	call->service =
 	    brf_mesh_service_get(callers->services, pick_service(call));
 	if (!admit(call)) {
 		answer_own(call, 503, BRF_R_SHED_EARLY);
 		return;
 	}
-	brf_repeat_first(&call->service->repeats, call->began);
+	if (call->has_parent && call->parent.repeat)
+		brf_repeat_forced(&call->service->repeats, call->began);
+	else
+		brf_repeat_first(&call->service->repeats, call->began);
 	brf_timer_start(callers->timers, &call->timer,
-	    call->deadline > now(callers) ? call->deadline - now(callers) : 0);
+	    call->deadline + LATE_US > now(callers)
+		? call->deadline + LATE_US - now(callers)
+		: 0);
 	go_on(call);
 }
 
@@ -500,8 +562,7 @@
 	struct call *call = rq->data;
 
 	(void)handler;
-	if (end != BRF_FLOW_SENT && call->admitted && !call->answered)
-		brf_throttle_forget(&call->kept->throttle, now(call->callers));
+	(void)end;
 	call_free(call);
 }
 
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -24,7 +24,6 @@
 /**
  * struct brf_mesh_callers - what all calls share; the first member takes the
  * server's requests.
- * @self: this VM's address, by which the target's own calls are told
  * @service: of this VM's target; may change
  * @open: calls that have not ended
  */
@@ -37,7 +36,6 @@
 	struct brf_mesh_tables *tables;
 	struct brf_mesh_services *services;
 	struct brf_mesh_gate *gate;
-	struct in_addr self;
 	const char *service;
 	size_t open;
 };
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -3,48 +3,65 @@
 #include "base/log.h"
 #include "flow/target.h"
 #include "mesh/gate.h"
-#include "policy/admission.h"
+#include "policy/lanes.h"
+#include "policy/pace.h"
 
-#define QUEUE_PER_SLOT 1u /* hops that wait, per slot */
-#define QUEUE_LEAST 16u
 #define CONNECTIONS_PRESET 1024u /* until a routing table says otherwise */
 #define WHOLE_BYTES 32768u /* of an answer that is held until it is whole */
 #define WHOLE_US (50 * BRF_US_PER_MS) /* for how long at most */
-#define LATE_US                                                       \
-	(100 * BRF_US_PER_MS) /* after the deadline, for the target's \
-			       * own word on it */
-#define SERVICE_STEP 0.05     /* weight of one run in the usual time */
+/* After the deadline, for the target's own word on it. */
+#define LATE_US (5 * BRF_US_PER_MS)
+/* Two deadlines that are one; targets tell times in milliseconds. */
+#define SAME_US (2 * BRF_US_PER_MS)
 
 /**
  * struct visit - one hop at the gate.
- * @entered: clock time
- * @running: it has a slot
  * @timer: its deadline; while an answer is held, how long that may last
+ * @serial: names it among the visits of this gate
+ * @running: it has a slot
+ * @held: its answer was held for long enough
+ * @marked: it met pressure here, or a call that it made did elsewhere
  */
 struct visit {
 	struct brf_list link;
 	struct brf_mesh_gate *gate;
 	struct brf_hop *hop;
-	struct brf_ticket ticket;
+	struct brf_lane_ticket ticket;
 	struct brf_flow_run run;
 	struct brf_task work;
 	struct brf_timer timer;
-	uint64_t entered;
+	uint64_t serial;
 	bool running;
 	bool held;
+	bool marked;
+};
+
+/**
+ * struct brf_mesh_gate_counts - since the last line in the log.
+ * @ran_us: slot time of requests that ended
+ * @marked: hops that met pressure
+ */
+struct brf_mesh_gate_counts {
+	uint64_t since;
+	uint64_t ran_us;
+	uint64_t ended;
+	uint64_t refused;
+	uint64_t failed;
+	uint64_t marked;
 };
 
 struct brf_mesh_gate {
 	struct brf_hop_backend backend;
 	struct brf_mesh_gate_config config;
 	struct brf_flow_target *target;
-	struct brf_admission *admission;
+	struct brf_lanes *lanes;
 	struct brf_notice notice;
 	struct brf_list open;
 	size_t open_count;
-	size_t running;
+	uint64_t serial;
 	enum brf_reason refusing;
-	double service_us;
+	struct brf_mesh_gate_counts counts;
+	struct brf_pace_marker marker;
 	struct brf_metric *runs;
 	struct brf_metric *refusals;
 	struct brf_metric *failures;
@@ -73,13 +90,11 @@
 void
 brf_mesh_gate_load(const struct brf_mesh_gate *gate, struct brf_gate_load *load)
 {
-	struct brf_level level;
-
-	brf_admission_level(gate->admission, &level);
-	load->running = clip(level.in_flight);
-	load->limit = clip(level.limit);
-	load->waiting = clip(level.waiting);
-	load->service_ms = clip(gate->service_us / BRF_US_PER_MS);
+	load->running = clip(brf_lanes_running(gate->lanes));
+	load->limit = clip(brf_lanes_limit(gate->lanes));
+	load->waiting = clip(brf_lanes_waiting(gate->lanes));
+	load->service_ms =
+	    clip((double)brf_lanes_service_us(gate->lanes) / BRF_US_PER_MS);
 }
 
 /* Give up the slot. */
@@ -87,18 +102,16 @@
 leave_slot(struct visit *v, bool useful)
 {
 	struct brf_mesh_gate *gate = v->gate;
-	uint64_t took = now(gate) - v->run.sent_at;
+	uint64_t took = v->run.sent_at != 0 ? now(gate) - v->run.sent_at : 0;
 
 	if (!v->running)
 		return;
 	v->running = false;
-	gate->running--;
-	if (useful) {
+	if (useful)
 		brf_histogram_add(gate->ran, took);
-		gate->service_us +=
-		    SERVICE_STEP * ((double)took - gate->service_us);
-	}
-	brf_admission_finish(gate->admission, &v->ticket, useful);
+	gate->counts.ran_us += took;
+	gate->counts.ended++;
+	brf_lanes_finish(&v->ticket, useful ? took : 0);
 }
 
 /* The visit goes; its hop stays its sender's. */
@@ -124,21 +137,37 @@
 	struct brf_hop *hop = v->hop;
 
 	hop->state = state;
+	hop->marked = v->marked;
+	if (hop->marked)
+		v->gate->counts.marked++;
 	hop->has_load = true;
 	brf_mesh_gate_load(v->gate, &hop->load);
 	brf_task_post(v->gate->config.tasks, hop->owner);
 }
 
+/* A target that sheds with slots to spare is faulty, not pressed. */
+static bool
+is_pressure(const struct brf_mesh_gate *gate, enum brf_reason reason)
+{
+	if (reason == BRF_R_TARGET_SHED)
+		return (brf_lanes_running(gate->lanes) + 1 >=
+			brf_lanes_limit(gate->lanes));
+	return (reason == BRF_R_OVERLOAD || reason == BRF_R_EXPIRED);
+}
+
 static void
 refuse(struct visit *v, enum brf_reason reason, bool arrived)
 {
 	struct brf_hop *hop = v->hop;
 
+	v->marked = v->marked || is_pressure(v->gate, reason);
 	leave_slot(v, false);
 	v->gate->refusals->value++;
+	v->gate->counts.refused++;
 	hop->reason = reason;
 	hop->arrived = arrived;
-	hop->retry_after_ms = brf_admission_retry_after_ms(v->gate->admission);
+	hop->retry_after_ms =
+	    (uint32_t)(brf_lanes_backlog_us(v->gate->lanes) / BRF_US_PER_MS);
 	report(v, BRF_HOP_REFUSED);
 	visit_free(v);
 }
@@ -150,6 +179,7 @@
 
 	leave_slot(v, false);
 	v->gate->failures->value++;
+	v->gate->counts.failed++;
 	hop->reason = reason;
 	hop->arrived = true;
 	report(v, BRF_HOP_FAILED);
@@ -304,9 +334,10 @@
 	struct brf_hop *hop = v->hop;
 
 	v->running = true;
-	gate->running++;
+	v->marked =
+	    brf_pace_mark(&gate->marker, v->ticket.rank, v->ticket.waited_us);
 	gate->runs->value++;
-	brf_histogram_add(gate->waited, now(gate) - v->entered);
+	brf_histogram_add(gate->waited, v->ticket.waited_us);
 	build_head(v);
 	run->owner = &v->work;
 	run->body = hop->up;
@@ -320,13 +351,13 @@
 }
 
 static void
-ticket_granted(struct brf_ticket *ticket)
+ticket_granted(struct brf_lane_ticket *ticket)
 {
 	start(brf_container_of(ticket, struct visit, ticket));
 }
 
 static void
-ticket_refused(struct brf_ticket *ticket, enum brf_reason reason)
+ticket_refused(struct brf_lane_ticket *ticket, enum brf_reason reason)
 {
 	refuse(brf_container_of(ticket, struct visit, ticket), reason, false);
 }
@@ -341,19 +372,10 @@
 		fail(v, BRF_R_TIMEOUT);
 		return;
 	}
-	if (brf_admission_withdraw(v->gate->admission, &v->ticket))
+	if (brf_lanes_withdraw(&v->ticket))
 		refuse(v, BRF_R_EXPIRED, false);
 }
 
-/* What running requests need goes before what begins; then by rank. */
-static uint32_t
-class_of(const struct brf_hop_request *rq)
-{
-	if (rq->nested)
-		return (0);
-	return (rq->rank + 1 < BRF_CLASSES ? rq->rank + 1 : BRF_CLASSES - 1);
-}
-
 static struct visit *
 visit_new(struct brf_mesh_gate *gate, struct brf_hop *hop)
 {
@@ -362,14 +384,14 @@
 
 	v->gate = gate;
 	v->hop = hop;
-	v->entered = now(gate);
+	v->serial = ++gate->serial;
 	brf_task_init(&v->work, work);
 	v->timer.fire = deadline_passed;
 	v->timer.arg = v;
-	v->ticket.cls = class_of(rq);
-	v->ticket.rank = v->ticket.cls * BRF_RANK_CLASS;
-	v->ticket.workspace = "";
+	v->ticket.rank = rq->rank;
+	v->ticket.nested = rq->nested;
 	v->ticket.deadline = rq->deadline;
+	v->ticket.patience_us = rq->patience_us;
 	v->ticket.grant = ticket_granted;
 	v->ticket.refuse = ticket_refused;
 	brf_list_append(&gate->open, &v->link);
@@ -404,15 +426,15 @@
 		return;
 	}
 	brf_timer_start(gate->config.timers, &v->timer,
-	    hop->request.deadline - v->entered + LATE_US);
-	switch (brf_admission_submit(gate->admission, &v->ticket, &why)) {
-	case BRF_ADMISSION_RUN:
+	    hop->request.deadline - now(gate) + LATE_US);
+	switch (brf_lanes_submit(gate->lanes, &v->ticket)) {
+	case BRF_LANES_RUN:
 		start(v);
 		break;
-	case BRF_ADMISSION_WAIT:
+	case BRF_LANES_WAIT:
 		break;
-	case BRF_ADMISSION_REFUSE:
-		refuse(v, why, false);
+	case BRF_LANES_REFUSE:
+		refuse(v, BRF_R_OVERLOAD, false);
 		break;
 	}
 }
@@ -425,8 +447,7 @@
 	(void)backend;
 	if (v == NULL)
 		return;
-	if (!v->running)
-		brf_admission_withdraw(v->gate->admission, &v->ticket);
+	brf_lanes_withdraw(&v->ticket);
 	visit_free(v);
 }
 
@@ -456,7 +477,6 @@
 brf_mesh_gate_new(const struct brf_mesh_gate_config *config)
 {
 	struct brf_mesh_gate *gate = brf_calloc(1, sizeof(*gate));
-	struct brf_admission_config admission = { .slots = 1 };
 	struct brf_flow_target_config target = {
 		.loop = config->loop,
 		.tasks = config->tasks,
@@ -470,7 +490,7 @@
 	gate->config = *config;
 	gate->refusing = BRF_R_NO_TARGET;
 	brf_list_init(&gate->open);
-	gate->admission = brf_admission_new(config->timers, &admission);
+	gate->lanes = brf_lanes_new(config->timers);
 	gate->target = brf_flow_target_new(
 	    &target, (const struct sockaddr *)&config->target);
 	make_metrics(gate);
@@ -487,30 +507,18 @@
 brf_mesh_gate_refuse(struct brf_mesh_gate *gate, enum brf_reason reason)
 {
 	gate->refusing = reason;
-	brf_admission_drain(gate->admission, reason);
+	if (reason != BRF_R_NONE)
+		brf_lanes_drain(gate->lanes, reason);
 }
 
 void
 brf_mesh_gate_notice(
     struct brf_mesh_gate *gate, const struct brf_notice *notice, bool is_new)
 {
-	struct brf_admission_config admission = {
-		.slots = notice->slots,
-		.queue = notice->slots * QUEUE_PER_SLOT > QUEUE_LEAST
-			     ? notice->slots * QUEUE_PER_SLOT
-			     : QUEUE_LEAST,
-	};
-
 	if (is_new)
 		brf_flow_target_forget(gate->target);
 	gate->notice = *notice;
-	if (is_new && gate->open_count == 0) {
-		brf_admission_free(gate->admission);
-		gate->admission =
-		    brf_admission_new(gate->config.timers, &admission);
-	} else {
-		brf_admission_configure(gate->admission, &admission);
-	}
+	brf_lanes_set_slots(gate->lanes, notice->slots);
 	if (notice->state == BRF_TARGET_READY)
 		brf_mesh_gate_refuse(gate, BRF_R_NONE);
 	else
@@ -523,6 +531,65 @@
 	brf_flow_target_bound(gate->target, most);
 }
 
+bool
+brf_mesh_gate_parent(const struct brf_mesh_gate *gate, uint64_t deadline,
+    struct brf_mesh_parent *parent)
+{
+	uint64_t nearest = SAME_US, theirs, apart;
+	const struct visit *v;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &gate->open) {
+		v = brf_list_entry(l, struct visit, link);
+		theirs = v->hop->request.deadline;
+		apart =
+		    theirs > deadline ? theirs - deadline : deadline - theirs;
+		if (!v->running || apart >= nearest)
+			continue;
+		nearest = apart;
+		parent->serial = v->serial;
+		parent->rank = v->hop->request.rank;
+		parent->repeat = v->hop->request.repeat;
+	}
+	return (nearest < SAME_US);
+}
+
+void
+brf_mesh_gate_mark(struct brf_mesh_gate *gate, uint64_t serial)
+{
+	struct brf_list *l;
+	struct visit *v;
+
+	brf_list_foreach (l, &gate->open) {
+		v = brf_list_entry(l, struct visit, link);
+		if (v->serial == serial)
+			v->marked = true;
+	}
+}
+
+void
+brf_mesh_gate_log(struct brf_mesh_gate *gate)
+{
+	struct brf_mesh_gate_counts *c = &gate->counts;
+	uint64_t t = now(gate);
+	struct brf_gate_load load;
+
+	if (c->ended + c->refused + c->failed != 0 && t > c->since) {
+		brf_mesh_gate_load(gate, &load);
+		brf_log(BRF_LOG_INFO, "gate_load",
+		    BRF_LS("target", gate->notice.id),
+		    BRF_LD("busy", (double)c->ran_us / (double)(t - c->since)),
+		    BRF_LU("limit", load.limit),
+		    BRF_LU("running", load.running),
+		    BRF_LU("waiting", load.waiting),
+		    BRF_LU("service_ms", load.service_ms),
+		    BRF_LU("ended", c->ended), BRF_LU("refused", c->refused),
+		    BRF_LU("failed", c->failed), BRF_LU("marked", c->marked));
+	}
+	memset(c, 0, sizeof(*c));
+	c->since = t;
+}
+
 size_t
 brf_mesh_gate_open(const struct brf_mesh_gate *gate)
 {
@@ -545,7 +612,7 @@
 void
 brf_mesh_gate_free(struct brf_mesh_gate *gate)
 {
-	brf_admission_free(gate->admission);
+	brf_lanes_free(gate->lanes);
 	brf_flow_target_free(gate->target);
 	free(gate);
 }
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -59,6 +59,35 @@
  */
 void brf_mesh_gate_refuse(struct brf_mesh_gate *gate, enum brf_reason reason);
 
+/**
+ * struct brf_mesh_parent - the request at the target that a call belongs to.
+ * @serial: names it to brf_mesh_gate_mark()
+ * @rank: of its root request
+ * @repeat: it was sent to another target before
+ */
+struct brf_mesh_parent {
+	uint64_t serial;
+	uint32_t rank;
+	bool repeat;
+};
+
+/**
+ * brf_mesh_gate_parent() - which running request makes a call.
+ * @deadline: of the call, clock time
+ *
+ * Calls bear no name of their parent, but end when it does.
+ *
+ * Return: whether one with the same deadline runs.
+ */
+bool brf_mesh_gate_parent(const struct brf_mesh_gate *gate, uint64_t deadline,
+    struct brf_mesh_parent *parent);
+
+/* A call of this request met pressure. */
+void brf_mesh_gate_mark(struct brf_mesh_gate *gate, uint64_t serial);
+
+/* Log how the target's slots were used since the last call. */
+void brf_mesh_gate_log(struct brf_mesh_gate *gate);
+
 /* Hops that wait or run. */
 size_t brf_mesh_gate_open(const struct brf_mesh_gate *gate);
 
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -6,6 +6,7 @@
 #include "mesh/node.h"
 
 #define SETTINGS_EVERY_US (500 * BRF_US_PER_MS) /* looks at the file */
+#define LOG_EVERY_US BRF_US_PER_S		/* lines on load */
 #define STOP_EVERY_US (50 * BRF_US_PER_MS)	/* looks at what is left */
 /* Callers are told within two questions, a second apart, that this node is
  * not ready; until then they send. */
@@ -208,6 +209,16 @@
 		reload(node, "file changed");
 }
 
+static void
+log_load(struct brf_timer *timer, void *arg)
+{
+	struct brf_mesh_node *node = arg;
+
+	brf_timer_start(node->turn.timers, timer, LOG_EVERY_US);
+	brf_mesh_gate_log(node->gate);
+	brf_mesh_tables_log(&node->tables);
+}
+
 static void
 one_closed(void *arg)
 {
@@ -224,6 +235,7 @@
 	node->closing = 5;
 	brf_timer_stop(node->turn.timers, &node->stop_poll);
 	brf_timer_stop(node->turn.timers, &node->watch_settings);
+	brf_timer_stop(node->turn.timers, &node->log_load);
 	brf_flow_server_close(node->entry, one_closed, node);
 	brf_http_server_close(node->ready, one_closed, node);
 	brf_http_server_close(node->admin, one_closed, node);
@@ -307,6 +319,8 @@
 	node->watch_settings.arg = node;
 	node->stop_poll.fire = look_at_rest;
 	node->stop_poll.arg = node;
+	node->log_load.fire = log_load;
+	node->log_load.arg = node;
 }
 
 static void
@@ -381,7 +395,6 @@
 	c->tables = &node->tables;
 	c->services = &node->services;
 	c->gate = node->gate;
-	c->self = node->settings.target.sin_addr;
 	c->service = node->settings.service;
 	brf_mesh_callers_init(c);
 }
@@ -444,6 +457,7 @@
 		return (NULL); /* the process ends */
 	brf_timer_start(
 	    node->turn.timers, &node->watch_settings, SETTINGS_EVERY_US);
+	brf_timer_start(node->turn.timers, &node->log_load, LOG_EVERY_US);
 	brf_log(BRF_LOG_INFO, "started", BRF_LS("version", BRF_VERSION),
 	    BRF_LS("zone", node->settings.zone),
 	    BRF_LS("service", node->settings.service));
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -61,6 +61,7 @@
 	struct brf_http_handler admin_handler;
 	struct brf_timer watch_settings;
 	struct brf_timer stop_poll;
+	struct brf_timer log_load;
 	enum brf_mesh_phase phase;
 	uint64_t started;
 	uint64_t stopping_since;
--- a/src/mesh/tables.h
+++ b/src/mesh/tables.h
@@ -3,8 +3,9 @@
 
 #include "base/metrics.h"
 #include "link/link.h"
+#include "policy/kinship.h"
+#include "policy/pace.h"
 #include "policy/split.h"
-#include "policy/throttle.h"
 #include "table/table.h"
 
 /**
@@ -22,7 +23,8 @@
 	struct brf_list link;
 	char *name;
 	struct brf_split split;
-	struct brf_throttle throttle;
+	struct brf_pace pace;
+	struct brf_kinship kinship;
 };
 
 /**
@@ -71,6 +73,9 @@
 bool brf_mesh_tables_offer(struct brf_mesh_tables *t, const char *text,
     size_t len, const char *source);
 
+/* Log the routes of which not all requests begin. */
+void brf_mesh_tables_log(const struct brf_mesh_tables *t);
+
 /* What is kept of @route; found or made. */
 struct brf_mesh_route *brf_mesh_tables_route(
     struct brf_mesh_tables *t, const struct brf_route *route);
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -8,14 +8,16 @@
 #define STREAK_MAX 3u	/* failures in a row before it gets nothing */
 #define EJECT_FIRST_US (500 * BRF_US_PER_MS)
 #define EJECT_MOST_US (4 * BRF_US_PER_S)
-#define FILL_FROM 0.8 /* share of slots in use that counts as filling */
+#define FULL 0.95     /* share of slots in use from which there is no room */
+#define FULL_US 100e3 /* penalty of a target without room, microseconds */
+#define UNSURE_US 1e6 /* penalty where the way there is in doubt */
 
 /* Penalties of distance, microseconds of estimated time. */
 static const double ring_penalty[BRF_PLACE_RINGS] = {
 	[BRF_PLACE_SELF] = 0,
 	[BRF_PLACE_ZONE] = 0,
-	[BRF_PLACE_REGION] = 15e3,
-	[BRF_PLACE_FAR] = 400e3,
+	[BRF_PLACE_REGION] = 10e3,
+	[BRF_PLACE_FAR] = 30e3,
 };
 
 void
@@ -54,10 +56,12 @@
 	}
 	if (t->warm_at > now)
 		service *= COLD_FACTOR;
-	load = busy(t, now) / limit;
+	load = (busy(t, now) + 1) / limit;
 	time = service;
-	if (load > FILL_FROM)
-		time *= 1 + (load - FILL_FROM) / (1 - FILL_FROM);
+	/* a slot that is free anywhere near goes before a faster one that has
+	 * to be waited for */
+	if (load > FULL)
+		time += FULL_US / BRF_US_PER_MS + service * (load - FULL);
 	return (time * BRF_US_PER_MS /
 		(t->good > GOOD_LEAST ? t->good : GOOD_LEAST));
 }
@@ -80,13 +84,14 @@
 	double c = brf_place_estimate(t, now) + ring_penalty[t->ring];
 
 	if (t->silent || t->down)
-		c += 1e6;
+		c += UNSURE_US;
 	/* of equals a random one */
 	return (c * (1 + 0.05 * brf_random_unit(random)));
 }
 
-size_t
-brf_place_choose(struct brf_place_target *const *targets, size_t count,
+/* The best of those that are near, or of those that are far. */
+static size_t
+choose(struct brf_place_target *const *targets, size_t count, bool far,
     const struct brf_place_request *request, struct brf_random *random,
     uint64_t now)
 {
@@ -94,7 +99,8 @@
 	double least = 0, c;
 
 	for (i = 0; i < count; i++) {
-		if (request->tried[i] || !may_get(targets[i], request, now))
+		if ((targets[i]->ring == BRF_PLACE_FAR) != far ||
+		    request->tried[i] || !may_get(targets[i], request, now))
 			continue;
 		c = cost(targets[i], random, now);
 		if (best == BRF_PLACE_NONE || c < least) {
@@ -105,6 +111,35 @@
 	return (best);
 }
 
+/* Whether a target in this region was tried, so that there is one. */
+static bool
+was_near(struct brf_place_target *const *targets, size_t count,
+    const struct brf_place_request *request)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (request->tried[i] && targets[i]->ring != BRF_PLACE_FAR)
+			return (true);
+	}
+	return (false);
+}
+
+size_t
+brf_place_choose(struct brf_place_target *const *targets, size_t count,
+    const struct brf_place_request *request, struct brf_random *random,
+    uint64_t now)
+{
+	size_t near = choose(targets, count, false, request, random, now);
+	bool only_important = was_near(targets, count, request);
+
+	if (near != BRF_PLACE_NONE)
+		return (near);
+	if (only_important && (request->nested || request->rank != 0))
+		return (BRF_PLACE_NONE);
+	return (choose(targets, count, true, request, random, now));
+}
+
 void
 brf_place_sent(struct brf_place_target *t, uint64_t now)
 {
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -12,10 +12,10 @@
  * nodes choose at once from what each of them saw last.
  *
  * Each candidate gets an estimate of the time until its answer: its usual
- * time, stretched by what waits there, divided by the share of its hops that
- * came back.  Distance adds a penalty in time.  The least of a random few
- * within each distance wins, so that nodes which know the same don't all
- * choose the same.
+ * time, and what waits there with a penalty for having to wait at all, divided
+ * by the share of its hops that came back. Another zone adds a small penalty.
+ * The other region, whose link is narrow and billed, is for requests that find
+ * no target in this one, and for the most important ones that find no room.
  */
 
 /**
--- a/src/policy/repeat.c
+++ b/src/policy/repeat.c
@@ -1,5 +1,7 @@
 #include "policy/repeat.h"
 
+#define NESTED_KEPT 0.5 /* of the budget, for requests that begin */
+
 void
 brf_repeat_budget_init(
     struct brf_repeat_budget *b, double ratio, uint64_t window_us)
@@ -35,24 +37,44 @@
 	b->firsts[b->step % BRF_REPEAT_STEPS]++;
 }
 
-double
-brf_repeat_left(struct brf_repeat_budget *b, uint64_t now)
+void
+brf_repeat_forced(struct brf_repeat_budget *b, uint64_t now)
+{
+	turn(b, now);
+	b->repeats[b->step % BRF_REPEAT_STEPS]++;
+}
+
+static uint64_t
+sum(const uint32_t counts[BRF_REPEAT_STEPS])
 {
-	uint64_t firsts = 0, repeats = 0;
+	uint64_t all = 0;
 	size_t i;
 
+	for (i = 0; i < BRF_REPEAT_STEPS; i++)
+		all += counts[i];
+	return (all);
+}
+
+/* Repeats that a window may have. */
+static double
+budget(struct brf_repeat_budget *b, uint64_t now)
+{
 	turn(b, now);
-	for (i = 0; i < BRF_REPEAT_STEPS; i++) {
-		firsts += b->firsts[i];
-		repeats += b->repeats[i];
-	}
-	return (b->ratio * (double)firsts - (double)repeats);
+	return (b->ratio * (double)sum(b->firsts));
+}
+
+double
+brf_repeat_left(struct brf_repeat_budget *b, uint64_t now)
+{
+	return (budget(b, now) - (double)sum(b->repeats));
 }
 
 bool
-brf_repeat_take(struct brf_repeat_budget *b, uint64_t now)
+brf_repeat_take(struct brf_repeat_budget *b, bool nested, uint64_t now)
 {
-	if (brf_repeat_left(b, now) < 1)
+	double kept = nested ? NESTED_KEPT * budget(b, now) : 0;
+
+	if (brf_repeat_left(b, now) < 1 + kept)
 		return (false);
 	b->repeats[b->step % BRF_REPEAT_STEPS]++;
 	return (true);
--- a/src/policy/repeat.h
+++ b/src/policy/repeat.h
@@ -41,12 +41,18 @@
 /* A request goes out for the first time. */
 void brf_repeat_first(struct brf_repeat_budget *b, uint64_t now);
 
+/* A request goes out that a repeated one needs: it can't be refused, and
+ * leaves less for others. */
+void brf_repeat_forced(struct brf_repeat_budget *b, uint64_t now);
+
 /**
  * brf_repeat_take() - a request would go out again.
+ * @nested: a running request needs it; a part of the budget is kept for those
+ *	that begin, since a tree of many calls is not saved by repeating one
  *
  * Return: whether it may; it is counted then.
  */
-bool brf_repeat_take(struct brf_repeat_budget *b, uint64_t now);
+bool brf_repeat_take(struct brf_repeat_budget *b, bool nested, uint64_t now);
 
 /* Repeats that brf_repeat_take() would still grant. */
 double brf_repeat_left(struct brf_repeat_budget *b, uint64_t now);
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -9,7 +9,7 @@
 	struct brf_hop hop = {};
 	struct brf_task task;
 	int posts = 0;
-	struct brf_pipe up = {};
+	std::string fields;
 
 	static void
 	count(struct brf_task *task)
@@ -57,7 +57,7 @@
 		gate = brf_mesh_gate_new(&config);
 		brf_copy_name(notice.id, sizeof(notice.id), "t-1");
 		brf_copy_name(notice.service, sizeof(notice.service), "s");
-		notice.slots = 2;
+		notice.slots = 3; /* two are used */
 		notice.sequence = 1;
 		brf_mesh_gate_notice(gate, &notice, true);
 	}
@@ -86,8 +86,11 @@
 		rq->method = "GET";
 		rq->path = "/p";
 		rq->host = "h";
-		rq->fields = "";
+		s.fields = std::string("x-id: ") + id + "\r\n";
+		rq->fields = s.fields.c_str();
+		rq->fields_len = s.fields.size();
 		rq->deadline = brf_now(&bench.turn.clock) + left_us;
+		rq->patience_us = UINT64_MAX;
 		rq->repeatable = repeatable;
 		brf_hop_send(brf_mesh_gate_backend(gate), &s.hop);
 	}
@@ -315,8 +318,9 @@
 	bench.turns(20);
 	target.serve();
 	EXPECT_EQ(target.requests(), 2u);
-	p = target.peers[0];
-	p->put(whole(s[0].hop.request.id, "a"));
+	p = target.with("x-id: 1\r\n");
+	ASSERT_NE(p, nullptr);
+	p->put(whole("1", "a"));
 	until([&] { return (target.requests() == 3); });
 	EXPECT_EQ(target.requests(), 3u);
 }
