Read the store again after any cut of a watch

Ruled out: links (peers tell their tables, but all in the region were behind). Also: keys heard of by the watch and gone at the next reading stayed, since a mark of the reading before was left on them (found by the property test). Tests: follow.a_watch_that_was_cut_misses_nothing fails before; new tests of entries, registration under lost and late writes, announcements, directory.

--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -150,6 +150,18 @@
 	brf_store_watch_start(f->config.store, &f->watch);
 }
 
+static void
+clear_read(struct brf_follow *f)
+{
+	struct brf_list *l;
+	size_t i;
+
+	for (i = 0; i < BUCKETS; i++) {
+		brf_list_foreach (l, &f->buckets[i])
+			brf_list_entry(l, struct known, link)->read = false;
+	}
+}
+
 /* What the reading did not have is gone. */
 static void
 drop_unread(struct brf_follow *f, uint64_t revision)
@@ -163,8 +175,6 @@
 			k = brf_list_entry(l, struct known, link);
 			if (!k->read && k->revision <= revision)
 				drop(f, k, revision);
-			else
-				k->read = false;
 		}
 	}
 }
@@ -192,6 +202,7 @@
 	}
 	f->revision = answer->revision;
 	heard(f);
+	clear_read(f);
 	for (i = 0; i < answer->count; i++)
 		take(f, &answer->kvs[i]);
 	drop_unread(f, answer->revision);
@@ -219,15 +230,8 @@
 	struct brf_follow *f =
 	    brf_container_of(watch, struct brf_follow, watch);
 
-	if (err->code == BRF_E_STORE_COMPACTED) {
-		brf_log(BRF_LOG_INFO, "store_history_gone",
-		    BRF_LS("prefix", f->config.prefix),
-		    BRF_LU("revision", f->revision));
-		read_all(&f->timer, f);
-		return;
-	}
 	lose(f, err);
-	later(f, start_watch);
+	later(f, read_all);
 }
 
 struct brf_follow *
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -8,9 +8,10 @@
 /**
  * DOC: What the store has under a prefix, kept up to date.
  *
- * Reads all of it once, then watches from that revision on.  A watch that ends
- * is taken up where it stopped; when the history for that is gone, all is read
- * again, and keys that are no longer there count as deleted.  What was learned
+ * Reads all of it once, then watches from that revision on.  When a watch ends
+ * for any reason all is read again: a store that forgets its history may take
+ * up a watch at a place that it does not have any more, and never tell what
+ * was lost.  Keys that are no longer there count as deleted.  What was learned
  * stays while the store can't be reached.
  */
 
--- /dev/null
+++ b/test/fleet_test.cc
@@ -0,0 +1,489 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+#include "fleet/directory.h"
+#include "fleet/follow.h"
+#include "fleet/local.h"
+#include "fleet/register.h"
+#include "store_fake.h"
+
+namespace
+{
+
+/* Virtual time, a store in memory, and who uses it. */
+struct fleet_bench {
+	struct brf_clock_manual clock;
+	struct brf_timers *timers;
+	struct brf_random_seeded random;
+	struct fake_store store;
+
+	fleet_bench()
+	{
+		brf_clock_manual_init(&clock, 1000000);
+		timers = brf_timers_new(&clock.clock);
+		brf_random_seeded_init(&random, 5);
+	}
+
+	~fleet_bench()
+	{
+		brf_timers_free(timers);
+	}
+
+	void
+	advance(uint64_t us)
+	{
+		clock.now += us;
+		brf_timers_run(timers);
+	}
+
+	/* Everything gets through until nothing more is wanted. */
+	void
+	settle()
+	{
+		for (int i = 0; i < 60; i++) {
+			while (!store.waiting.empty())
+				store.step(DELIVER);
+			store.tell();
+			advance(100000);
+		}
+	}
+};
+
+struct copy {
+	std::map<std::string, std::string> values;
+	std::map<std::string, uint64_t> revisions;
+	int synced = 0;
+	bool went_back = false;
+
+	static void
+	set(void *arg, const struct brf_store_kv *kv)
+	{
+		auto *c = static_cast<struct copy *>(arg);
+
+		if (kv->revision <= c->revisions[kv->key])
+			c->went_back = true;
+		c->revisions[kv->key] = kv->revision;
+		c->values[kv->key].assign(kv->value, kv->len);
+	}
+
+	static void
+	gone(void *arg, const char *key, uint64_t revision)
+	{
+		(void)revision;
+		static_cast<struct copy *>(arg)->values.erase(key);
+	}
+
+	static void
+	all_read(void *arg)
+	{
+		static_cast<struct copy *>(arg)->synced++;
+	}
+};
+
+struct brf_follow *
+follow(struct fleet_bench &b, struct copy &c)
+{
+	struct brf_follow_config config = { &b.store.store, b.timers,
+		&b.random.random, "p/", copy::set, copy::gone, copy::all_read,
+		&c };
+
+	return (brf_follow_new(&config));
+}
+
+TEST(follow, reads_once_and_hears_of_changes)
+{
+	struct fleet_bench b;
+	struct copy c;
+
+	b.store.put("p/a", "1");
+	b.store.put("q/a", "other");
+	struct brf_follow *f = follow(b, c);
+
+	b.settle();
+	EXPECT_EQ(
+	    c.values, (std::map<std::string, std::string>{ { "p/a", "1" } }));
+	b.store.put("p/b", "2");
+	b.store.remove("p/a");
+	b.settle();
+	EXPECT_EQ(
+	    c.values, (std::map<std::string, std::string>{ { "p/b", "2" } }));
+	EXPECT_EQ(b.store.reads, 1u);
+	brf_follow_free(f);
+}
+
+/*
+ * A watch that is taken up again hears nothing of what was changed while its
+ * history went: whoever only takes it up never learns of that.
+ */
+TEST(follow, a_watch_that_was_cut_misses_nothing)
+{
+	struct fleet_bench b;
+	struct copy c;
+
+	b.store.put("p/a", "1");
+	b.store.put("p/b", "1");
+	struct brf_follow *f = follow(b, c);
+
+	b.settle();
+	b.store.silent = true; /* for all watches from now on */
+	b.store.put("p/a", "2");
+	b.store.remove("p/b");
+	b.store.break_watches(BRF_E_CLOSED);
+	b.settle();
+	EXPECT_EQ(
+	    c.values, (std::map<std::string, std::string>{ { "p/a", "2" } }));
+	brf_follow_free(f);
+}
+
+TEST(follow, what_is_known_stays_while_the_store_is_away)
+{
+	struct fleet_bench b;
+	struct copy c;
+
+	b.store.put("p/a", "1");
+	struct brf_follow *f = follow(b, c);
+
+	b.settle();
+	b.store.break_watches(BRF_E_CLOSED);
+	for (int i = 0; i < 40; i++) {
+		b.advance(500000);
+		b.store.step(NOT_SENT);
+	}
+	EXPECT_EQ(c.values.count("p/a"), 1u);
+	b.store.put("p/a", "2");
+	b.settle();
+	EXPECT_EQ(c.values["p/a"], "2");
+	brf_follow_free(f);
+}
+
+RC_GTEST_PROP(follow, ends_at_what_the_store_has_and_never_goes_back, ())
+{
+	struct fleet_bench b;
+	struct copy c;
+	struct brf_follow *f = follow(b, c);
+	auto steps =
+	    *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
+
+	for (int s : steps) {
+		std::string key = std::string("p/") + (char)('a' + s % 3);
+
+		switch (s) {
+		case 0:
+		case 1:
+		case 2:
+			b.store.put(key, std::to_string(b.store.revision));
+			break;
+		case 3:
+			if (!b.store.value(key).empty())
+				b.store.remove(key);
+			break;
+		case 4:
+			b.store.step(*rc::gen::element(
+			    DELIVER, LOSE_REQUEST, LOSE_ANSWER, NOT_SENT));
+			break;
+		case 5:
+			b.store.tell();
+			break;
+		case 6:
+			b.store.break_watches(*rc::gen::element(
+			    BRF_E_CLOSED, BRF_E_STORE_COMPACTED));
+			break;
+		case 7:
+			b.store.silent = !b.store.silent;
+			break;
+		default:
+			b.advance(200000);
+		}
+	}
+	b.store.break_watches(BRF_E_CLOSED);
+	b.store.silent = false;
+	b.settle();
+	std::map<std::string, std::string> want;
+	for (const char *key : { "p/a", "p/b", "p/c" })
+		if (!b.store.value(key).empty())
+			want[key] = b.store.value(key);
+	RC_ASSERT(c.values == want);
+	RC_ASSERT(!c.went_back);
+	brf_follow_free(f);
+}
+
+struct brf_entry
+entry(const char *id, enum brf_target_state state = BRF_TARGET_READY)
+{
+	struct brf_entry e = {};
+
+	brf_copy_name(e.id, sizeof(e.id), id);
+	brf_copy_name(e.service, sizeof(e.service), "s");
+	brf_copy_name(e.zone, sizeof(e.zone), "z");
+	brf_copy_name(e.region, sizeof(e.region), "r");
+	e.gate.sin_family = AF_INET;
+	e.gate.sin_port = htons(7);
+	e.gate.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	e.slots = 5;
+	e.state = state;
+	return (e);
+}
+
+std::string
+text(const struct brf_entry &e)
+{
+	struct brf_buf b = {};
+	std::string s;
+
+	brf_entry_write(&e, &b);
+	s.assign(b.data, b.len);
+	brf_buf_free(&b);
+	return (s);
+}
+
+const std::string key = std::string(BRF_ENTRY_PREFIX) + "t-1";
+
+TEST(registration, writes_under_a_lease_and_keeps_it)
+{
+	struct fleet_bench b;
+	struct brf_register *r =
+	    brf_register_new(&b.store.store, b.timers, &b.random.random);
+	struct brf_entry e = entry("t-1");
+
+	brf_register_set(r, &e);
+	b.settle();
+	EXPECT_EQ(b.store.value(key), text(e));
+	EXPECT_EQ(b.store.leases.size(), 1u);
+	brf_register_end(r);
+	b.settle();
+	EXPECT_EQ(b.store.value(key), "");
+	brf_register_free(r);
+}
+
+TEST(registration, a_lapsed_lease_is_replaced_and_the_entry_is_back)
+{
+	struct fleet_bench b;
+	struct brf_register *r =
+	    brf_register_new(&b.store.store, b.timers, &b.random.random);
+	struct brf_entry e = entry("t-1");
+
+	brf_register_set(r, &e);
+	b.settle();
+	b.store.lapse(b.store.granted);
+	EXPECT_EQ(b.store.value(key), "");
+	uint64_t since = b.clock.now;
+	while (b.store.value(key).empty() && b.clock.now < since + 10000000) {
+		while (!b.store.waiting.empty())
+			b.store.step(DELIVER);
+		b.advance(50000);
+	}
+	EXPECT_EQ(b.store.value(key), text(e));
+	EXPECT_LE(b.clock.now - since, 2100000u);
+	brf_register_free(r);
+}
+
+/* The first write is late, and comes after the second one. */
+TEST(registration, a_late_write_does_not_undo_a_later_one)
+{
+	struct fleet_bench b;
+	struct brf_register *r =
+	    brf_register_new(&b.store.store, b.timers, &b.random.random);
+	struct brf_entry ready = entry("t-1");
+	struct brf_entry left = entry("t-1", BRF_TARGET_LEFT);
+
+	brf_register_set(r, &ready);
+	b.store.step(DELIVER); /* the lease */
+	b.store.step(DELAY);   /* the entry */
+	brf_register_set(r, &left);
+	b.settle();
+	EXPECT_EQ(b.store.value(key), text(left));
+	b.store.run_late();
+	b.settle();
+	EXPECT_EQ(b.store.value(key), text(left));
+	brf_register_free(r);
+}
+
+RC_GTEST_PROP(registration, ends_at_what_was_asked_for_last, ())
+{
+	struct fleet_bench b;
+	struct brf_register *r =
+	    brf_register_new(&b.store.store, b.timers, &b.random.random);
+	struct brf_entry last = entry("t-1");
+	auto steps =
+	    *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+
+	brf_register_set(r, &last);
+	for (int s : steps) {
+		switch (s) {
+		case 0:
+			last.slots++;
+			brf_register_set(r, &last);
+			break;
+		case 1:
+		case 2:
+			b.store.step(*rc::gen::element(DELIVER, LOSE_REQUEST,
+			    LOSE_ANSWER, DELAY, NOT_SENT));
+			break;
+		case 3:
+			b.store.run_late();
+			break;
+		case 4:
+			if (b.store.granted != 0)
+				b.store.lapse(b.store.granted);
+			break;
+		default:
+			b.advance(300000);
+		}
+	}
+	b.settle();
+	b.store.run_late();
+	b.settle();
+	RC_ASSERT(b.store.value(key) == text(last));
+	brf_register_free(r);
+}
+
+struct brf_notice
+notice(const char *id, uint64_t born, uint64_t sequence,
+    enum brf_target_state state = BRF_TARGET_READY)
+{
+	struct brf_notice n = {};
+
+	brf_copy_name(n.id, sizeof(n.id), id);
+	n.born = born;
+	n.sequence = sequence;
+	n.state = state;
+	n.slots = 1;
+	return (n);
+}
+
+TEST(local, announcements_in_a_table)
+{
+	struct {
+		const char *what;
+		struct brf_notice n;
+		enum brf_local_result want;
+	} cases[] = {
+		{ "first", notice("a", 10, 1), BRF_LOCAL_REPLACED },
+		{ "next", notice("a", 10, 2), BRF_LOCAL_UPDATED },
+		{ "again", notice("a", 10, 2), BRF_LOCAL_STALE },
+		{ "late", notice("a", 10, 1), BRF_LOCAL_STALE },
+		{ "drains", notice("a", 10, 3, BRF_TARGET_DRAINING),
+		    BRF_LOCAL_UPDATED },
+		{ "late, from before", notice("a", 10, 2), BRF_LOCAL_STALE },
+		{ "same id, another life", notice("a", 20, 1),
+		    BRF_LOCAL_REPLACED },
+		{ "the life before", notice("a", 10, 9), BRF_LOCAL_STALE },
+		{ "another target", notice("b", 30, 1), BRF_LOCAL_REPLACED },
+		{ "the one before", notice("a", 20, 9), BRF_LOCAL_STALE },
+		{ "an older one, new here", notice("c", 25, 9),
+		    BRF_LOCAL_STALE },
+	};
+	struct brf_local l = {};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(brf_local_notice(&l, &c.n), c.want) << c.what;
+	EXPECT_STREQ(l.current.id, "b");
+}
+
+TEST(local, who_has_left_does_not_come_back_but_starts_again)
+{
+	struct brf_local l = {};
+	struct brf_notice n = notice("a", 10, 5);
+
+	brf_local_notice(&l, &n);
+	EXPECT_FALSE(brf_local_leave(&l, "x"));
+	EXPECT_TRUE(brf_local_leave(&l, "a"));
+	EXPECT_EQ(l.current.state, BRF_TARGET_LEFT);
+	n = notice("a", 10, 6);
+	EXPECT_EQ(brf_local_notice(&l, &n), BRF_LOCAL_STALE);
+	n = notice("a", 11, 1);
+	EXPECT_EQ(brf_local_notice(&l, &n), BRF_LOCAL_REPLACED);
+}
+
+/* Watches the directory. */
+struct seen {
+	struct brf_directory_watcher w;
+	std::map<std::string, bool> lapsed;
+
+	static void
+	changed(struct brf_directory_watcher *w, struct brf_directory_target *t,
+	    bool is_new)
+	{
+		(void)is_new;
+		reinterpret_cast<struct seen *>(w)->lapsed[t->entry.id] =
+		    t->lapsed;
+	}
+
+	static void
+	gone(struct brf_directory_watcher *w, struct brf_directory_target *t)
+	{
+		reinterpret_cast<struct seen *>(w)->lapsed.erase(t->entry.id);
+	}
+};
+
+TEST(directory, a_lapsed_target_stays_for_a_while_and_one_that_left_goes)
+{
+	struct fleet_bench b;
+	struct seen s = { { seen::changed, seen::gone }, {} };
+	struct brf_directory *d =
+	    brf_directory_new(&b.store.store, b.timers, &b.random.random, &s.w);
+
+	b.store.put(key, text(entry("t-1")));
+	b.store.put(std::string(BRF_ENTRY_PREFIX) + "t-2", text(entry("t-2")));
+	b.store.put(std::string(BRF_ENTRY_PREFIX) + "t-3", "{broken");
+	b.settle();
+	EXPECT_EQ(s.lapsed, (std::map<std::string, bool>{
+				{ "t-1", false }, { "t-2", false } }));
+	b.store.remove(key);
+	b.store.put(std::string(BRF_ENTRY_PREFIX) + "t-2",
+	    text(entry("t-2", BRF_TARGET_LEFT)));
+	b.settle();
+	EXPECT_EQ(s.lapsed, (std::map<std::string, bool>{ { "t-1", true } }));
+	b.store.put(key, text(entry("t-1")));
+	b.settle();
+	EXPECT_EQ(s.lapsed, (std::map<std::string, bool>{ { "t-1", false } }));
+	b.store.remove(key);
+	for (int i = 0; i < 5; i++)
+		b.settle();
+	EXPECT_TRUE(s.lapsed.empty());
+	brf_directory_free(d);
+}
+
+TEST(entry, what_is_written_is_read)
+{
+	struct brf_entry e = entry("t-1", BRF_TARGET_DRAINING), back;
+	struct brf_error err;
+	std::string s = text(e);
+
+	ASSERT_TRUE(
+	    brf_entry_read(&back, key.c_str(), s.data(), s.size(), &err));
+	EXPECT_EQ(text(back), s);
+	EXPECT_STREQ(back.id, "t-1");
+}
+
+TEST(entry, what_names_no_target_in_a_table)
+{
+	const char *texts[] = { "", "null", "[]", "{}", "{\"service\":1}",
+		"\xff\xfe", "{\"service\":\"s\"}" };
+	struct brf_entry e;
+	struct brf_error err;
+	std::string good = text(entry("t-1"));
+
+	for (const char *t : texts)
+		EXPECT_FALSE(
+		    brf_entry_read(&e, key.c_str(), t, strlen(t), &err))
+		    << t;
+	for (const char *k :
+	    { "bulrushford/targets/", "other/t-1", "bulrushford/targets/a/b" })
+		EXPECT_FALSE(
+		    brf_entry_read(&e, k, good.data(), good.size(), &err))
+		    << k;
+	for (auto from : { "\"slots\":5", "\"state\":\"ready\"",
+		 "\"gate\":\"127.0.0.1:7\"" }) {
+		std::string bad = good;
+
+		bad.replace(bad.find(from), strlen(from), "\"x\":0");
+		EXPECT_FALSE(brf_entry_read(
+		    &e, key.c_str(), bad.data(), bad.size(), &err))
+		    << from;
+	}
+}
+
+} // namespace
--- a/test/store_fake.h
+++ b/test/store_fake.h
@@ -24,6 +24,8 @@
 		uint64_t revision;
 		std::string key;
 		std::string value;
+		uint64_t lease = 0;
+		bool deleted = false;
 	};
 
 	struct job {
@@ -48,6 +50,8 @@
 	std::list<open_watch> watches;
 	bool silent = false;
 	bool ignores_compare = false; /* a broken store, to prove oracles */
+	std::vector<uint64_t> leases; /* those that have not lapsed */
+	uint64_t granted = 0;
 	uint64_t reads = 0;
 	uint64_t opened = 0;
 
@@ -69,7 +73,7 @@
 	start(struct brf_store *store, struct brf_store_call *call)
 	{
 		const struct brf_store_request &r = call->request;
-		job j = { call, r, r.key, "" };
+		job j = { call, r, r.key != nullptr ? r.key : "", "" };
 
 		if (r.value != nullptr)
 			j.value.assign(r.value, r.len);
@@ -110,12 +114,52 @@
 	}
 
 	uint64_t
-	put(const std::string &key, const std::string &value)
+	put(const std::string &key, const std::string &value,
+	    uint64_t lease = 0)
 	{
-		log.push_back({ ++revision, key, value });
+		log.push_back({ ++revision, key, value, lease, false });
 		return (revision);
 	}
 
+	void
+	remove(const std::string &key)
+	{
+		log.push_back({ ++revision, key, "", 0, true });
+	}
+
+	bool
+	has_lease(uint64_t lease) const
+	{
+		return (std::find(leases.begin(), leases.end(), lease) !=
+			leases.end());
+	}
+
+	/* The lease is over; its keys go. */
+	void
+	lapse(uint64_t lease)
+	{
+		std::vector<std::string> keys;
+
+		leases.erase(std::remove(leases.begin(), leases.end(), lease),
+		    leases.end());
+		for (const change &c : log) {
+			if (get(c.key, revision) == &c && c.lease == lease &&
+			    !c.deleted)
+				keys.push_back(c.key);
+		}
+		for (const std::string &key : keys)
+			remove(key);
+	}
+
+	/* Value of a key now; empty when there is none. */
+	std::string
+	value(const std::string &key) const
+	{
+		const change *c = get(key, revision);
+
+		return (c != nullptr && !c->deleted ? c->value : "");
+	}
+
 	void
 	go_back(uint64_t to)
 	{
@@ -130,10 +174,14 @@
 	{
 		const change *now = get(j.key, revision);
 
+		if (now != nullptr && now->deleted)
+			now = nullptr;
 		if (j.request.compare && !ignores_compare &&
 		    j.request.expect != (now != nullptr ? now->revision : 0))
 			return (false);
-		put(j.key, j.value);
+		if (j.request.lease != 0 && !has_lease(j.request.lease))
+			return (false);
+		put(j.key, j.value, j.request.lease);
 		return (true);
 	}
 
@@ -169,7 +217,7 @@
 			    j.request.prefix
 				? c.key.compare(0, j.key.size(), j.key) == 0
 				: c.key == j.key;
-			if (fits && get(c.key, at) == &c)
+			if (fits && !c.deleted && get(c.key, at) == &c)
 				found.push_back(&c);
 		}
 		if (j.request.newest && found.size() > 1)
@@ -194,6 +242,11 @@
 		}
 		answer.outcome = outcome;
 		answer.revision = revision;
+		answer.lease = granted;
+		answer.ttl_s = has_lease(j.request.lease) ||
+				       j.request.op == BRF_STORE_GRANT
+				   ? 8
+				   : 0;
 		if (outcome == BRF_STORE_CONFLICT)
 			answer.err.code = BRF_E_CONFLICT;
 		answer.kvs = kvs.data();
@@ -204,6 +257,15 @@
 	void
 	deliver(const job &j)
 	{
+		if (j.request.op == BRF_STORE_PUT && j.request.lease != 0 &&
+		    !has_lease(j.request.lease)) {
+			fail(j, BRF_STORE_REFUSED, BRF_E_NOT_FOUND);
+			return;
+		}
+		if (j.request.op == BRF_STORE_GRANT)
+			leases.push_back(++granted);
+		if (j.request.op == BRF_STORE_REVOKE)
+			lapse(j.request.lease);
 		if (j.request.op == BRF_STORE_PUT) {
 			bool ok = apply(j);
 
@@ -211,7 +273,8 @@
 			    j, ok ? BRF_STORE_DONE : BRF_STORE_CONFLICT);
 			return;
 		}
-		reads++;
+		if (j.request.op == BRF_STORE_GET)
+			reads++;
 		if (j.request.at_revision != 0 &&
 		    j.request.at_revision < compacted)
 			fail(j, BRF_STORE_REFUSED, BRF_E_STORE_COMPACTED);
@@ -271,6 +334,7 @@
 				kv.value = const_cast<char *>(c.value.data());
 				kv.len = c.value.size();
 				kv.revision = c.revision;
+				kv.deleted = c.deleted;
 				kvs.push_back(kv);
 			}
 			if (w.from <= revision)
