Tell calls from requests that begin by the services that send them

Cause: calls and new requests come to one listener and look alike; taking calls for beginnings let started work be refused, and marks met the wrong routes. A gate now sees which services send a route's requests: callers sit beside targets of all services, calls come from their own service alone.

--- a/src/flow/head.h
+++ b/src/flow/head.h
@@ -44,7 +44,7 @@
 	BRF_BODY_CLOSE
 };
 
-#define BRF_HEAD_ID_MAX 511u  /* bytes of a request id; calls add to it */
+#define BRF_HEAD_ID_MAX 511u   /* bytes of a request id; calls add to it */
 #define BRF_HEAD_HOST_MAX 255u /* bytes of a host, RFC 1035 */
 #define BRF_HEAD_METHOD 16u    /* bytes of a method with its NUL */
 
--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -84,6 +84,7 @@
  * @reason: why, unless BRF_HOP_ANSWERED
  * @arrived: the target has seen it, also when it refused
  * @marked: it met pressure, there or in the calls that it made
+ * @inner: requests like it come from some services' VMs only
  * @has_load: @load is filled
  * @retry_after_ms: with BRF_HOP_REFUSED, when to come back; 0 for no word
  * @down: body of the answer; its reader is @owner unless the sender sets
@@ -98,6 +99,7 @@
 	enum brf_reason reason;
 	bool arrived;
 	bool marked;
+	bool inner;
 	bool has_load;
 	struct brf_gate_load load;
 	uint32_t retry_after_ms;
--- a/src/flow/server.h
+++ b/src/flow/server.h
@@ -54,22 +54,10 @@
 
 struct brf_flow_conn;
 
-/**
- * struct brf_flow_origin - what the handler remembers of one connection;
- * zeroed at first.
- * @requests: that came on it
- * @calls: of them, those that a request running here was seen to make
- */
-struct brf_flow_origin {
-	uint32_t requests;
-	uint32_t calls;
-};
-
 /**
  * struct brf_flow_request - one request; the server's.
  * @head: as it was read
  * @body: comes in here; the handler sets its reader
- * @origin: the connection's, for the handler
  * @arrived: clock time at which the head was whole
  * @data: the handler's
  *
@@ -78,7 +66,6 @@
 struct brf_flow_request {
 	struct brf_request_head head;
 	struct brf_pipe body;
-	struct brf_flow_origin *origin;
 	uint64_t arrived;
 	void *data;
 	struct brf_flow_conn *conn;
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -113,7 +113,6 @@
 	struct brf_flow_request *r = brf_calloc(1, sizeof(*r));
 
 	r->conn = c;
-	r->origin = &c->origin;
 	r->arrived = now(c);
 	brf_pipe_init(&r->body, c->server->config.tasks);
 	r->body.writer = &c->work;
--- a/src/flow/server_impl.h
+++ b/src/flow/server_impl.h
@@ -38,7 +38,6 @@
 	uv_tcp_t tcp;
 	uv_shutdown_t shutdown;
 	struct brf_flow_server *server;
-	struct brf_flow_origin origin;
 	struct brf_writer writer;
 	struct brf_task work;
 	struct brf_timer timer;
--- a/src/link/codec.c
+++ b/src/link/codec.c
@@ -12,6 +12,7 @@
 #define F_BROKEN 0x40u
 #define F_ARRIVED 0x80u
 #define F_MARKED 0x100u
+#define F_INNER 0x200u
 #define BODY_SHIFT 4
 #define BODY_MASK 0x3u
 #define RANK_SHIFT 8
@@ -254,7 +255,8 @@
 	put_u32(&w.xdr,
 	    (uint32_t)r->state | (r->end ? F_END : 0) |
 		(r->arrived ? F_ARRIVED : 0) | (r->marked ? F_MARKED : 0) |
-		(uint32_t)r->body << BODY_SHIFT | r->status << STATUS_SHIFT);
+		(r->inner ? F_INNER : 0) | (uint32_t)r->body << BODY_SHIFT |
+		r->status << STATUS_SHIFT);
 	put_load(&w.xdr, &r->load);
 	if (!answered) {
 		put_u32(&w.xdr, (uint32_t)r->reason);
@@ -308,6 +310,7 @@
 	r->end = (flags & F_END) != 0;
 	r->arrived = (flags & F_ARRIVED) != 0;
 	r->marked = (flags & F_MARKED) != 0;
+	r->inner = (flags & F_INNER) != 0;
 	r->body = (enum brf_body_kind)(flags >> BODY_SHIFT & BODY_MASK);
 	r->status = flags >> STATUS_SHIFT;
 	if (r->state == BRF_HOP_OPEN)
--- a/src/link/codec.h
+++ b/src/link/codec.h
@@ -92,6 +92,7 @@
 	enum brf_reason reason;
 	bool arrived;
 	bool marked;
+	bool inner;
 	uint32_t retry_after_ms;
 	struct brf_gate_load load;
 	uint32_t status;
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -185,6 +185,7 @@
 	hop->has_load = true;
 	hop->arrived = r.arrived;
 	hop->marked = r.marked;
+	hop->inner = r.inner;
 	hop->retry_after_ms = r.retry_after_ms;
 	if (r.state != BRF_HOP_ANSWERED) {
 		end_hop(sh, r.state, r.reason);
--- a/src/link/serve.c
+++ b/src/link/serve.c
@@ -52,6 +52,7 @@
 		.reason = hop->reason,
 		.arrived = hop->arrived,
 		.marked = hop->marked,
+		.inner = hop->inner,
 		.retry_after_ms = hop->retry_after_ms,
 		.load = hop->load,
 	};
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -10,8 +10,9 @@
 
 /* After the deadline, for a gate's word. */
 #define LATE_US (30 * BRF_US_PER_MS)
-/* Part of its time that a request may wait for a slot. */
+/* Part of its time that a request may wait for a slot, or a call. */
 #define PATIENCE_SHARE 0.3
+#define PATIENCE_NESTED 0.5
 /* Gates without room that a request is offered to. */
 #define FULL_MAX 2u
 
@@ -253,7 +254,8 @@
 	return (call->has_parent ? call->parent.rank : call->route->rank);
 }
 
-/* What a running request needs is waited for as long as that can last. */
+/* What waits below holds slots above, so that calls, too, are refused before
+ * a queue is long; the requests that make them are paced meanwhile. */
 static uint64_t
 patience(const struct call *call)
 {
@@ -262,9 +264,8 @@
 			    ? route->objective_us
 			    : route->timeout_us;
 
-	if (call->nested)
-		return (UINT64_MAX);
-	return ((uint64_t)((double)time * PATIENCE_SHARE));
+	return ((uint64_t)((double)time *
+			   (call->nested ? PATIENCE_NESTED : PATIENCE_SHARE)));
 }
 
 static void
@@ -342,6 +343,14 @@
 	[BRF_R_NOT_SENT] = BRF_PLACE_LOST,
 };
 
+/* The gate has told whether requests like this one are calls. */
+static void
+learn_kinship(struct call *call)
+{
+	if (call->hop.has_load)
+		brf_kinship_told(&call->kept->kinship, call->hop.inner);
+}
+
 /* The request was not run there. */
 static void
 hop_refused(struct call *call)
@@ -350,6 +359,7 @@
 	struct brf_mesh_peer *peer = call->peers[call->hops - 1];
 	uint64_t t = now(call->callers);
 
+	learn_kinship(call);
 	call->refusal = hop->reason;
 	call->marked = call->marked || hop->marked;
 	if (hop->arrived)
@@ -373,6 +383,7 @@
 {
 	uint64_t t = now(call->callers);
 
+	learn_kinship(call);
 	call->doubt = call->hop.reason;
 	call->marked = call->marked || call->hop.marked;
 	call->arrivals++;
@@ -397,6 +408,7 @@
 	brf_timer_stop(call->callers->timers, &call->timer);
 	brf_place_ended(&peer->place, BRF_PLACE_GOOD,
 	    call->hop.has_load ? &call->hop.load : NULL, t);
+	learn_kinship(call);
 	call->marked = call->marked || call->hop.marked;
 	settle_pace(call);
 	if (a->status >= 500)
@@ -447,12 +459,10 @@
 static void
 find_parent(struct call *call)
 {
-	bool matched = brf_mesh_gate_parent(
-	    call->callers->gate, call->deadline_asked, &call->parent);
-
-	call->nested =
-	    brf_kinship_judge(&call->kept->kinship, call->rq->origin, matched);
-	call->has_parent = matched && call->nested;
+	call->nested = brf_kinship_is_call(&call->kept->kinship);
+	call->has_parent =
+	    call->nested && brf_mesh_gate_parent(call->callers->gate,
+				call->deadline_asked, &call->parent);
 }
 
 static const char *
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -11,11 +11,10 @@
 #define WHOLE_US (50 * BRF_US_PER_MS) /* for how long at most */
 /* After the deadline, for the target's own word on it. */
 #define LATE_US (5 * BRF_US_PER_MS)
-/* Two deadlines that are one; targets tell times in milliseconds. */
-#define SAME_US (2 * BRF_US_PER_MS)
 
 /**
  * struct visit - one hop at the gate.
+ * @route: what is remembered of its route; NULL when it has none here
  * @timer: its deadline; while an answer is held, how long that may last
  * @serial: names it among the visits of this gate
  * @running: it has a slot
@@ -28,6 +27,7 @@
 	struct brf_hop *hop;
 	struct brf_lane_ticket ticket;
 	struct brf_flow_run run;
+	struct brf_mesh_route *route;
 	struct brf_task work;
 	struct brf_timer timer;
 	uint64_t serial;
@@ -138,6 +138,9 @@
 
 	hop->state = state;
 	hop->marked = v->marked;
+	hop->inner =
+	    v->route != NULL &&
+	    brf_kinship_is_inner(&v->route->kinship, *v->gate->config.services);
 	if (hop->marked)
 		v->gate->counts.marked++;
 	hop->has_load = true;
@@ -376,6 +379,18 @@
 		refuse(v, BRF_R_EXPIRED, false);
 }
 
+static struct brf_mesh_route *
+find_route(struct brf_mesh_gate *gate, const struct brf_hop_request *rq)
+{
+	struct brf_mesh_tables *tables = gate->config.tables;
+	const struct brf_route *route;
+
+	if (tables->current == NULL)
+		return (NULL);
+	route = brf_table_match(tables->current, rq->host, rq->path);
+	return (route != NULL ? brf_mesh_tables_route(tables, route) : NULL);
+}
+
 static struct visit *
 visit_new(struct brf_mesh_gate *gate, struct brf_hop *hop)
 {
@@ -385,6 +400,9 @@
 	v->gate = gate;
 	v->hop = hop;
 	v->serial = ++gate->serial;
+	v->route = find_route(gate, rq);
+	if (v->route != NULL)
+		brf_kinship_visit(&v->route->kinship, rq->caller);
 	brf_task_init(&v->work, work);
 	v->timer.fire = deadline_passed;
 	v->timer.arg = v;
@@ -531,27 +549,71 @@
 	brf_flow_target_bound(gate->target, most);
 }
 
-bool
-brf_mesh_gate_parent(const struct brf_mesh_gate *gate, uint64_t deadline,
-    struct brf_mesh_parent *parent)
+static uint64_t
+apart(const struct visit *v, uint64_t deadline)
+{
+	uint64_t theirs = v->hop->request.deadline;
+
+	return (theirs > deadline ? theirs - deadline : deadline - theirs);
+}
+
+/* Learn from a call which routes' requests make calls. */
+static void
+compare_all(const struct brf_mesh_gate *gate, uint64_t deadline)
+{
+	struct brf_list *l;
+	struct visit *v;
+
+	brf_list_foreach (l, &gate->open) {
+		v = brf_list_entry(l, struct visit, link);
+		if (v->running && v->route != NULL)
+			brf_kinship_compare(
+			    &v->route->kinship, apart(v, deadline));
+	}
+}
+
+/* The one that ends together with @deadline, or else one of those that end
+ * later, by how many calls requests like it make. */
+static struct visit *
+find_caller(const struct brf_mesh_gate *gate, uint64_t deadline)
 {
-	uint64_t nearest = SAME_US, theirs, apart;
-	const struct visit *v;
+	uint64_t nearest = BRF_KINSHIP_SAME_US;
+	struct visit *v, *same = NULL, *later = NULL;
+	double sum = 0, weight;
 	struct brf_list *l;
 
 	brf_list_foreach (l, &gate->open) {
 		v = brf_list_entry(l, struct visit, link);
-		theirs = v->hop->request.deadline;
-		apart =
-		    theirs > deadline ? theirs - deadline : deadline - theirs;
-		if (!v->running || apart >= nearest)
+		if (!v->running || v->route == NULL)
 			continue;
-		nearest = apart;
-		parent->serial = v->serial;
-		parent->rank = v->hop->request.rank;
-		parent->repeat = v->hop->request.repeat;
+		weight = brf_kinship_weight(&v->route->kinship);
+		if (apart(v, deadline) < nearest) {
+			nearest = apart(v, deadline);
+			same = v;
+		}
+		if (v->hop->request.deadline < deadline)
+			continue;
+		sum += weight;
+		if (brf_random_unit(gate->config.random) * sum < weight)
+			later = v;
 	}
-	return (nearest < SAME_US);
+	return (same != NULL ? same : later);
+}
+
+bool
+brf_mesh_gate_parent(struct brf_mesh_gate *gate, uint64_t deadline,
+    struct brf_mesh_parent *parent)
+{
+	struct visit *v;
+
+	compare_all(gate, deadline);
+	v = find_caller(gate, deadline);
+	if (v == NULL)
+		return (false);
+	parent->serial = v->serial;
+	parent->rank = v->hop->request.rank;
+	parent->repeat = v->hop->request.repeat;
+	return (true);
 }
 
 void
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -8,6 +8,7 @@
 #include "base/timer.h"
 #include "fleet/local.h"
 #include "flow/hop.h"
+#include "mesh/tables.h"
 
 /**
  * DOC: The only way to this VM's target, for streams.
@@ -24,6 +25,8 @@
 /**
  * struct brf_mesh_gate_config - what brf_mesh_gate_new() needs; all of it
  * outlives the gate.
+ * @tables: by which requests are told apart
+ * @services: all services that there are, see policy/kinship.h
  * @target: address of this VM's target
  */
 struct brf_mesh_gate_config {
@@ -31,7 +34,10 @@
 	struct brf_tasks *tasks;
 	struct brf_timers *timers;
 	struct brf_metrics *metrics;
+	struct brf_random *random;
 	const struct brf_field_names *names;
+	struct brf_mesh_tables *tables;
+	const uint64_t *services;
 	struct sockaddr_in target;
 };
 
@@ -72,14 +78,13 @@
 };
 
 /**
- * brf_mesh_gate_parent() - which running request makes a call.
+ * brf_mesh_gate_parent() - which running request makes a call, see
+ * policy/kinship.h.
  * @deadline: of the call, clock time
  *
- * Calls bear no name of their parent, but end when it does.
- *
- * Return: whether one with the same deadline runs.
+ * Return: whether one was found.
  */
-bool brf_mesh_gate_parent(const struct brf_mesh_gate *gate, uint64_t deadline,
+bool brf_mesh_gate_parent(struct brf_mesh_gate *gate, uint64_t deadline,
     struct brf_mesh_parent *parent);
 
 /* A call of this request met pressure. */
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -330,7 +330,10 @@
 		.tasks = &node->turn.tasks,
 		.timers = node->turn.timers,
 		.metrics = node->metrics,
+		.random = node->random,
 		.names = node->adapter->names,
+		.tables = &node->tables,
+		.services = &node->services.names,
 		.target = node->settings.target };
 	struct brf_links_config links = { .loop = &node->loop,
 		.tasks = &node->turn.tasks,
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "mesh/services.h"
+#include "policy/kinship.h"
 
 static bool
 same_address(const struct sockaddr_in *a, const struct sockaddr_in *b)
@@ -61,6 +62,20 @@
 	}
 }
 
+static void
+note_names(struct brf_mesh_services *s)
+{
+	struct brf_mesh_service *service;
+	struct brf_list *l;
+
+	s->names = 0;
+	brf_list_foreach (l, &s->list) {
+		service = brf_list_entry(l, struct brf_mesh_service, link);
+		if (service->count != 0)
+			s->names |= brf_kinship_bit(service->name);
+	}
+}
+
 static void
 enter_service(struct brf_mesh_peer *peer, struct brf_mesh_service *service)
 {
@@ -115,6 +130,7 @@
 		add(s, t);
 	peer = t->data;
 	update(peer, t);
+	note_names(s);
 	if (t->lapsed && peer->place.ring == BRF_PLACE_SELF)
 		s->lapsed_here(s->arg, peer->id);
 }
@@ -146,6 +162,7 @@
 
 	peer->target = NULL;
 	leave_service(peer);
+	note_names(s);
 	if (peer->link != NULL && !shares_link(s, peer->link))
 		brf_link_forget(peer->link);
 	peer->link = NULL;
--- a/src/mesh/services.h
+++ b/src/mesh/services.h
@@ -60,12 +60,14 @@
 /**
  * struct brf_mesh_services - all services; hears of changes as a watcher of
  * the directory.
+ * @names: of the services that have targets, see policy/kinship.h
  * @lapsed_here: the entry of this VM's target has lapsed
  */
 struct brf_mesh_services {
 	struct brf_directory_watcher watcher;
 	struct brf_mesh_services_config config;
 	struct brf_list list;
+	uint64_t names;
 	void (*lapsed_here)(void *arg, const char *id);
 	void *arg;
 };
--- a/src/policy/kinship.c
+++ b/src/policy/kinship.c
@@ -1,24 +1,65 @@
+#include <xxhash.h>
+
 #include "policy/kinship.h"
 
-#define STEP 0.02      /* weight of one request in a route's share */
-#define ROUTE_FROM 0.3 /* share from which a route's requests are calls */
-#define CALLS_LEAST 2u /* matches that make a connection a target's */
-#define CONN_FROM 0.2  /* share of matches that it must have, too */
+#define BITS 64u
+#define TOLD_STEP 0.1	/* weight of one gate's word */
+#define CALL_FROM 0.5	/* from which a route's requests are taken for calls */
+#define VISITS_LEAST 8u /* before the calls of a route are reckoned with */
+#define WEIGHT_LEAST 0.02 /* of a route of which no calls were seen */
+
+uint64_t
+brf_kinship_bit(const char *service)
+{
+	return (1ull << XXH3_64bits(service, strlen(service)) % BITS);
+}
+
+void
+brf_kinship_visit(struct brf_kinship *k, const char *caller)
+{
+	k->visits++;
+	k->callers |= brf_kinship_bit(caller);
+}
+
+bool
+brf_kinship_is_inner(const struct brf_kinship *k, uint64_t services)
+{
+	uint32_t count = (uint32_t)__builtin_popcountll(services);
+
+	return (k->visits >= BRF_KINSHIP_SAMPLES * count &&
+		(services & ~k->callers) != 0);
+}
 
-static bool
-is_targets(const struct brf_flow_origin *origin)
+void
+brf_kinship_told(struct brf_kinship *k, bool inner)
 {
-	return (origin->calls >= CALLS_LEAST &&
-		origin->calls > CONN_FROM * origin->requests);
+	k->inner += TOLD_STEP * ((inner ? 1.0 : 0.0) - k->inner);
 }
 
 bool
-brf_kinship_judge(
-    struct brf_kinship *k, struct brf_flow_origin *origin, bool matched)
+brf_kinship_is_call(const struct brf_kinship *k)
+{
+	return (k->inner > CALL_FROM);
+}
+
+void
+brf_kinship_compare(struct brf_kinship *k, uint64_t apart_us)
 {
-	origin->requests++;
-	if (matched)
-		origin->calls++;
-	k->share += STEP * ((matched ? 1.0 : 0.0) - k->share);
-	return (is_targets(origin) || k->share > ROUTE_FROM);
+	if (apart_us < BRF_KINSHIP_SAME_US)
+		k->same++;
+	else if (apart_us < BRF_KINSHIP_NEAR_US)
+		k->near++;
+}
+
+double
+brf_kinship_weight(const struct brf_kinship *k)
+{
+	double chance = (double)k->near * BRF_KINSHIP_SAME_US /
+			(BRF_KINSHIP_NEAR_US - BRF_KINSHIP_SAME_US);
+
+	double seen = k->same > chance ? k->same - chance : 0;
+
+	if (k->visits < VISITS_LEAST)
+		return (WEIGHT_LEAST);
+	return (seen / k->visits + WEIGHT_LEAST);
 }
--- a/src/policy/kinship.h
+++ b/src/policy/kinship.h
@@ -1,38 +1,78 @@
 #ifndef BRF_KINSHIP_H
 #define BRF_KINSHIP_H
 
-#include "flow/server.h"
+#include "base/random.h"
 
 /**
- * DOC: Telling the calls of running requests from requests that begin.
+ * DOC: Which requests are calls that running requests make, and whose.
  *
  * Load it answers: a target's own calls and the requests of callers on its VM
- * come to one listener, and calls bear no name of their parent.  A call ends
- * when its parent does, so a request whose deadline is that of a running one
- * is likely its call; but a call may have a shorter time of its own, and two
- * deadlines may be alike by chance.  Connections belong to one or the other,
- * and so do most routes, so what was seen of them decides.
+ * come to one listener, and calls bear no name of their parent.
+ *
+ * Callers sit on the VMs of all services, while a target's calls come from the
+ * VMs of its own service alone.  So a gate remembers the services from which a
+ * route's requests came, and tells with its answers whether some never send
+ * any: such a route's requests are calls.
+ *
+ * A call ends no later than its parent.  When it ends together with a running
+ * request, that is the parent; when its own time is shorter, the parent is one
+ * of those that end later, of a route whose requests were seen to make calls.
  */
 
+/* Requests of a route, per service, before it is judged. */
+#define BRF_KINSHIP_SAMPLES 8u
+
+/* Two ends that are one; targets tell times in milliseconds. */
+#define BRF_KINSHIP_SAME_US (2 * BRF_US_PER_MS)
+#define BRF_KINSHIP_NEAR_US (10 * BRF_US_PER_MS)
+
 /**
  * struct brf_kinship - of one route; a zeroed struct has seen nothing.
- * @share: of its requests that had a running request's deadline; fades
+ * @callers: services that send its requests, as bits of their names' hash
+ * @visits: its requests at this node's gate
+ * @same: calls here that ended together with one of its requests
+ * @near: calls that ended within BRF_KINSHIP_NEAR_US of one, but not together;
+ *	so many are alike by chance
+ * @inner: what gates say of its requests that begin here, fading; 1 for calls
  */
 struct brf_kinship {
-	double share;
+	uint64_t callers;
+	uint32_t visits;
+	uint32_t same;
+	uint32_t near;
+	double inner;
 };
 
 BRF_BEGIN_DECLS
 
+/* The bit of a service in a set of them. */
+uint64_t brf_kinship_bit(const char *service);
+
+/* A request has come to this node's gate from the VM of a @caller's target. */
+void brf_kinship_visit(struct brf_kinship *k, const char *caller);
+
 /**
- * brf_kinship_judge() - a request has come.
- * @origin: its connection
- * @matched: its deadline is that of a running request
- *
- * Return: whether it is taken for a running request's call.
+ * brf_kinship_is_inner() - whether its requests are calls, as this gate has
+ * seen them.
+ * @services: all services that there are
+ */
+bool brf_kinship_is_inner(const struct brf_kinship *k, uint64_t services);
+
+/* A gate has said whether they are. */
+void brf_kinship_told(struct brf_kinship *k, bool inner);
+
+/* Whether requests of the route that begin here are calls. */
+bool brf_kinship_is_call(const struct brf_kinship *k);
+
+/* A call ends @apart_us from one of the route's running requests. */
+void brf_kinship_compare(struct brf_kinship *k, uint64_t apart_us);
+
+/**
+ * brf_kinship_weight() - calls that one of its requests makes, as far as they
+ * were seen and were not alike by chance; a little where none were, since
+ * calls with a shorter time of their own are alike with none.
  */
-bool brf_kinship_judge(
-    struct brf_kinship *k, struct brf_flow_origin *origin, bool matched);
+double brf_kinship_weight(const struct brf_kinship *k);
 
 BRF_END_DECLS
 
--- a/src/policy/pace.c
+++ b/src/policy/pace.c
@@ -1,7 +1,7 @@
 #include "policy/pace.h"
 
 #define MARKS_CLEAN 0.02 /* share of marks that counts as next to none */
-#define CUT 0.3		 /* of the share, by the share of marks */
+#define CUT 0.3
 #define RISE_FIRST 0.02	 /* in a round, and after the first without marks */
 #define RISE_MOST 0.08	 /* after many of those */
 #define TOOK_STEP 0.1	 /* weight of one request in the usual time */
--- a/src/policy/pace.h
+++ b/src/policy/pace.h
@@ -25,7 +25,7 @@
 	0.02 /* share that always begins, to see what is there \
 	      */
 #define BRF_PACE_ROUND_MIN_US (100 * BRF_US_PER_MS)
-#define BRF_PACE_ROUND_MAX_US (1000 * BRF_US_PER_MS)
+#define BRF_PACE_ROUND_MAX_US (500 * BRF_US_PER_MS)
 
 /**
  * struct brf_pace - of one route; start with brf_pace_init().
