Write the steps of failed and late requests, and hold lines for their reader

Lines on one request: request_sent for each gate it was offered to, with the load that was known and its age, and request_failed, _late, _left or _ended; hop_* at the gate.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,3 +1,5 @@
+#include <limits.h>
+#include <poll.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -23,6 +25,10 @@
 	char node[64];
 	struct brf_buf line;
 	struct event_rate rates[LOG_EVENTS];
+	struct brf_log_counts counts;
+	struct brf_buf held;
+	uint64_t untold; /* dropped, and not yet said so */
+	bool holding;
 } logger = { .fd = STDERR_FILENO, .least = BRF_LOG_INFO };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
@@ -32,6 +38,8 @@
 {
 	logger.fd = fd;
 	logger.least = least;
+	logger.holding = false;
+	brf_buf_clear(&logger.held);
 	brf_copy_name(
 	    logger.node, sizeof(logger.node), node != NULL ? node : "");
 }
@@ -68,7 +76,7 @@
 
 /* Return: whether the line may be written; @left_out since the last one. */
 static bool
-pass_rate(const char *event, uint32_t *left_out)
+pass_rate(const char *event, uint32_t burst, uint32_t *left_out)
 {
 	struct event_rate *rate = find_rate(event);
 	uint64_t second = brf_now(brf_clock_system()) / BRF_US_PER_S;
@@ -80,9 +88,10 @@
 		*left_out = rate->left_out;
 		rate->left_out = 0;
 	}
-	if (rate->count++ < BRF_LOG_BURST)
+	if (rate->count++ < burst)
 		return (true);
 	rate->left_out++;
+	logger.counts.left_out++;
 	return (false);
 }
 
@@ -137,14 +146,86 @@
 	}
 }
 
+/* Whether writing PIPE_BUF bytes will not wait. */
+static bool
+takes_more(void)
+{
+	struct pollfd p = { .fd = logger.fd, .events = POLLOUT };
+
+	return (poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0);
+}
+
 void
-brf_log_write(enum brf_log_level level, const char *event,
+brf_log_flush(void)
+{
+	struct brf_buf *held = &logger.held;
+	size_t done = 0, part;
+	ssize_t n;
+
+	while (done < held->len && takes_more()) {
+		part = held->len - done;
+		if (part > PIPE_BUF)
+			part = PIPE_BUF;
+		n = write(logger.fd, held->data + done, part);
+		if (n <= 0)
+			break; /* nobody is left to tell */
+		done += (size_t)n;
+	}
+	brf_buf_consume(held, done);
+}
+
+size_t
+brf_log_held(void)
+{
+	return (logger.held.len);
+}
+
+void
+brf_log_hold(void)
+{
+	logger.holding = true;
+}
+
+void
+brf_log_counts(struct brf_log_counts *counts)
+{
+	*counts = logger.counts;
+}
+
+static void
+put_line(const struct brf_buf *line)
+{
+	logger.counts.lines++;
+	logger.counts.bytes += line->len;
+	if (logger.holding)
+		brf_buf_add(&logger.held, line->data, line->len);
+	else if (write(logger.fd, line->data, line->len) < 0)
+		return; /* nobody is left to tell */
+}
+
+/* Return: false when the reader is too far behind. */
+static bool
+has_room(void)
+{
+	if (logger.held.len < BRF_LOG_HELD_MAX)
+		return (true);
+	brf_log_flush();
+	if (logger.held.len < BRF_LOG_HELD_MAX)
+		return (true);
+	logger.counts.dropped++;
+	logger.untold++;
+	return (false);
+}
+
+void
+brf_log_write_each(enum brf_log_level level, const char *event, uint32_t burst,
     const struct brf_log_field *fields)
 {
 	struct brf_buf *b = &logger.line;
 	uint32_t left_out;
 
-	if (level < logger.least || !pass_rate(event, &left_out))
+	if (level < logger.least || !pass_rate(event, burst, &left_out) ||
+	    !has_room())
 		return;
 	brf_buf_clear(b);
 	put_time(b);
@@ -156,7 +237,17 @@
 		put_field(b, fields);
 	if (left_out != 0)
 		brf_buf_printf(b, ",\"left_out\":%u", left_out);
+	if (logger.untold != 0)
+		brf_buf_printf(b, ",\"dropped\":%llu",
+		    (unsigned long long)logger.untold);
+	logger.untold = 0;
 	brf_buf_puts(b, "}\n");
-	if (write(logger.fd, b->data, b->len) < 0)
-		return; /* nobody is left to tell */
+	put_line(b);
+}
+
+void
+brf_log_write(enum brf_log_level level, const char *event,
+    const struct brf_log_field *fields)
+{
+	brf_log_write_each(level, event, BRF_LOG_BURST, fields);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -8,11 +8,19 @@
  * DOC: Structured log: one JSON object a line.
  *
  * Each line has "time" (UTC, RFC 3339), "level", "event" and the fields
- * given.  An event that comes more often than BRF_LOG_BURST times in a second
- * is left out for the rest of it; the next line says how many were left out.
+ * given.  An event that comes more often than BRF_LOG_BURST times in a second,
+ * or BRF_LOG_REQUEST_BURST for one that tells of a single request, is left out
+ * for the rest of it; the next line says how many were left out.
+ *
+ * A program with a loop holds lines and writes them together, as far as their
+ * reader takes them at once: a reader that has stopped never stops the
+ * program.  What does not fit is dropped, and the next line written says how
+ * much.
  */
 
 #define BRF_LOG_BURST 20u
+#define BRF_LOG_REQUEST_BURST 200u
+#define BRF_LOG_HELD_MAX 65536u /* bytes of lines that wait for their reader */
 
 enum brf_log_level {
 	BRF_LOG_DEBUG,
@@ -67,6 +75,20 @@
 		.type = BRF_LOG_FAILURE, .name = "error", .v.err = (x) \
 	}
 
+/**
+ * struct brf_log_counts - since the program began.
+ * @lines: written or held
+ * @bytes: of them
+ * @left_out: for coming too often
+ * @dropped: for want of a reader
+ */
+struct brf_log_counts {
+	uint64_t lines;
+	uint64_t bytes;
+	uint64_t left_out;
+	uint64_t dropped;
+};
+
 /**
  * brf_log() - write a line.
  * @level: enum brf_log_level
@@ -79,6 +101,13 @@
 	    (const struct brf_log_field[]){ \
 		__VA_ARGS__ __VA_OPT__(, ){ .type = BRF_LOG_END } })
 
+/* A line on a single request. */
+#define brf_log_request(level, event, ...)    \
+	brf_log_write_each((level), (event),  \
+	    BRF_LOG_REQUEST_BURST,            \
+	    (const struct brf_log_field[]){   \
+		__VA_ARGS__ __VA_OPT__(, ){ .type = BRF_LOG_END } })
+
 BRF_BEGIN_DECLS
 
 /**
@@ -97,6 +126,21 @@
 void brf_log_write(enum brf_log_level level, const char *event,
     const struct brf_log_field *fields);
 
+/* The same with another bound on the event's lines in a second. */
+void brf_log_write_each(enum brf_log_level level, const char *event,
+    uint32_t burst, const struct brf_log_field *fields);
+
+/* From now on hold lines until brf_log_flush(). */
+void brf_log_hold(void);
+
+/* Bytes that are held. */
+size_t brf_log_held(void);
+
+/* Write what is held, as far as the reader takes it without waiting. */
+void brf_log_flush(void);
+
+void brf_log_counts(struct brf_log_counts *counts);
+
 BRF_END_DECLS
 
 #endif
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -232,6 +232,17 @@
 	return (true);
 }
 
+static void
+log_up(struct brf_link_conn *lc)
+{
+	struct brf_link *link = lc->link;
+
+	lc->up = true;
+	brf_log(BRF_LOG_INFO, "link_up", BRF_LS("peer", link->name),
+	    BRF_LU("failures", link->failures));
+	link->failures = 0;
+}
+
 static bool
 on_message(struct brf_conn *conn, const struct brf_record *record,
     struct brf_error *err)
@@ -245,8 +256,8 @@
 	lc->heard = brf_links_now(brf_links_of(lc));
 	lc->asked = 0;
 	lc->silent = false;
-	if (lc->link != NULL)
-		lc->link->failures = 0;
+	if (lc->link != NULL && !lc->up)
+		log_up(lc);
 	if (!brf_rpc_read(&xdr, record, &header, err) ||
 	    !brf_link_conn_common(lc, &header, &xdr, record, &known, err))
 		return (false);
@@ -323,7 +334,7 @@
 	link->lc = NULL;
 	if (!links->closing) {
 		mark_down(link);
-		brf_log(BRF_LOG_INFO, "link_lost", BRF_LE(err),
+		brf_log(BRF_LOG_INFO, "link_lost", BRF_LS("peer", link->name), BRF_LE(err),
 		    BRF_LU("failures", link->failures));
 	}
 	end_queue(link);
@@ -381,7 +392,10 @@
 	if (silence >= BRF_LINK_SILENT_US && !lc->silent) {
 		lc->silent = true;
 		links->silences->value++;
-		brf_log(BRF_LOG_INFO, "link_silent", BRF_LU("open", lc->open));
+		brf_log(BRF_LOG_INFO, "link_silent",
+		    BRF_LS("peer", lc->link != NULL ? lc->link->name : ""),
+		    BRF_LU("open", lc->open),
+		    BRF_LU("silent_ms", silence / BRF_US_PER_MS));
 	}
 	if (silence >= BRF_LINK_PING_US && lc->asked == 0) {
 		lc->asked = brf_links_now(links);
--- a/src/link/impl.h
+++ b/src/link/impl.h
@@ -59,6 +59,7 @@
 	uint64_t asked;
 	bool connected;
 	bool silent;
+	bool up; /* the other side was heard */
 	bool fetching;
 };
 
@@ -112,6 +113,7 @@
 	struct brf_links *links;
 	struct brf_list member;
 	struct sockaddr_in addr;
+	char name[INET_ADDRSTRLEN + 8]; /* address and port */
 	struct brf_link_conn *lc;
 	struct brf_list queue;
 	uint64_t down_until;
--- a/src/link/links.c
+++ b/src/link/links.c
@@ -1,5 +1,7 @@
 #include <stdlib.h>
 
+#include <arpa/inet.h>
+
 #include "base/log.h"
 #include "link/impl.h"
 
@@ -95,6 +97,16 @@
 	return (NULL);
 }
 
+static void
+name_link(struct brf_link *link)
+{
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &link->addr.sin_addr, ip, sizeof(ip));
+	snprintf(link->name, sizeof(link->name), "%s:%u", ip,
+	    ntohs(link->addr.sin_port));
+}
+
 struct brf_link *
 brf_links_get(struct brf_links *links, const struct sockaddr_in *addr)
 {
@@ -108,6 +120,7 @@
 	link->backend.vt = &brf_link_backend_vt;
 	link->links = links;
 	link->addr = *addr;
+	name_link(link);
 	brf_list_init(&link->queue);
 	brf_list_append(&links->links, &link->member);
 	return (link);
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -3,9 +3,10 @@
 #include "base/log.h"
 #include "mesh/call.h"
 #include "mesh/gate.h"
+#include "mesh/trail.h"
 
 #define REPLAY_MAX 65536u /* bytes of a body that are kept for another hop */
-#define HOPS_MAX 6u	  /* gates that one request is offered to */
+#define HOPS_MAX BRF_TRAIL_HOPS
 #define TIMEOUT_PRESET_MS 60000u /* where a caller doesn't say how long */
 
 /* After the deadline, for a gate's word. */
@@ -69,6 +70,7 @@
 	bool nested;
 	bool has_parent;
 	bool marked;
+	struct brf_trail trail;
 };
 
 static uint64_t
@@ -78,25 +80,78 @@
 }
 
 static uint32_t
-elapsed_ms(const struct call *call)
+rank(const struct call *call)
+{
+	return (call->has_parent ? call->parent.rank : call->route->rank);
+}
+
+static uint64_t
+elapsed(const struct call *call)
+{
+	return (now(call->callers) - call->began);
+}
+
+static void
+log_end(struct call *call, const char *event, int status,
+    enum brf_reason reason, uint64_t retry_after_ms)
+{
+	struct brf_trail_end end = {
+		.event = event,
+		.id = call->rq->head.id,
+		.route = call->route,
+		.service = call->service != NULL ? call->service->name : "",
+		.revision =
+		    call->table != NULL ? brf_table_revision(call->table) : 0,
+		.rank = call->route != NULL ? rank(call) : 0,
+		.nested = call->nested,
+		.parent = call->has_parent ? call->parent.serial : 0,
+		.took_us = elapsed(call),
+		.allowed_us = call->deadline - call->began,
+		.status = status,
+		.reason = reason,
+		.retry_after_ms = retry_after_ms,
+	};
+
+	if (call->deadline == 0)
+		end.allowed_us = 0;
+	if (call->kept != NULL)
+		call->trail.share = call->kept->pace.share;
+	if (call->service != NULL)
+		call->trail.budget = brf_repeat_left(
+		    &call->service->repeats, now(call->callers));
+	brf_trail_write(&call->trail, &end);
+}
+
+/* The gate that the request is offered to, as it is known now. */
+static void
+begin_trail_hop(struct call *call, const struct brf_mesh_peer *peer)
 {
-	return ((uint32_t)((now(call->callers) - call->began) / BRF_US_PER_MS));
+	struct brf_trail_hop *th = &call->trail.hops[call->trail.count++];
+	uint64_t t = now(call->callers);
+
+	th->target = peer->id;
+	th->ring = brf_place_ring_name(peer->place.ring);
+	th->at_us = t - call->began;
+	th->known = peer->place.load;
+	th->known_age_us =
+	    peer->place.load_at != 0 ? t - peer->place.load_at : UINT64_MAX;
+	th->estimate_us = brf_place_estimate(&peer->place, t);
+	th->repeat = call->arrivals > 0;
 }
 
 static void
-log_end(const struct call *call, int status, enum brf_reason reason)
+end_trail_hop(struct call *call)
 {
-	brf_log(BRF_LOG_INFO, "request_failed",
-	    BRF_LS("request", call->rq->head.id),
-	    BRF_LS("route", call->route != NULL ? call->route->name : ""),
-	    BRF_LS("service", call->service != NULL ? call->service->name : ""),
-	    BRF_LU("status", (uint64_t)status),
-	    BRF_LS("reason", brf_reason_name(reason)),
-	    BRF_LU("hops", call->hops), BRF_LU("arrivals", call->arrivals),
-	    BRF_LU("ms", elapsed_ms(call)),
-	    BRF_LU("table",
-		call->table != NULL ? brf_table_revision(call->table) : 0),
-	    BRF_LU("nested", call->nested));
+	struct brf_trail_hop *th = &call->trail.hops[call->trail.count - 1];
+	const struct brf_hop *hop = &call->hop;
+
+	th->took_us = elapsed(call) - th->at_us;
+	th->state = hop->state;
+	th->reason = hop->reason;
+	th->arrived = hop->arrived;
+	th->marked = hop->marked;
+	th->has_told = hop->has_load;
+	th->told = hop->load;
 }
 
 /* End the hop that is under way, if any, without an answer. */
@@ -109,7 +164,8 @@
 		return;
 	call->open = false;
 	peer = call->peers[call->hops - 1];
-	brf_place_ended(&peer->place, end,
+	end_trail_hop(call);
+	brf_mesh_peer_ended(peer, end,
 	    call->hop.has_load ? &call->hop.load : NULL, now(call->callers));
 	brf_hop_release(&call->hop);
 }
@@ -132,8 +188,8 @@
 	free(call);
 }
 
-/* Seconds with fractions, as callers honour them. */
-static void
+/* Seconds with fractions, as callers honour them.  Return: the time, ms. */
+static uint64_t
 put_retry_after(struct call *call, struct brf_buf *fields)
 {
 	uint64_t base = RETURN_PRESET_MS, ms;
@@ -146,6 +202,7 @@
 	ms = base + brf_random_below(call->callers->random, base + 1);
 	brf_buf_printf(fields, "retry-after: %llu.%03llu\r\n",
 	    (unsigned long long)(ms / 1000), (unsigned long long)(ms % 1000));
+	return (ms);
 }
 
 /* Pass on what is known of pressure to where it can be met. */
@@ -168,14 +225,15 @@
 answer_own(struct call *call, int status, enum brf_reason reason)
 {
 	struct brf_buf fields = { .data = NULL };
+	uint64_t retry_after_ms = 0;
 
 	release_hop(call, BRF_PLACE_NEUTRAL);
 	call->answered = true;
 	settle_pace(call);
 	brf_timer_stop(call->callers->timers, &call->timer);
-	log_end(call, status, reason);
 	if (status == 503)
-		put_retry_after(call, &fields);
+		retry_after_ms = put_retry_after(call, &fields);
+	log_end(call, "request_failed", status, reason, retry_after_ms);
 	brf_flow_answer(
 	    call->rq, status, fields.data, fields.len, BRF_BODY_NONE, 0, NULL);
 	brf_buf_free(&fields);
@@ -248,12 +306,6 @@
 	call->hop.up = &call->up;
 }
 
-static uint32_t
-rank(const struct call *call)
-{
-	return (call->has_parent ? call->parent.rank : call->route->rank);
-}
-
 /* What waits below holds slots above, so that calls, too, are refused before
  * a queue is long; the requests that make them are paced meanwhile. */
 static uint64_t
@@ -300,6 +352,7 @@
 		begin_body(call);
 	call->peers[call->hops++] = peer;
 	call->open = true;
+	begin_trail_hop(call, peer);
 	brf_place_sent(&peer->place, now(callers));
 	brf_hop_send(peer->link != NULL ? brf_link_backend(peer->link)
 					: brf_mesh_gate_backend(callers->gate),
@@ -396,6 +449,19 @@
 		go_on(call);
 }
 
+static void
+log_answer(struct call *call)
+{
+	int status = call->hop.answer.status;
+
+	if (status >= 500)
+		log_end(call, "request_failed", status, BRF_R_NONE, 0);
+	else if (elapsed(call) > call->route->objective_us)
+		log_end(call, "request_late", status, BRF_R_NONE, 0);
+	else if (brf_trail_is_sampled(call->rq->head.id))
+		log_end(call, "request_ended", status, BRF_R_NONE, 0);
+}
+
 static void
 hop_answered(struct call *call)
 {
@@ -406,13 +472,13 @@
 	call->open = false;
 	call->answered = true;
 	brf_timer_stop(call->callers->timers, &call->timer);
-	brf_place_ended(&peer->place, BRF_PLACE_GOOD,
+	end_trail_hop(call);
+	brf_mesh_peer_ended(peer, BRF_PLACE_GOOD,
 	    call->hop.has_load ? &call->hop.load : NULL, t);
 	learn_kinship(call);
 	call->marked = call->marked || call->hop.marked;
 	settle_pace(call);
-	if (a->status >= 500)
-		log_end(call, a->status, BRF_R_NONE);
+	log_answer(call);
 	brf_flow_answer(call->rq, a->status, a->fields.data, a->fields.len,
 	    a->body, a->length, &call->hop.down);
 }
@@ -572,7 +638,14 @@
 	struct call *call = rq->data;
 
 	(void)handler;
-	(void)end;
+	if (end == BRF_FLOW_GONE) {
+		release_hop(call, BRF_PLACE_NEUTRAL);
+		log_end(call, "request_left", 0, BRF_R_CANCELLED, 0);
+	} else if (end == BRF_FLOW_CUT) {
+		log_end(call, "request_failed", 0, BRF_R_BROKEN_ANSWER, 0);
+	} else if (end == BRF_FLOW_REFUSED) {
+		log_end(call, "request_failed", 0, BRF_R_MALFORMED, 0);
+	}
 	call_free(call);
 }
 
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "flow/target.h"
 #include "mesh/gate.h"
+#include "mesh/trail.h"
 #include "policy/lanes.h"
 #include "policy/pace.h"
 
@@ -16,6 +17,7 @@
  * struct visit - one hop at the gate.
  * @route: what is remembered of its route; NULL when it has none here
  * @timer: its deadline; while an answer is held, how long that may last
+ * @came: clock time when it came
  * @serial: names it among the visits of this gate
  * @running: it has a slot
  * @held: its answer was held for long enough
@@ -30,6 +32,7 @@
 	struct brf_mesh_route *route;
 	struct brf_task work;
 	struct brf_timer timer;
+	uint64_t came;
 	uint64_t serial;
 	bool running;
 	bool held;
@@ -97,12 +100,45 @@
 	    clip((double)brf_lanes_service_us(gate->lanes) / BRF_US_PER_MS);
 }
 
+/* One line on a visit; @ran_us is 0 when it had no slot. */
+static void
+log_visit(const struct visit *v, const char *event, enum brf_reason reason,
+    uint64_t ran_us)
+{
+	const struct brf_hop_request *rq = &v->hop->request;
+	const struct brf_lanes *lanes = v->gate->lanes;
+	uint64_t t = now(v->gate);
+
+	brf_log_request(BRF_LOG_INFO, event, BRF_LS("request", rq->id),
+	    BRF_LS("target", rq->target), BRF_LS("caller", rq->caller),
+	    BRF_LU("serial", v->serial), BRF_LU("rank", rq->rank),
+	    BRF_LU("nested", rq->nested), BRF_LU("repeat", rq->repeat),
+	    BRF_LS("reason", brf_reason_name(reason)),
+	    BRF_LU("waited_ms",
+		(v->running ? v->ticket.waited_us : t - v->came) /
+		    BRF_US_PER_MS),
+	    BRF_LU("patience_ms", rq->patience_us / BRF_US_PER_MS),
+	    BRF_LU("left_ms",
+		rq->deadline > t ? (rq->deadline - t) / BRF_US_PER_MS : 0),
+	    BRF_LU("ran_ms", ran_us / BRF_US_PER_MS),
+	    BRF_LU("running", brf_lanes_running(lanes)),
+	    BRF_LU("limit", brf_lanes_limit(lanes)),
+	    BRF_LU("waiting", brf_lanes_waiting(lanes)),
+	    BRF_LU("service_ms", brf_lanes_service_us(lanes) / BRF_US_PER_MS));
+}
+
+static uint64_t
+ran_us(const struct visit *v)
+{
+	return (v->run.sent_at != 0 ? now(v->gate) - v->run.sent_at : 0);
+}
+
 /* Give up the slot. */
 static void
 leave_slot(struct visit *v, bool useful)
 {
 	struct brf_mesh_gate *gate = v->gate;
-	uint64_t took = v->run.sent_at != 0 ? now(gate) - v->run.sent_at : 0;
+	uint64_t took = ran_us(v);
 
 	if (!v->running)
 		return;
@@ -164,6 +200,7 @@
 	struct brf_hop *hop = v->hop;
 
 	v->marked = v->marked || is_pressure(v->gate, reason);
+	log_visit(v, "hop_refused", reason, ran_us(v));
 	leave_slot(v, false);
 	v->gate->refusals->value++;
 	v->gate->counts.refused++;
@@ -180,6 +217,7 @@
 {
 	struct brf_hop *hop = v->hop;
 
+	log_visit(v, "hop_failed", reason, ran_us(v));
 	leave_slot(v, false);
 	v->gate->failures->value++;
 	v->gate->counts.failed++;
@@ -204,6 +242,8 @@
 {
 	struct brf_hop *hop = v->hop;
 
+	if (brf_trail_is_sampled(hop->request.id))
+		log_visit(v, "hop_answered", BRF_R_NONE, ran_us(v));
 	if (hop->down.state == BRF_PIPE_ENDED)
 		leave_slot(v, true);
 	hop->answer = v->run.answer;
@@ -399,6 +439,7 @@
 
 	v->gate = gate;
 	v->hop = hop;
+	v->came = now(gate);
 	v->serial = ++gate->serial;
 	v->route = find_route(gate, rq);
 	if (v->route != NULL)
@@ -465,6 +506,8 @@
 	(void)backend;
 	if (v == NULL)
 		return;
+	if (hop->state == BRF_HOP_OPEN)
+		log_visit(v, "hop_cancelled", BRF_R_CANCELLED, ran_us(v));
 	brf_lanes_withdraw(&v->ticket);
 	visit_free(v);
 }
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -7,6 +7,8 @@
 
 #define SETTINGS_EVERY_US (500 * BRF_US_PER_MS) /* looks at the file */
 #define LOG_EVERY_US BRF_US_PER_S		/* lines on load */
+#define FLUSH_US (100 * BRF_US_PER_MS) /* longest that lines are held */
+#define FLUSH_BYTES 4096u /* from which they are written at once */
 #define STOP_EVERY_US (50 * BRF_US_PER_MS)	/* looks at what is left */
 /* Callers are told within two questions, a second apart, that this node is
  * not ready; until then they send. */
@@ -29,6 +31,19 @@
 	struct brf_mesh_node *node = arg;
 
 	brf_links_flush(node->links);
+	if (brf_log_held() >= FLUSH_BYTES)
+		brf_log_flush();
+	else if (brf_log_held() != 0 &&
+		 !brf_timer_active(&node->flush_log))
+		brf_timer_start(node->turn.timers, &node->flush_log, FLUSH_US);
+}
+
+static void
+flush_log(struct brf_timer *timer, void *arg)
+{
+	(void)timer;
+	(void)arg;
+	brf_log_flush();
 }
 
 static void
@@ -236,6 +251,7 @@
 	brf_timer_stop(node->turn.timers, &node->stop_poll);
 	brf_timer_stop(node->turn.timers, &node->watch_settings);
 	brf_timer_stop(node->turn.timers, &node->log_load);
+	brf_timer_stop(node->turn.timers, &node->flush_log);
 	brf_flow_server_close(node->entry, one_closed, node);
 	brf_http_server_close(node->ready, one_closed, node);
 	brf_http_server_close(node->admin, one_closed, node);
@@ -319,6 +335,7 @@
 	node->watch_settings.arg = node;
 	node->stop_poll.fire = look_at_rest;
 	node->stop_poll.arg = node;
+	node->flush_log.fire = flush_log;
 	node->log_load.fire = log_load;
 	node->log_load.arg = node;
 }
@@ -452,6 +469,7 @@
 	}
 	brf_log_open(
 	    STDOUT_FILENO, node->settings.log_level, node->settings.node);
+	brf_log_hold();
 	make_loop(node);
 	make_gate(node);
 	make_fleet(node);
@@ -504,5 +522,6 @@
 	brf_mesh_tables_finish(&node->tables);
 	brf_metrics_free(node->metrics);
 	brf_turn_free(&node->turn);
+	brf_log_flush();
 	free(node);
 }
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -62,6 +62,7 @@
 	struct brf_timer watch_settings;
 	struct brf_timer stop_poll;
 	struct brf_timer log_load;
+	struct brf_timer flush_log;
 	enum brf_mesh_phase phase;
 	uint64_t started;
 	uint64_t stopping_since;
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "base/log.h"
 #include "mesh/services.h"
 #include "policy/kinship.h"
 
@@ -242,3 +243,24 @@
 	service->peers[n]->refs++;
 	return (service->peers[n]);
 }
+
+void
+brf_mesh_peer_ended(struct brf_mesh_peer *peer, enum brf_place_end end,
+    const struct brf_gate_load *load, uint64_t now)
+{
+	uint64_t until = peer->place.ejected_until;
+	bool was_out = until != 0;
+
+	brf_place_ended(&peer->place, end, load, now);
+	if (peer->place.ejected_until != until &&
+	    peer->place.ejected_until != 0)
+		brf_log(BRF_LOG_INFO, "target_ejected",
+		    BRF_LS("target", peer->id),
+		    BRF_LU("lost_in_a_row", peer->place.streak),
+		    BRF_LD("good", peer->place.good),
+		    BRF_LU("for_ms",
+			(peer->place.ejected_until - now) / BRF_US_PER_MS));
+	else if (was_out && peer->place.ejected_until == 0)
+		brf_log(BRF_LOG_INFO, "target_readmitted",
+		    BRF_LS("target", peer->id));
+}
--- a/src/mesh/services.h
+++ b/src/mesh/services.h
@@ -95,6 +95,10 @@
     struct brf_place_request *request, struct brf_mesh_peer *const *tried,
     size_t tried_count, struct brf_random *random, uint64_t now);
 
+/* A hop to @peer has ended, see brf_place_ended(). */
+void brf_mesh_peer_ended(struct brf_mesh_peer *peer, enum brf_place_end end,
+    const struct brf_gate_load *load, uint64_t now);
+
 void brf_mesh_peer_unref(struct brf_mesh_peer *peer);
 
 BRF_END_DECLS
--- /dev/null
+++ b/src/mesh/trail.c
@@ -0,0 +1,70 @@
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "mesh/trail.h"
+
+static const char *const state_names[] = {
+	[BRF_HOP_OPEN] = "given_up",
+	[BRF_HOP_ANSWERED] = "answered",
+	[BRF_HOP_REFUSED] = "refused",
+	[BRF_HOP_FAILED] = "failed",
+};
+
+bool
+brf_trail_is_sampled(const char *id)
+{
+	return (id[0] != '\0' &&
+		XXH3_64bits(id, strlen(id)) % BRF_TRAIL_SAMPLE == 0);
+}
+
+static uint64_t
+ms(uint64_t us)
+{
+	return (us / BRF_US_PER_MS);
+}
+
+static void
+write_hop(const struct brf_trail_end *end, const struct brf_trail_hop *hop)
+{
+	bool known = hop->known_age_us != UINT64_MAX;
+
+	brf_log_request(BRF_LOG_INFO, "request_sent", BRF_LS("request", end->id),
+	    BRF_LS("target", hop->target), BRF_LS("ring", hop->ring),
+	    BRF_LU("at_ms", ms(hop->at_us)), BRF_LU("repeat", hop->repeat),
+	    BRF_LD("estimate_ms", hop->estimate_us / BRF_US_PER_MS),
+	    BRF_LU("known", known),
+	    BRF_LU("known_age_ms", known ? ms(hop->known_age_us) : 0),
+	    BRF_LU("known_running", hop->known.running),
+	    BRF_LU("known_waiting", hop->known.waiting),
+	    BRF_LS("outcome", state_names[hop->state]),
+	    BRF_LS("reason", brf_reason_name(hop->reason)),
+	    BRF_LU("arrived", hop->arrived), BRF_LU("marked", hop->marked),
+	    BRF_LU("took_ms", ms(hop->took_us)), BRF_LU("told", hop->has_told),
+	    BRF_LU("running", hop->told.running),
+	    BRF_LU("limit", hop->told.limit),
+	    BRF_LU("waiting", hop->told.waiting),
+	    BRF_LU("service_ms", hop->told.service_ms));
+}
+
+void
+brf_trail_write(const struct brf_trail *trail, const struct brf_trail_end *end)
+{
+	const struct brf_route *r = end->route;
+	size_t i;
+
+	for (i = 0; i < trail->count; i++)
+		write_hop(end, &trail->hops[i]);
+	brf_log_request(BRF_LOG_INFO, end->event, BRF_LS("request", end->id),
+	    BRF_LS("route", r != NULL ? r->name : ""),
+	    BRF_LS("service", end->service), BRF_LU("table", end->revision),
+	    BRF_LU("rank", end->rank), BRF_LU("nested", end->nested),
+	    BRF_LU("parent", end->parent),
+	    BRF_LU("allowed_ms", ms(end->allowed_us)),
+	    BRF_LU("objective_ms", r != NULL ? ms(r->objective_us) : 0),
+	    BRF_LD("share", trail->share), BRF_LD("repeats_left", trail->budget),
+	    BRF_LU("hops", trail->count),
+	    BRF_LU("status", (uint64_t)end->status),
+	    BRF_LS("reason", brf_reason_name(end->reason)),
+	    BRF_LU("retry_after_ms", end->retry_after_ms),
+	    BRF_LU("took_ms", ms(end->took_us)));
+}
--- a/src/policy/below.c
+++ b/src/policy/below.c
@@ -8,7 +8,7 @@
 #define RISE_FIRST (STEP_RANKS / 4)
 /* Clean periods before steps grow. */
 #define CLEAN_PERIODS 3u
-#define RISE_GROWTH 2u
+#define RISE_GROWTH 3u
 /* Fewer attempts than this say nothing about a share. */
 #define SAMPLE_MIN 8u
 /* A period without a sample is ended after this many. */
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -20,6 +20,19 @@
 	[BRF_PLACE_FAR] = 30e3,
 };
 
+const char *
+brf_place_ring_name(enum brf_place_ring ring)
+{
+	static const char *const names[BRF_PLACE_RINGS] = {
+		[BRF_PLACE_SELF] = "self",
+		[BRF_PLACE_ZONE] = "zone",
+		[BRF_PLACE_REGION] = "region",
+		[BRF_PLACE_FAR] = "far",
+	};
+
+	return (names[ring]);
+}
+
 void
 brf_place_target_init(
     struct brf_place_target *t, enum brf_place_ring ring, uint32_t slots)
@@ -164,6 +177,14 @@
 	t->good += GOOD_STEP * (good - t->good);
 }
 
+/* A word of the target itself. */
+static void
+heard(struct brf_place_target *t)
+{
+	t->streak = 0;
+	t->ejected_until = 0;
+}
+
 void
 brf_place_ended(struct brf_place_target *t, enum brf_place_end end,
     const struct brf_gate_load *load, uint64_t now)
@@ -177,14 +198,14 @@
 	}
 	switch (end) {
 	case BRF_PLACE_GOOD:
-		t->streak = 0;
+		heard(t);
 		learn(t, 1);
 		break;
 	case BRF_PLACE_FULL:
-		t->streak = 0;
+		heard(t);
 		break;
 	case BRF_PLACE_SHED:
-		t->streak = 0;
+		heard(t);
 		learn(t, 0);
 		break;
 	case BRF_PLACE_LOST:
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -81,6 +81,9 @@
 
 BRF_BEGIN_DECLS
 
+/* "self", "zone", "region" or "far". */
+const char *brf_place_ring_name(enum brf_place_ring ring);
+
 void brf_place_target_init(
     struct brf_place_target *t, enum brf_place_ring ring, uint32_t slots);
 
--- a/test/below_test.cc
+++ b/test/below_test.cc
@@ -117,6 +117,14 @@
 	RC_ASSERT(holds(o, capacity));
 }
 
+/* Few attempts make long periods, so that few of them fit in a second. */
+TEST(below, clears_within_a_second_after_few_attempts)
+{
+	struct real_cutter c;
+
+	EXPECT_TRUE(holds(drive(c, 0.21, 117), 0.21));
+}
+
 TEST(below, planted_faults_are_seen)
 {
 	struct stuck_cutter stuck;
