--- a/Makefile
+++ b/Makefile
@@ -33,14 +33,16 @@
 PROGRAMS := bulrushfordd bulrushctl
 PLATFORM_SRC := $(sort $(wildcard platform/*.c))
 STANDINS := $(notdir $(patsubst %/,%,$(wildcard standin/*/)))
-TEST_SRC := $(sort $(wildcard test/*.cc))
+# Without the program itself, for its tests.
+PLATFORM_PARTS := $(filter-out platform/main.c,$(PLATFORM_SRC))
+TEST_SRC := $(sort $(wildcard test/*.cc platform/test/*.cc))
 
 FUZZ_SRC := $(sort $(wildcard fuzz/*.c))
 GENERATED := src/wire/proto.h src/wire/proto_xdr.c
 C_FILES := $(filter-out $(GENERATED),$(sort $(wildcard src/*/*.[ch] \
 	include/*.h platform/*.[ch] standin/*/*.[ch] fuzz/*.[ch] \
 	bench/*.[ch])))
-CC_FILES := $(sort $(wildcard test/*.cc test/*.h))
+CC_FILES := $(sort $(wildcard test/*.cc test/*.h platform/test/*.cc))
 
 objs = $(patsubst %,$(BUILD)/%.o,$(1))
 bins = $(addprefix $(BUILD)/bin/,$(1))
@@ -96,7 +98,7 @@
 endef
 $(foreach s,$(STANDINS),$(eval $(call standin_rule,$(s))))
 
-$(BUILD)/bin/brf_test: $(call objs,$(TEST_SRC)) $(LIB)
+$(BUILD)/bin/brf_test: $(call objs,$(TEST_SRC) $(PLATFORM_PARTS)) $(LIB)
 	@mkdir -p $(@D)
 	@echo LD $@
 	@$(CXX) $(LDFLAGS) $^ $(PKG_LIBS) -lrapidcheck -lgtest -lgtest_main \
--- a/src/flow/pipe.c
+++ b/src/flow/pipe.c
@@ -25,6 +25,9 @@
 		return;
 	brf_buf_add(&p->buf, data, len);
 	p->written += len;
+	/* a writer that has filled it may not come to ask for room */
+	if (brf_pipe_len(p) >= BRF_PIPE_HIGH)
+		p->choked = true;
 	brf_task_post(p->tasks, p->reader);
 }
 
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -331,6 +331,8 @@
 	*buf = uv_buf_init(shared, sizeof(shared));
 }
 
+static void set_reading(struct brf_flow_conn *c);
+
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -346,6 +348,7 @@
 		return;
 	brf_buf_add(&c->input, buf->base, (size_t)n);
 	brf_task_post(c->server->config.tasks, &c->work);
+	set_reading(c); /* libuv may read on at once */
 }
 
 static void
--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -504,9 +504,10 @@
 
 	if (c->closing || n == 0)
 		return;
-	if (n > 0)
+	if (n > 0) {
 		brf_buf_add(&c->input, buf->base, (size_t)n);
-	if (n < 0) {
+		set_reading(c); /* libuv may read on at once */
+	} else {
 		c->ended = true;
 		c->reset = n != UV_EOF;
 		uv_read_stop(stream);
--- a/src/flow/turn.c
+++ b/src/flow/turn.c
@@ -53,9 +53,11 @@
 void
 brf_turn_end(struct brf_turn *turn)
 {
-	brf_tasks_run(&turn->tasks);
-	if (turn->ended != NULL)
-		turn->ended(turn->arg);
+	do {
+		brf_tasks_run(&turn->tasks);
+		if (turn->ended != NULL)
+			turn->ended(turn->arg);
+	} while (!brf_list_empty(&turn->tasks.posted));
 	arm(turn);
 }
 
--- a/src/flow/turn.h
+++ b/src/flow/turn.h
@@ -19,7 +19,8 @@
  * @clock: first member; time as of the current turn
  * @timers: the timer service over @clock
  * @tasks: run before the loop sleeps
- * @ended: called after them; NULL for nothing
+ * @ended: called after them, and again when it has posted more; NULL for
+ *	nothing
  */
 struct brf_turn {
 	struct brf_clock clock;
--- a/src/link/codec.h
+++ b/src/link/codec.h
@@ -36,7 +36,7 @@
 };
 
 #define BRF_LINK_PART 16384u /* bytes of a body in one message */
-#define BRF_LINK_TEXT 65536u /* bytes of any other text */
+#define BRF_LINK_TEXT 524288u /* bytes of any other text */
 
 /**
  * struct brf_link_text - bytes inside a record.
--- a/src/link/conn.c
+++ b/src/link/conn.c
@@ -192,3 +192,16 @@
 		brf_conn_touch(&lc->conn);
 	}
 }
+
+void
+brf_links_greet(struct brf_links *links)
+{
+	struct brf_link_conn *lc;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &links->set.conns) {
+		lc = brf_list_entry(l, struct brf_link_conn, conn.link);
+		if (!lc->conn.closing && lc->connected && lc->link != NULL)
+			brf_link_conn_hello(lc, 0, false);
+	}
+}
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -129,6 +129,7 @@
 	brf_list_remove(&sh->s.link);
 	brf_link_add(lc, &sh->s);
 	brf_links_of(lc)->sent->value++;
+	brf_link_pump(&sh->s); /* what was there already posts no task */
 }
 
 static void
@@ -166,6 +167,7 @@
 	hop->answer.body = r->body;
 	hop->answer.length = r->length;
 	brf_buf_add(&hop->answer.fields, r->fields.data, r->fields.len);
+	hop->down.reader = hop->owner;
 }
 
 static bool
@@ -338,8 +340,7 @@
 		    BRF_LU("failures", link->failures));
 	}
 	end_queue(link);
-	if (link->forgotten)
-		brf_link_free(link);
+	brf_link_settle(link);
 }
 
 static void
@@ -381,7 +382,7 @@
 		return;
 	}
 	if (lc->open == 0) {
-		if (lc->link != NULL && lc->link->forgotten)
+		if (lc->link != NULL && lc->link->users == 0)
 			give_up(lc, "no further use");
 		return;
 	}
@@ -453,6 +454,7 @@
 	struct brf_links *links = link->links;
 	struct sent_hop *sh = brf_calloc(1, sizeof(*sh));
 
+	link->hops++;
 	sh->link = link;
 	sh->hop = hop;
 	hop->impl = sh;
@@ -478,15 +480,10 @@
 }
 
 static void
-link_cancel(struct brf_hop_backend *backend, struct brf_hop *hop)
+cancel_stream(struct sent_hop *sh)
 {
-	struct sent_hop *sh = hop->impl;
-	struct brf_link_conn *lc;
+	struct brf_link_conn *lc = sh->s.lc;
 
-	(void)backend;
-	if (sh == NULL)
-		return;
-	lc = sh->s.lc;
 	if (lc != NULL && !lc->conn.closing) {
 		brf_link_cancel_put(&lc->conn.out, sh->s.xid);
 		brf_conn_touch(&lc->conn);
@@ -494,6 +491,19 @@
 	sent_free(sh);
 }
 
+static void
+link_cancel(struct brf_hop_backend *backend, struct brf_hop *hop)
+{
+	struct brf_link *link =
+	    brf_container_of(backend, struct brf_link, backend);
+	struct sent_hop *sh = hop->impl;
+
+	if (sh != NULL)
+		cancel_stream(sh);
+	link->hops--;
+	brf_link_settle(link);
+}
+
 const struct brf_hop_backend_vt brf_link_backend_vt = {
 	.send = link_send,
 	.cancel = link_cancel,
--- a/src/link/impl.h
+++ b/src/link/impl.h
@@ -106,7 +106,8 @@
  * @queue: streams of which nothing is written
  * @down_until: clock time before which no connection is tried
  * @failures: connections that failed in a row
- * @forgotten: it goes with its last hop
+ * @hops: that were sent and not released
+ * @users: that have not forgotten it; without any it goes with its last hop
  */
 struct brf_link {
 	struct brf_hop_backend backend;
@@ -116,9 +117,10 @@
 	char name[INET_ADDRSTRLEN + 8]; /* address and port */
 	struct brf_link_conn *lc;
 	struct brf_list queue;
+	size_t hops;
 	uint64_t down_until;
 	unsigned failures;
-	bool forgotten;
+	size_t users;
 };
 
 static inline struct brf_links *
@@ -135,6 +137,9 @@
 
 /* links.c */
 void brf_link_free(struct brf_link *link);
+
+/* Free a forgotten link that nothing refers to any more. */
+void brf_link_settle(struct brf_link *link);
 void brf_links_check_closed(struct brf_links *links);
 
 /* conn.c */
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -100,7 +100,7 @@
 /**
  * brf_links_get() - the link to the node at @addr; made when there is none.
  *
- * Return: owned by @links.
+ * Return: owned by @links; brf_link_forget() it as often as it was got.
  */
 struct brf_link *brf_links_get(
     struct brf_links *links, const struct sockaddr_in *addr);
@@ -110,16 +110,20 @@
 enum brf_link_health brf_link_health(const struct brf_link *link);
 
 /**
- * brf_link_forget() - nothing new goes there.
+ * brf_link_forget() - one user less.
  *
- * Hops that are open go on to their end; then the connection is closed and the
- * link freed.  brf_links_get() before that takes it up again.
+ * Without users nothing new goes there.  Hops that are open go on to their
+ * end; then the connection is closed and the link freed.  brf_links_get()
+ * before that takes it up again.
  */
 void brf_link_forget(struct brf_link *link);
 
 /* The table has changed: tell all peers. */
 void brf_links_tell(struct brf_links *links);
 
+/* This VM's target has another service: tell all peers. */
+void brf_links_greet(struct brf_links *links);
+
 /* Write what waits; to be called when the tasks have run. */
 void brf_links_flush(struct brf_links *links);
 
--- a/src/link/links.c
+++ b/src/link/links.c
@@ -113,13 +113,14 @@
 	struct brf_link *link = find(links, addr);
 
 	if (link != NULL) {
-		link->forgotten = false;
+		link->users++;
 		return (link);
 	}
 	link = brf_calloc(1, sizeof(*link));
 	link->backend.vt = &brf_link_backend_vt;
 	link->links = links;
 	link->addr = *addr;
+	link->users = 1;
 	name_link(link);
 	brf_list_init(&link->queue);
 	brf_list_append(&links->links, &link->member);
@@ -147,16 +148,22 @@
 {
 	struct brf_error err;
 
-	link->forgotten = true;
-	if (link->lc == NULL) {
-		brf_link_free(link);
+	if (--link->users != 0)
 		return;
-	}
 	brf_error_set(&err, BRF_E_CLOSED, 0, "no further use");
-	if (link->lc->open == 0 && brf_list_empty(&link->queue))
+	if (link->lc == NULL)
+		brf_link_settle(link);
+	else if (link->lc->open == 0 && brf_list_empty(&link->queue))
 		brf_conn_close(&link->lc->conn, &err);
 }
 
+void
+brf_link_settle(struct brf_link *link)
+{
+	if (link->users == 0 && link->lc == NULL && link->hops == 0)
+		brf_link_free(link);
+}
+
 void
 brf_link_free(struct brf_link *link)
 {
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -188,6 +188,16 @@
 	free(call);
 }
 
+/* Nothing is won by coming back to a process that stops. */
+static uint64_t
+until_end_ms(const struct brf_mesh_callers *callers)
+{
+	uint64_t t = now(callers);
+
+	return (callers->ends_at > t ? (callers->ends_at - t) / BRF_US_PER_MS
+				     : 0);
+}
+
 /* Seconds with fractions, as callers honour them.  Return: the time, ms. */
 static uint64_t
 put_retry_after(struct call *call, struct brf_buf *fields)
@@ -199,7 +209,8 @@
 				  BRF_US_PER_MS * RETURN_SHARE);
 	if (base < RETURN_LEAST_MS)
 		base = RETURN_LEAST_MS;
-	ms = base + brf_random_below(call->callers->random, base + 1);
+	ms = until_end_ms(call->callers) + base +
+	     brf_random_below(call->callers->random, base + 1);
 	brf_buf_printf(fields, "retry-after: %llu.%03llu\r\n",
 	    (unsigned long long)(ms / 1000), (unsigned long long)(ms % 1000));
 	return (ms);
@@ -580,6 +591,17 @@
 	return (call->admitted);
 }
 
+/* Whether it could be cut when this process ends. */
+static bool
+outlives_process(const struct call *call)
+{
+	const struct brf_mesh_callers *callers = call->callers;
+
+	return (callers->ends_at != 0 && !call->nested &&
+		call->began >= callers->picky_from &&
+		call->deadline > callers->ends_at);
+}
+
 static void
 on_request(struct brf_flow_handler *handler, struct brf_flow_request *rq)
 {
@@ -601,6 +623,10 @@
 	find_parent(call);
 	call->service =
 	    brf_mesh_service_get(callers->services, pick_service(call));
+	if (outlives_process(call)) {
+		answer_own(call, 503, BRF_R_DRAINING);
+		return;
+	}
 	if (!admit(call)) {
 		answer_own(call, 503, BRF_R_SHED_EARLY);
 		return;
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -25,6 +25,9 @@
  * struct brf_mesh_callers - what all calls share; the first member takes the
  * server's requests.
  * @service: of this VM's target; may change
+ * @ends_at: clock time when the process ends; 0 when it does not stop
+ * @picky_from: from when on a request that may last longer is refused; before,
+ *	callers have not been told to stay away
  * @open: calls that have not ended
  */
 struct brf_mesh_callers {
@@ -37,6 +40,8 @@
 	struct brf_mesh_services *services;
 	struct brf_mesh_gate *gate;
 	const char *service;
+	uint64_t ends_at;
+	uint64_t picky_from;
 	size_t open;
 };
 
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -198,6 +198,7 @@
 {
 	struct brf_mesh_settings fresh;
 	struct brf_error err = { .code = BRF_OK };
+	bool renamed;
 
 	node->changed_at = modified_at(node->path);
 	if (!brf_mesh_settings_load(&fresh, node->path, &err)) {
@@ -205,11 +206,14 @@
 		    BRF_LE(&err));
 		return;
 	}
+	renamed = strcmp(fresh.service, node->settings.service) != 0;
 	/* listeners stay where they are until a restart */
 	brf_copy_name(node->settings.service, sizeof(node->settings.service),
 	    fresh.service);
 	node->settings.grace_us = fresh.grace_us;
 	node->settings.drain_us = fresh.drain_us;
+	if (renamed)
+		brf_links_greet(node->links);
 	brf_log(BRF_LOG_INFO, "reloaded", BRF_LS("why", why),
 	    BRF_LS("service", fresh.service));
 }
@@ -295,6 +299,11 @@
 	brf_log(BRF_LOG_INFO, "stopping", BRF_LU("left", left(node)));
 	node->phase = BRF_MESH_STOPPING;
 	node->stopping_since = now(node);
+	node->callers.ends_at =
+	    now(node) + node->settings.grace_us > STOP_SLACK_US
+		? now(node) + node->settings.grace_us - STOP_SLACK_US
+		: now(node);
+	node->callers.picky_from = now(node) + STOP_LEAST_US;
 	node->busy_at = now(node);
 	brf_mesh_gate_refuse(node->gate, BRF_R_DRAINING);
 	brf_flow_drain(node->entry);
@@ -442,15 +451,18 @@
 	    &config, (const struct sockaddr *)&s->callers, &port, err);
 	if (node->entry == NULL)
 		return (false);
+	s->callers.sin_port = htons(port);
 	brf_mesh_admin_init(node);
 	node->ready = brf_http_server_new(node->http, "ready",
 	    (const struct sockaddr *)&s->ready, &node->ready_handler, &port,
 	    err);
 	if (node->ready == NULL)
 		return (false);
+	s->ready.sin_port = htons(port);
 	node->admin = brf_http_server_new(node->http, "admin",
 	    (const struct sockaddr *)&s->admin, &node->admin_handler, &port,
 	    err);
+	s->admin.sin_port = htons(port);
 	return (node->admin != NULL);
 }
 
@@ -481,7 +493,11 @@
 	brf_timer_start(node->turn.timers, &node->log_load, LOG_EVERY_US);
 	brf_log(BRF_LOG_INFO, "started", BRF_LS("version", BRF_VERSION),
 	    BRF_LS("zone", node->settings.zone),
-	    BRF_LS("service", node->settings.service));
+	    BRF_LS("service", node->settings.service),
+	    BRF_LU("callers_port", ntohs(node->settings.callers.sin_port)),
+	    BRF_LU("ready_port", ntohs(node->settings.ready.sin_port)),
+	    BRF_LU("admin_port", ntohs(node->settings.admin.sin_port)),
+	    BRF_LU("peers_port", ntohs(node->settings.peers.sin_port)));
 	return (node);
 }
 
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -85,6 +85,19 @@
 		service->peers[service->count++] = peer;
 }
 
+/* Reach @peer's target at @addr from now on; NULL for not at all. */
+static void
+set_link(struct brf_mesh_peer *peer, const struct sockaddr_in *addr)
+{
+	struct brf_link *before = peer->link;
+
+	peer->link = addr != NULL
+			 ? brf_links_get(peer->all->config.links, addr)
+			 : NULL;
+	if (before != NULL)
+		brf_link_forget(before);
+}
+
 static void
 update(struct brf_mesh_peer *peer, const struct brf_directory_target *t)
 {
@@ -94,6 +107,7 @@
 
 	peer->place.slots = e->slots;
 	peer->place.ring = ring_of(s, e);
+	set_link(peer, peer->place.ring != BRF_PLACE_SELF ? &e->gate : NULL);
 	peer->place.warm_at = t->seen + e->warmup_us;
 	peer->place.draining = e->state != BRF_TARGET_READY;
 	if (peer->service != service) {
@@ -114,8 +128,6 @@
 	t->data = peer;
 	brf_copy_name(peer->id, sizeof(peer->id), e->id);
 	brf_place_target_init(&peer->place, ring_of(s, e), e->slots);
-	if (peer->place.ring != BRF_PLACE_SELF)
-		peer->link = brf_links_get(s->config.links, &e->gate);
 	enter_service(peer, brf_mesh_service_get(s, e->service));
 }
 
@@ -136,24 +148,6 @@
 		s->lapsed_here(s->arg, peer->id);
 }
 
-/* Whether another target is reached by the same link. */
-static bool
-shares_link(const struct brf_mesh_services *s, const struct brf_link *link)
-{
-	struct brf_mesh_service *service;
-	struct brf_list *l;
-	size_t i;
-
-	brf_list_foreach (l, &s->list) {
-		service = brf_list_entry(l, struct brf_mesh_service, link);
-		for (i = 0; i < service->count; i++) {
-			if (service->peers[i]->link == link)
-				return (true);
-		}
-	}
-	return (false);
-}
-
 static void
 on_gone(struct brf_directory_watcher *w, struct brf_directory_target *t)
 {
@@ -164,9 +158,7 @@
 	peer->target = NULL;
 	leave_service(peer);
 	note_names(s);
-	if (peer->link != NULL && !shares_link(s, peer->link))
-		brf_link_forget(peer->link);
-	peer->link = NULL;
+	set_link(peer, NULL);
 	brf_mesh_peer_unref(peer);
 }
 
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -1,6 +1,6 @@
 #include "policy/place.h"
 
-#define SERVICE_MS 50.0		 /* taken for a target that was never heard */
+#define SERVICE_MS 50.0 /* taken where no target was ever heard */
 #define LOAD_AGE_US BRF_US_PER_S /* life of a gate's word on its load */
 #define COLD_FACTOR 2.0 /* a target that warms up takes so much longer */
 #define GOOD_STEP 0.05	/* weight of one hop in the share of good ones */
@@ -41,6 +41,7 @@
 	t->ring = ring;
 	t->slots = slots;
 	t->good = 1;
+	t->usual_ms = SERVICE_MS;
 }
 
 /* Requests at the target, as far as one can know it here. */
@@ -60,7 +61,7 @@
 double
 brf_place_estimate(const struct brf_place_target *t, uint64_t now)
 {
-	double limit = t->slots, service = SERVICE_MS, load, time;
+	double limit = t->slots, service = t->usual_ms, load, time;
 
 	if (t->load_at != 0) {
 		service = t->load.service_ms != 0 ? t->load.service_ms : 1;
@@ -79,16 +80,20 @@
 		(t->good > GOOD_LEAST ? t->good : GOOD_LEAST));
 }
 
+/*
+ * Who was ejected is tried with one request, which can be repeated; before
+ * its time as well when there is nobody else to try.
+ */
 static bool
 may_get(const struct brf_place_target *t,
-    const struct brf_place_request *request, uint64_t now)
+    const struct brf_place_request *request, bool last, uint64_t now)
 {
-	if (t->draining || t->ejected_until > now)
+	if (t->draining)
 		return (false);
-	/* who was ejected is tried with one request, which can be repeated */
-	if (t->streak >= STREAK_MAX)
-		return (!t->probing && request->repeatable);
-	return (true);
+	if (t->streak < STREAK_MAX)
+		return (true);
+	return (!t->probing && request->repeatable &&
+		(last || t->ejected_until <= now));
 }
 
 static double
@@ -102,18 +107,38 @@
 	return (c * (1 + 0.05 * brf_random_unit(random)));
 }
 
+/* Who was never heard is taken to be like the others. */
+static void
+set_usual(struct brf_place_target *const *targets, size_t count)
+{
+	double sum = 0, usual;
+	size_t i, heard = 0;
+
+	for (i = 0; i < count; i++) {
+		if (targets[i]->load_at == 0)
+			continue;
+		sum += targets[i]->load.service_ms;
+		heard++;
+	}
+	if (heard == 0 || heard == count)
+		return;
+	usual = sum > heard ? sum / (double)heard : 1;
+	for (i = 0; i < count; i++)
+		targets[i]->usual_ms = usual;
+}
+
 /* The best of those that are near, or of those that are far. */
 static size_t
 choose(struct brf_place_target *const *targets, size_t count, bool far,
-    const struct brf_place_request *request, struct brf_random *random,
-    uint64_t now)
+    bool last, const struct brf_place_request *request,
+    struct brf_random *random, uint64_t now)
 {
 	size_t i, best = BRF_PLACE_NONE;
 	double least = 0, c;
 
 	for (i = 0; i < count; i++) {
 		if ((targets[i]->ring == BRF_PLACE_FAR) != far ||
-		    request->tried[i] || !may_get(targets[i], request, now))
+		    request->tried[i] || !may_get(targets[i], request, last, now))
 			continue;
 		c = cost(targets[i], random, now);
 		if (best == BRF_PLACE_NONE || c < least) {
@@ -143,14 +168,20 @@
     const struct brf_place_request *request, struct brf_random *random,
     uint64_t now)
 {
-	size_t near = choose(targets, count, false, request, random, now);
-	bool only_important = was_near(targets, count, request);
-
-	if (near != BRF_PLACE_NONE)
-		return (near);
-	if (only_important && (request->nested || request->rank != 0))
-		return (BRF_PLACE_NONE);
-	return (choose(targets, count, true, request, random, now));
+	bool may_go_far = !was_near(targets, count, request) ||
+			  (!request->nested && request->rank == 0);
+	size_t found = BRF_PLACE_NONE;
+	int last;
+
+	set_usual(targets, count);
+	for (last = 0; last < 2 && found == BRF_PLACE_NONE; last++) {
+		found = choose(
+		    targets, count, false, last, request, random, now);
+		if (found == BRF_PLACE_NONE && may_go_far)
+			found = choose(
+			    targets, count, true, last, request, random, now);
+	}
+	return (found);
 }
 
 void
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -39,6 +39,7 @@
  * @open: hops from here that have not ended
  * @load: its gate's last word
  * @load_at: clock time of that; 0 for none
+ * @usual_ms: time of the other candidates, taken for its own until then
  * @open_then: @open at that time
  * @good: share of hops that ended well, fading
  * @streak: hops in a row that failed without a word of the target
@@ -55,6 +56,7 @@
 	uint32_t open;
 	struct brf_gate_load load;
 	uint64_t load_at;
+	double usual_ms;
 	uint32_t open_then;
 	double good;
 	uint32_t streak;
--- /dev/null
+++ b/test/link_fake.h
@@ -0,0 +1,264 @@
+#ifndef BRF_LINK_FAKE_H
+#define BRF_LINK_FAKE_H
+
+#include <algorithm>
+#include <list>
+#include <string>
+
+#include "bulrushford.h"
+#include "flow_fake.h"
+#include "link/link.h"
+
+/* A gate that does with its hops what a test says. */
+struct fake_gate {
+	struct brf_hop_backend backend;
+	struct brf_tasks *tasks;
+	std::list<struct brf_hop *> open;
+	size_t cancelled = 0;
+
+	explicit fake_gate(struct brf_tasks *tasks) : tasks(tasks)
+	{
+		static const struct brf_hop_backend_vt vt = { send, cancel };
+
+		backend.vt = &vt;
+	}
+
+	static struct fake_gate *
+	of(struct brf_hop_backend *backend)
+	{
+		return ((struct fake_gate *)(void *)backend);
+	}
+
+	static void
+	send(struct brf_hop_backend *backend, struct brf_hop *hop)
+	{
+		struct fake_gate *g = of(backend);
+
+		brf_pipe_init(&hop->down, g->tasks);
+		g->open.push_back(hop);
+	}
+
+	static void
+	cancel(struct brf_hop_backend *backend, struct brf_hop *hop)
+	{
+		struct fake_gate *g = of(backend);
+
+		g->cancelled += hop->state == BRF_HOP_OPEN;
+		g->open.remove(hop);
+	}
+
+	/* The head of an answer without a bound on its body's length. */
+	void
+	answer(struct brf_hop *hop, int status, const std::string &fields)
+	{
+		hop->state = BRF_HOP_ANSWERED;
+		hop->arrived = true;
+		hop->answer.status = status;
+		hop->answer.body = BRF_BODY_CHUNKED;
+		brf_buf_add(
+		    &hop->answer.fields, fields.data(), fields.size());
+		hop->down.reader = hop->owner;
+		brf_task_post(tasks, hop->owner);
+	}
+
+	void
+	refuse(struct brf_hop *hop, enum brf_reason reason)
+	{
+		hop->state = BRF_HOP_REFUSED;
+		hop->reason = reason;
+		hop->has_load = true;
+		hop->load = { 3, 4, 5, 6 };
+		hop->retry_after_ms = 77;
+		brf_task_post(tasks, hop->owner);
+	}
+};
+
+/* The sender's side of one hop. */
+struct sent {
+	struct brf_hop hop = {};
+	struct brf_task task;
+	struct brf_pipe up;
+	std::string got;
+	bool reads = true;
+
+	explicit sent(struct flow_bench &bench)
+	{
+		brf_task_init(&task, run);
+		brf_pipe_init(&up, &bench.turn.tasks);
+		hop.owner = &task;
+		hop.request.id = "id-1";
+		hop.request.target = "t-1";
+		hop.request.caller = "someone";
+		hop.request.method = "POST";
+		hop.request.path = "/a/b?c";
+		hop.request.host = "h.example";
+		hop.request.fields = "x-a: 1\r\n";
+		hop.request.fields_len = 8;
+		hop.request.deadline =
+		    brf_now(&bench.turn.clock) + 5 * BRF_US_PER_S;
+		hop.request.patience_us = 250000;
+		hop.request.rank = 2;
+	}
+
+	~sent()
+	{
+		brf_hop_release(&hop);
+		brf_task_cancel(&task);
+		brf_pipe_free(&up);
+	}
+
+	static void
+	run(struct brf_task *task)
+	{
+		struct sent *s = brf_container_of(task, struct sent, task);
+
+		if (s->hop.state != BRF_HOP_ANSWERED || !s->reads)
+			return;
+		s->got.append(brf_pipe_data(&s->hop.down),
+		    brf_pipe_len(&s->hop.down));
+		brf_pipe_consume(&s->hop.down, brf_pipe_len(&s->hop.down));
+	}
+};
+
+/* One node's links. */
+struct linked_node {
+	struct fake_gate gate;
+	struct fake_news {
+		struct brf_link_news news;
+		uint64_t revision = 0;
+		std::string text;
+		uint64_t got = 0;
+		std::string got_text;
+	} news;
+	char service[BRF_NAME_MAX + 1];
+	struct brf_links *links;
+	struct sockaddr_in addr;
+
+	static uint64_t
+	revision(struct brf_link_news *n)
+	{
+		return (((struct fake_news *)(void *)n)->revision);
+	}
+
+	static bool
+	text(struct brf_link_news *n, const char **text, size_t *len)
+	{
+		auto *f = (struct fake_news *)(void *)n;
+
+		*text = f->text.data();
+		*len = f->text.size();
+		return (f->revision != 0);
+	}
+
+	static void
+	got(struct brf_link_news *n, uint64_t revision, const char *text,
+	    size_t len)
+	{
+		auto *f = (struct fake_news *)(void *)n;
+
+		f->got = revision;
+		f->got_text.assign(text, len);
+		f->revision = revision;
+		f->text = f->got_text;
+	}
+
+	linked_node(struct flow_bench &bench, const char *name,
+	    const char *its_service)
+	    : gate(&bench.turn.tasks)
+	{
+		static const struct brf_link_news_vt vt = { revision, text,
+			got };
+		struct brf_links_config config = {};
+		struct brf_error err;
+		uint16_t port;
+
+		news.news.vt = &vt;
+		brf_copy_name(service, sizeof(service), its_service);
+		config.loop = &bench.loop;
+		config.tasks = &bench.turn.tasks;
+		config.timers = bench.turn.timers;
+		config.metrics = bench.metrics;
+		config.gate = &gate.backend;
+		config.news = &news.news;
+		config.node = name;
+		config.service = service;
+		links = brf_links_new(&config);
+		addr = loopback(0);
+		EXPECT_TRUE(brf_links_listen(links,
+		    (const struct sockaddr *)&addr, &port, &err));
+		addr.sin_port = htons(port);
+	}
+};
+
+/* Two nodes, of which a sends and b runs. */
+struct two_nodes : public testing::Test {
+	struct flow_bench bench;
+	struct linked_node a, b;
+	struct brf_link *link = nullptr;
+
+	two_nodes() : a(bench, "a", "service-a"), b(bench, "b", "service-b")
+	{
+		bench.turn.ended = flush;
+		bench.turn.arg = this;
+	}
+
+	static void
+	flush(void *arg)
+	{
+		auto *t = (struct two_nodes *)arg;
+
+		brf_links_flush(t->a.links);
+		brf_links_flush(t->b.links);
+	}
+
+	static void
+	on_closed(void *arg)
+	{
+		++*(int *)arg;
+	}
+
+	struct brf_link *
+	to_b()
+	{
+		if (link == nullptr)
+			link = brf_links_get(a.links, &b.addr);
+		return (link);
+	}
+
+	void
+	forget_b()
+	{
+		brf_link_forget(link);
+		link = nullptr;
+	}
+
+	void
+	send(struct sent &s)
+	{
+		brf_hop_send(brf_link_backend(to_b()), &s.hop);
+	}
+
+	/* The hop as it has come to b. */
+	struct brf_hop *
+	arrived(size_t n = 1)
+	{
+		EXPECT_TRUE(
+		    bench.until([&] { return (b.gate.open.size() >= n); }));
+		return (b.gate.open.empty() ? nullptr : b.gate.open.back());
+	}
+
+	void
+	close()
+	{
+		int closed = 0;
+
+		brf_links_close(a.links, on_closed, &closed);
+		brf_links_close(b.links, on_closed, &closed);
+		EXPECT_TRUE(bench.until([&] { return (closed == 2); }));
+		bench.turn.ended = nullptr;
+		brf_links_free(a.links);
+		brf_links_free(b.links);
+	}
+};
+
+#endif
--- /dev/null
+++ b/test/link_test.cc
@@ -0,0 +1,533 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "link/codec.h"
+#include "link_fake.h"
+
+namespace
+{
+
+std::string
+text_of(const struct brf_link_text &t)
+{
+	return (std::string(t.data, t.len));
+}
+
+} // namespace
+
+TEST_F(two_nodes, a_request_and_its_answer_arrive_whole)
+{
+	{
+		struct sent s(bench);
+		struct brf_hop *hop;
+		const struct brf_hop_request *rq;
+
+		s.hop.request.repeatable = true;
+		s.hop.request.nested = true;
+		s.hop.request.body = BRF_BODY_LENGTH;
+		s.hop.request.length = 5;
+		s.hop.up = &s.up;
+		brf_pipe_write(&s.up, "hello", 5);
+		brf_pipe_end(&s.up);
+		send(s);
+		hop = arrived();
+		ASSERT_NE(hop, nullptr);
+		rq = &hop->request;
+		EXPECT_STREQ(rq->id, "id-1");
+		EXPECT_STREQ(rq->target, "t-1");
+		/* told by the node itself, not by the request */
+		EXPECT_STREQ(rq->caller, "service-a");
+		EXPECT_STREQ(rq->method, "POST");
+		EXPECT_STREQ(rq->path, "/a/b?c");
+		EXPECT_STREQ(rq->host, "h.example");
+		EXPECT_EQ(std::string(rq->fields, rq->fields_len), "x-a: 1\r\n");
+		EXPECT_EQ(rq->patience_us, 250000u);
+		EXPECT_EQ(rq->rank, 2u);
+		EXPECT_EQ(rq->length, 5u);
+		EXPECT_TRUE(rq->repeatable && rq->nested && !rq->repeat);
+		ASSERT_NE(hop->up, nullptr);
+		EXPECT_EQ(std::string(brf_pipe_data(hop->up),
+			      brf_pipe_len(hop->up)),
+		    "hello");
+		EXPECT_EQ(hop->up->state, BRF_PIPE_ENDED);
+		b.gate.answer(hop, 201, "x-b: 2\r\n");
+		brf_pipe_write(&hop->down, "world", 5);
+		brf_pipe_end(&hop->down);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (s.hop.down.state == BRF_PIPE_ENDED); }));
+		EXPECT_TRUE(bench.until([&] { return (s.got == "world"); }));
+		EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+		EXPECT_EQ(s.hop.answer.status, 201);
+		EXPECT_TRUE(s.hop.arrived);
+		EXPECT_TRUE(bench.until([&] { return (b.gate.open.empty()); }));
+	}
+	close();
+}
+
+TEST_F(two_nodes, a_refusal_brings_the_gates_load)
+{
+	{
+		struct sent s(bench);
+
+		send(s);
+		b.gate.refuse(arrived(), BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (s.hop.state == BRF_HOP_REFUSED); }));
+		EXPECT_EQ(s.hop.reason, BRF_R_OVERLOAD);
+		EXPECT_FALSE(s.hop.arrived);
+		ASSERT_TRUE(s.hop.has_load);
+		EXPECT_EQ(s.hop.load.running, 3);
+		EXPECT_EQ(s.hop.load.limit, 4);
+		EXPECT_EQ(s.hop.load.waiting, 5);
+		EXPECT_EQ(s.hop.load.service_ms, 6);
+		EXPECT_EQ(s.hop.retry_after_ms, 77u);
+	}
+	close();
+}
+
+/* The rest of a body that was there before the connection was. */
+TEST_F(two_nodes, a_body_longer_than_its_first_part_arrives_whole)
+{
+	for (size_t length : { 16385u, 32768u, 65535u, 65536u }) {
+		struct sent s(bench);
+		const std::string body(length, 'x');
+		struct brf_hop *hop;
+
+		s.hop.request.body = BRF_BODY_LENGTH;
+		s.hop.request.length = length;
+		s.hop.up = &s.up;
+		brf_pipe_write(&s.up, body.data(), body.size());
+		brf_pipe_end(&s.up);
+		send(s);
+		hop = arrived();
+		ASSERT_NE(hop, nullptr);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (hop->up->state == BRF_PIPE_ENDED); }));
+		EXPECT_EQ(brf_pipe_len(hop->up), length);
+		b.gate.refuse(hop, BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (s.hop.state == BRF_HOP_REFUSED); }));
+	}
+	close();
+}
+
+TEST_F(two_nodes, a_changed_service_is_told)
+{
+	{
+		struct sent first(bench), second(bench);
+
+		send(first);
+		b.gate.refuse(arrived(), BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (first.hop.state == BRF_HOP_REFUSED); }));
+		EXPECT_TRUE(bench.until([&] { return (b.gate.open.empty()); }));
+		brf_copy_name(a.service, sizeof(a.service), "renamed");
+		brf_links_greet(a.links);
+		send(second);
+		EXPECT_STREQ(arrived()->request.caller, "renamed");
+		b.gate.refuse(b.gate.open.back(), BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (second.hop.state == BRF_HOP_REFUSED); }));
+	}
+	close();
+}
+
+/* Bodies of some megabytes, both ways, in parts as the windows let them. */
+TEST_F(two_nodes, long_bodies_take_bounded_memory)
+{
+	const size_t most = 256 * 1024, length = 3 * 1024 * 1024;
+	{
+		struct sent s(bench);
+		size_t sent_up = 0, got_up = 0, sent_down = 0, held = 0;
+		struct brf_hop *hop;
+
+		s.hop.request.body = BRF_BODY_CHUNKED;
+		s.hop.up = &s.up;
+		send(s);
+		hop = arrived();
+		b.gate.answer(hop, 200, "");
+		ASSERT_TRUE(bench.until([&] {
+			std::string part(4096, 'x');
+
+			while (sent_up < length && brf_pipe_room(&s.up) != 0) {
+				brf_pipe_write(
+				    &s.up, part.data(), part.size());
+				sent_up += part.size();
+			}
+			if (sent_up == length)
+				brf_pipe_end(&s.up);
+			while (sent_down < length && !b.gate.open.empty() &&
+			       brf_pipe_room(&hop->down) != 0) {
+				brf_pipe_write(
+				    &hop->down, part.data(), part.size());
+				sent_down += part.size();
+			}
+			/* an answer that ends would end the request */
+			if (sent_down == length && got_up == length &&
+			    !b.gate.open.empty())
+				brf_pipe_end(&hop->down);
+			if (!b.gate.open.empty()) {
+				held = std::max(held, brf_pipe_len(hop->up));
+				got_up += brf_pipe_len(hop->up);
+				brf_pipe_consume(
+				    hop->up, brf_pipe_len(hop->up));
+			}
+			held = std::max(held, brf_pipe_len(&s.hop.down));
+			return (s.hop.down.state == BRF_PIPE_ENDED &&
+				brf_pipe_len(&s.hop.down) == 0);
+		}));
+		EXPECT_LE(held, most);
+		EXPECT_EQ(got_up, length);
+		EXPECT_EQ(s.got.size(), length);
+	}
+	close();
+}
+
+/* A reader that does not read stops its own stream and no other. */
+TEST_F(two_nodes, a_slow_reader_holds_up_nobody_else)
+{
+	{
+		struct sent slow(bench), quick(bench);
+		struct brf_hop *hop;
+		size_t written = 0;
+
+		slow.reads = false;
+		send(slow);
+		hop = arrived();
+		b.gate.answer(hop, 200, "");
+		ASSERT_TRUE(bench.until(
+		    [&] { return (slow.hop.state == BRF_HOP_ANSWERED); }));
+		for (int i = 0; i < 2000; i++) {
+			std::string part(4096, 'x');
+
+			if (brf_pipe_room(&hop->down) != 0) {
+				brf_pipe_write(
+				    &hop->down, part.data(), part.size());
+				written += part.size();
+			}
+			uv_run(&bench.loop, UV_RUN_NOWAIT);
+		}
+		EXPECT_LT(written, 512u * 1024) ;
+		send(quick);
+		b.gate.refuse(arrived(2), BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (quick.hop.state == BRF_HOP_REFUSED); }));
+	}
+	close();
+}
+
+TEST_F(two_nodes, a_cancelled_hop_is_cancelled_at_its_gate)
+{
+	{
+		struct sent s(bench);
+
+		send(s);
+		arrived();
+		brf_hop_release(&s.hop);
+		EXPECT_TRUE(bench.until([&] { return (b.gate.open.empty()); }));
+		EXPECT_EQ(b.gate.cancelled, 1u);
+		EXPECT_EQ(brf_links_served(b.links), 0u);
+	}
+	close();
+}
+
+TEST_F(two_nodes, an_answer_that_breaks_off_is_seen_to)
+{
+	{
+		struct sent s(bench);
+		struct brf_hop *hop;
+
+		send(s);
+		hop = arrived();
+		b.gate.answer(hop, 200, "");
+		brf_pipe_write(&hop->down, "part", 4);
+		ASSERT_TRUE(bench.until([&] { return (s.got == "part"); }));
+		brf_pipe_break(&hop->down);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (s.hop.down.state == BRF_PIPE_BROKEN); }));
+	}
+	close();
+}
+
+/* What was sent may have run; what never was has not. */
+TEST_F(two_nodes, a_lost_connection_tells_what_may_have_run)
+{
+	{
+		struct sent running(bench), later(bench);
+		int closed = 0;
+
+		send(running);
+		arrived();
+		brf_links_close(b.links, on_closed, &closed);
+		ASSERT_TRUE(bench.until(
+		    [&] { return (running.hop.state != BRF_HOP_OPEN); }));
+		EXPECT_EQ(running.hop.state, BRF_HOP_FAILED);
+		EXPECT_EQ(running.hop.reason, BRF_R_CONNECTION_LOST);
+		EXPECT_EQ(brf_link_health(to_b()), BRF_LINK_DOWN);
+		send(later);
+		ASSERT_TRUE(bench.until(
+		    [&] { return (later.hop.state != BRF_HOP_OPEN); }));
+		EXPECT_EQ(later.hop.state, BRF_HOP_REFUSED);
+		EXPECT_EQ(later.hop.reason, BRF_R_NOT_SENT);
+		EXPECT_TRUE(bench.until([&] { return (closed == 1); }));
+	}
+	close();
+}
+
+/* The link goes with its last hop, not before its sender has let go. */
+TEST_F(two_nodes, a_forgotten_link_outlives_its_ended_hops)
+{
+	{
+		struct sent s(bench);
+		struct brf_hop *hop;
+		int closed = 0;
+
+		send(s);
+		hop = arrived();
+		forget_b();
+		b.gate.answer(hop, 200, "");
+		brf_pipe_end(&hop->down);
+		ASSERT_TRUE(bench.until(
+		    [&] { return (s.hop.down.state == BRF_PIPE_ENDED); }));
+		brf_links_close(b.links, on_closed, &closed);
+		ASSERT_TRUE(bench.until([&] { return (closed == 1); }));
+		bench.turns(50);
+		/* by now the connection is gone; the hop still knows the link */
+	}
+	close();
+}
+
+TEST_F(two_nodes, a_link_that_is_wanted_again_goes_on)
+{
+	{
+		struct sent first(bench), second(bench);
+
+		send(first);
+		arrived();
+		forget_b();
+		send(second); /* takes it up again */
+		arrived(2);
+		b.gate.refuse(b.gate.open.front(), BRF_R_OVERLOAD);
+		b.gate.refuse(b.gate.open.back(), BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until([&] {
+			return (first.hop.state == BRF_HOP_REFUSED &&
+				second.hop.state == BRF_HOP_REFUSED);
+		}));
+	}
+	close();
+}
+
+TEST_F(two_nodes, a_newer_table_travels_from_either_side)
+{
+	{
+		struct sent s(bench);
+		struct brf_hop *hop;
+
+		a.news.revision = 7;
+		a.news.text = "seven";
+		send(s);
+		hop = arrived();
+		EXPECT_TRUE(bench.until([&] { return (b.news.got == 7); }));
+		EXPECT_EQ(b.news.got_text, "seven");
+		b.news.revision = 9;
+		b.news.text = std::string(300000, 'n');
+		brf_links_tell(b.links);
+		EXPECT_TRUE(bench.until([&] { return (a.news.got == 9); }));
+		EXPECT_EQ(a.news.got_text.size(), 300000u);
+		b.gate.refuse(hop, BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (s.hop.state == BRF_HOP_REFUSED); }));
+	}
+	close();
+}
+
+/* A listener that takes connections and never says a word. */
+TEST_F(two_nodes, a_silent_node_is_noticed_and_given_up)
+{
+	{
+		struct raw_listener mute;
+		struct sockaddr_in addr = loopback(mute.port);
+		struct sent s(bench);
+		struct brf_link *link = brf_links_get(a.links, &addr);
+
+		brf_hop_send(brf_link_backend(link), &s.hop);
+		EXPECT_TRUE(bench.until([&] {
+			return (brf_link_health(link) == BRF_LINK_SILENT);
+		}));
+		EXPECT_EQ(s.hop.state, BRF_HOP_OPEN);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (s.hop.state != BRF_HOP_OPEN); }));
+		EXPECT_EQ(s.hop.state, BRF_HOP_FAILED);
+		EXPECT_EQ(brf_link_health(link), BRF_LINK_DOWN);
+	}
+	close();
+}
+
+namespace
+{
+
+/* One record, read up to its argument. */
+struct one_record {
+	struct brf_record_reader reader = {};
+	struct brf_record record = {};
+	struct brf_rpc_header header = {};
+	struct brf_error err = {};
+	XDR xdr;
+	bool whole;
+
+	explicit one_record(const struct brf_buf &out)
+	{
+		brf_record_feed(&reader, out.data, out.len);
+		whole = brf_record_next(&reader, &record, &err) ==
+			    BRF_RECORD_WHOLE &&
+			brf_rpc_read(&xdr, &record, &header, &err);
+	}
+
+	~one_record()
+	{
+		brf_record_reader_free(&reader);
+	}
+};
+
+struct brf_link_text
+as_text(const std::string &s)
+{
+	return ((struct brf_link_text){ s.data(), s.size() });
+}
+
+} // namespace
+
+namespace
+{
+
+std::string
+some_fields()
+{
+	std::string block;
+
+	for (int i = *rc::gen::inRange(0, 5); i > 0; i--)
+		block += "x: " +
+			 *rc::gen::container<std::string>(
+			     rc::gen::inRange<char>(' ', 127)) +
+			 "\r\n";
+	return (block);
+}
+
+} // namespace
+
+RC_GTEST_PROP(link_codec, a_request_is_read_as_it_was_written, ())
+{
+	const std::string fields = some_fields();
+	const auto part = *rc::gen::arbitrary<std::string>();
+	const std::string id("id"), path("/a?b");
+	struct brf_link_send send = {}, read = {};
+	struct brf_buf out = {};
+
+	send.timeout_us = *rc::gen::arbitrary<uint32_t>();
+	send.patience_us = *rc::gen::arbitrary<uint32_t>();
+	send.rank = *rc::gen::inRange<uint32_t>(0, 256);
+	send.body = (enum brf_body_kind)*rc::gen::inRange(
+	    (int)BRF_BODY_NONE, (int)BRF_BODY_CHUNKED + 1);
+	send.repeatable = *rc::gen::arbitrary<bool>();
+	send.nested = *rc::gen::arbitrary<bool>();
+	send.repeat = *rc::gen::arbitrary<bool>();
+	send.end = *rc::gen::arbitrary<bool>();
+	if (send.body == BRF_BODY_LENGTH && !send.end)
+		send.length = *rc::gen::arbitrary<uint64_t>();
+	else if (send.end)
+		send.length = part.size();
+	send.id = send.target = send.method = send.host = as_text(id);
+	send.path = as_text(path);
+	send.fields = as_text(fields);
+	send.part = as_text(part);
+	brf_link_send_put(&out, 17, &send);
+	struct one_record r(out);
+
+	RC_ASSERT(r.whole);
+	RC_ASSERT(r.header.xid == 17u);
+	RC_ASSERT(r.header.procedure == (uint32_t)BRF_LINK_SEND);
+	RC_ASSERT(brf_link_send_get(&r.xdr, &r.record, &read, &r.err));
+	RC_ASSERT(read.timeout_us == send.timeout_us);
+	RC_ASSERT(read.patience_us == send.patience_us);
+	RC_ASSERT(read.rank == send.rank);
+	RC_ASSERT(read.body == send.body);
+	RC_ASSERT(read.repeatable == send.repeatable);
+	RC_ASSERT(read.nested == send.nested);
+	RC_ASSERT(read.repeat == send.repeat);
+	RC_ASSERT(read.end == send.end);
+	RC_ASSERT(read.length == send.length);
+	RC_ASSERT(text_of(read.id) == id);
+	RC_ASSERT(text_of(read.path) == path);
+	RC_ASSERT(text_of(read.fields) == fields);
+	RC_ASSERT(text_of(read.part) == part);
+	brf_buf_free(&out);
+}
+
+RC_GTEST_PROP(link_codec, a_reply_is_read_as_it_was_written, ())
+{
+	const std::string fields = some_fields();
+	const auto part = *rc::gen::arbitrary<std::string>();
+	struct brf_link_reply reply = {}, read = {};
+	struct brf_buf out = {};
+
+	reply.state = (enum brf_hop_state)*rc::gen::inRange(
+	    (int)BRF_HOP_ANSWERED, (int)BRF_HOP_FAILED + 1);
+	reply.reason =
+	    (enum brf_reason)*rc::gen::inRange(0, (int)BRF_REASON_COUNT);
+	reply.arrived = *rc::gen::arbitrary<bool>();
+	reply.marked = *rc::gen::arbitrary<bool>();
+	reply.inner = *rc::gen::arbitrary<bool>();
+	reply.retry_after_ms = *rc::gen::arbitrary<uint32_t>();
+	reply.load = { 1, 2, 3, 65535 };
+	reply.status = 200;
+	reply.body = BRF_BODY_CHUNKED;
+	reply.end = *rc::gen::arbitrary<bool>();
+	reply.fields = as_text(fields);
+	reply.part = as_text(part);
+	brf_link_reply_put(&out, 17, &reply);
+	struct one_record r(out);
+
+	RC_ASSERT(r.whole);
+	RC_ASSERT(!r.header.is_call);
+	RC_ASSERT(brf_link_reply_get(&r.xdr, &r.record, &read, &r.err));
+	RC_ASSERT(read.state == reply.state);
+	RC_ASSERT(read.arrived == reply.arrived);
+	RC_ASSERT(read.marked == reply.marked);
+	RC_ASSERT(read.inner == reply.inner);
+	RC_ASSERT(read.load.service_ms == 65535);
+	if (reply.state == BRF_HOP_ANSWERED) {
+		RC_ASSERT(read.status == 200u);
+		RC_ASSERT(read.body == BRF_BODY_CHUNKED);
+		RC_ASSERT(read.end == reply.end);
+		RC_ASSERT(text_of(read.fields) == fields);
+		RC_ASSERT(text_of(read.part) == part);
+	} else {
+		RC_ASSERT(read.reason == reply.reason);
+		RC_ASSERT(read.retry_after_ms == reply.retry_after_ms);
+	}
+	brf_buf_free(&out);
+}
+
+/* Whatever bytes a peer sends: read or refused, never misread. */
+RC_GTEST_PROP(link_codec, changed_bytes_are_read_or_refused, ())
+{
+	struct brf_link_send send = {}, read = {};
+	const std::string text = "text";
+	struct brf_buf out = {};
+
+	send.id = send.target = send.method = send.host = send.path =
+	    send.fields = send.part = as_text(text);
+	brf_link_send_put(&out, 17, &send);
+	for (int i = *rc::gen::inRange(1, 4); i > 0; i--)
+		out.data[*rc::gen::inRange<size_t>(4, out.len)] =
+		    *rc::gen::arbitrary<char>();
+	struct one_record r(out);
+
+	if (r.whole &&
+	    brf_link_send_get(&r.xdr, &r.record, &read, &r.err)) {
+		RC_ASSERT(read.id.data >= r.record.data);
+		RC_ASSERT(read.part.data + read.part.len <=
+			  r.record.data + r.record.len);
+	}
+	brf_buf_free(&out);
+}
--- a/test/place_test.cc
+++ b/test/place_test.cc
@@ -124,6 +124,7 @@
 {
 	size_t dead = add(BRF_PLACE_ZONE), other = add(BRF_PLACE_REGION);
 
+	tell(dead, 0, 50);
 	tell(other, 0, 500);
 	for (int i = 0; i < 3; i++) {
 		brf_place_sent(&targets[dead], now);
@@ -140,6 +141,34 @@
 	EXPECT_EQ(choose(), dead);
 }
 
+TEST_F(place, who_is_ejected_is_the_last_that_a_repeatable_request_tries)
+{
+	size_t dead = add(BRF_PLACE_ZONE), other = add(BRF_PLACE_REGION);
+
+	tell(other, 0, 500);
+	for (int i = 0; i < 3; i++) {
+		brf_place_sent(&targets[dead], now);
+		brf_place_ended(&targets[dead], BRF_PLACE_LOST, nullptr, now);
+	}
+	EXPECT_EQ(choose(2, false, { other }), dead);
+	EXPECT_EQ(choose(2, false, { other }, false), BRF_PLACE_NONE);
+	brf_place_sent(&targets[dead], now);
+	EXPECT_EQ(choose(2, false, { other }), BRF_PLACE_NONE);
+}
+
+/* Among quick ones it would else look slow for as long as it gets nothing. */
+TEST_F(place, who_was_never_heard_is_taken_to_be_like_the_others)
+{
+	size_t known = add(BRF_PLACE_ZONE), fresh = add(BRF_PLACE_ZONE);
+	size_t got = 0;
+
+	tell(known, 0, 2);
+	for (int i = 0; i < 100; i++)
+		got += choose() == fresh;
+	EXPECT_GT(got, 20u);
+	EXPECT_LT(got, 80u);
+}
+
 TEST_F(place, the_other_region_is_for_those_without_a_target_here)
 {
 	size_t far = add(BRF_PLACE_FAR), near = add(BRF_PLACE_REGION);
