--- a/src/base/list.h
+++ b/src/base/list.h
@@ -51,6 +51,20 @@
 	brf_list_init(l);
 }
 
+/* Remove the first link; NULL when there is none. */
+static inline struct brf_list *
+brf_list_pop(struct brf_list *head)
+{
+	struct brf_list *l = head->next;
+
+	if (l == head)
+		return (NULL);
+	head->next = l->next;
+	l->next->prev = head;
+	brf_list_init(l);
+	return (l);
+}
+
 /* Move all of @from, which may be empty, to the end of @to. */
 static inline void
 brf_list_move(struct brf_list *to, struct brf_list *from)
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -238,8 +238,8 @@
 	if (left_out != 0)
 		brf_buf_printf(b, ",\"left_out\":%u", left_out);
 	if (logger.untold != 0)
-		brf_buf_printf(b, ",\"dropped\":%llu",
-		    (unsigned long long)logger.untold);
+		brf_buf_printf(
+		    b, ",\"dropped\":%llu", (unsigned long long)logger.untold);
 	logger.untold = 0;
 	brf_buf_puts(b, "}\n");
 	put_line(b);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -20,7 +20,8 @@
 
 #define BRF_LOG_BURST 20u
 #define BRF_LOG_REQUEST_BURST 200u
-#define BRF_LOG_HELD_MAX 65536u /* bytes of lines that wait for their reader */
+/* Bytes of lines that wait for their reader. */
+#define BRF_LOG_HELD_MAX 65536u
 
 enum brf_log_level {
 	BRF_LOG_DEBUG,
@@ -102,10 +103,9 @@
 		__VA_ARGS__ __VA_OPT__(, ){ .type = BRF_LOG_END } })
 
 /* A line on a single request. */
-#define brf_log_request(level, event, ...)    \
-	brf_log_write_each((level), (event),  \
-	    BRF_LOG_REQUEST_BURST,            \
-	    (const struct brf_log_field[]){   \
+#define brf_log_request(level, event, ...)                          \
+	brf_log_write_each((level), (event), BRF_LOG_REQUEST_BURST, \
+	    (const struct brf_log_field[]){                         \
 		__VA_ARGS__ __VA_OPT__(, ){ .type = BRF_LOG_END } })
 
 BRF_BEGIN_DECLS
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -157,12 +157,13 @@
 void
 brf_directory_free(struct brf_directory *d)
 {
+	struct brf_list *l;
+
 	if (d == NULL)
 		return;
 	brf_follow_free(d->follow);
-	while (!brf_list_empty(&d->targets))
-		drop(brf_list_entry(
-			 d->targets.next, struct brf_directory_target, link),
+	while ((l = brf_list_pop(&d->targets)) != NULL)
+		drop(brf_list_entry(l, struct brf_directory_target, link),
 		    "stopping");
 	free(d);
 }
--- a/src/fleet/register.c
+++ b/src/fleet/register.c
@@ -318,15 +318,15 @@
 void
 brf_register_free(struct brf_register *r)
 {
+	struct brf_list *l;
 	struct record *rec;
 
 	if (r == NULL)
 		return;
 	brf_store_cancel(r->store, &r->call);
 	brf_timer_stop(r->timers, &r->timer);
-	while (!brf_list_empty(&r->records)) {
-		rec = brf_list_entry(r->records.next, struct record, link);
-		brf_list_remove(&rec->link);
+	while ((l = brf_list_pop(&r->records)) != NULL) {
+		rec = brf_list_entry(l, struct record, link);
 		brf_buf_free(&rec->text);
 		free(rec);
 	}
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -71,13 +71,16 @@
 void
 brf_flow_conn_close(struct brf_flow_conn *c, enum brf_flow_end end)
 {
+	struct brf_list *l;
+
 	if (c->state == BRF_FLOW_CONN_CLOSING)
 		return;
 	c->state = BRF_FLOW_CONN_CLOSING;
 	brf_task_cancel(&c->work);
 	brf_timer_stop(c->server->config.timers, &c->timer);
-	while (!brf_list_empty(&c->requests))
-		brf_flow_request_end(last_request(c), end);
+	while ((l = brf_list_pop(&c->requests)) != NULL)
+		brf_flow_request_end(
+		    brf_list_entry(l, struct brf_flow_request, link), end);
 	uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
--- a/src/link/codec.h
+++ b/src/link/codec.h
@@ -35,7 +35,7 @@
 	BRF_LINK_TABLE
 };
 
-#define BRF_LINK_PART 16384u /* bytes of a body in one message */
+#define BRF_LINK_PART 16384u  /* bytes of a body in one message */
 #define BRF_LINK_TEXT 524288u /* bytes of any other text */
 
 /**
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -285,9 +285,11 @@
 static void
 end_queue(struct brf_link *link)
 {
-	while (!brf_list_empty(&link->queue))
-		end_hop(sent_of(brf_list_entry(
-			    link->queue.next, struct brf_link_stream, link)),
+	struct brf_list *l;
+
+	while ((l = brf_list_pop(&link->queue)) != NULL)
+		end_hop(
+		    sent_of(brf_list_entry(l, struct brf_link_stream, link)),
 		    BRF_HOP_REFUSED, BRF_R_NOT_SENT);
 }
 
@@ -295,12 +297,13 @@
 end_streams(struct brf_link_conn *lc)
 {
 	struct sent_hop *sh;
+	struct brf_list *l;
 	size_t i;
 
 	for (i = 0; i < BRF_LINK_BUCKETS; i++) {
-		while (!brf_list_empty(&lc->streams[i])) {
-			sh = sent_of(brf_list_entry(
-			    lc->streams[i].next, struct brf_link_stream, link));
+		while ((l = brf_list_pop(&lc->streams[i])) != NULL) {
+			sh = sent_of(
+			    brf_list_entry(l, struct brf_link_stream, link));
 			if (sh->at >= lc->conn.accepted)
 				end_hop(sh, BRF_HOP_REFUSED, BRF_R_NOT_SENT);
 			else
@@ -336,8 +339,8 @@
 	link->lc = NULL;
 	if (!links->closing) {
 		mark_down(link);
-		brf_log(BRF_LOG_INFO, "link_lost", BRF_LS("peer", link->name), BRF_LE(err),
-		    BRF_LU("failures", link->failures));
+		brf_log(BRF_LOG_INFO, "link_lost", BRF_LS("peer", link->name),
+		    BRF_LE(err), BRF_LU("failures", link->failures));
 	}
 	end_queue(link);
 	brf_link_settle(link);
--- a/src/link/links.c
+++ b/src/link/links.c
@@ -232,10 +232,11 @@
 void
 brf_links_free(struct brf_links *links)
 {
+	struct brf_list *l;
+
 	if (links == NULL)
 		return;
-	while (!brf_list_empty(&links->links))
-		brf_link_free(
-		    brf_list_entry(links->links.next, struct brf_link, member));
+	while ((l = brf_list_pop(&links->links)) != NULL)
+		brf_link_free(brf_list_entry(l, struct brf_link, member));
 	free(links);
 }
--- a/src/link/serve.c
+++ b/src/link/serve.c
@@ -271,16 +271,16 @@
 on_lost(struct brf_conn *conn, const struct brf_error *err)
 {
 	struct brf_link_conn *lc = conn_of(conn);
+	struct brf_list *l;
 	size_t i;
 
 	if (lc->open != 0)
 		brf_log(BRF_LOG_INFO, "caller_link_lost", BRF_LE(err),
 		    BRF_LU("open", lc->open));
 	for (i = 0; i < BRF_LINK_BUCKETS; i++) {
-		while (!brf_list_empty(&lc->streams[i]))
-			served_free(
-			    served_of(brf_list_entry(lc->streams[i].next,
-				struct brf_link_stream, link)));
+		while ((l = brf_list_pop(&lc->streams[i])) != NULL)
+			served_free(served_of(
+			    brf_list_entry(l, struct brf_link_stream, link)));
 	}
 }
 
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -194,8 +194,8 @@
 {
 	uint64_t t = now(callers);
 
-	return (callers->ends_at > t ? (callers->ends_at - t) / BRF_US_PER_MS
-				     : 0);
+	return (
+	    callers->ends_at > t ? (callers->ends_at - t) / BRF_US_PER_MS : 0);
 }
 
 /* Seconds with fractions, as callers honour them.  Return: the time, ms. */
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -114,9 +114,9 @@
 	    BRF_LU("serial", v->serial), BRF_LU("rank", rq->rank),
 	    BRF_LU("nested", rq->nested), BRF_LU("repeat", rq->repeat),
 	    BRF_LS("reason", brf_reason_name(reason)),
-	    BRF_LU("waited_ms",
-		(v->running ? v->ticket.waited_us : t - v->came) /
-		    BRF_US_PER_MS),
+	    BRF_LU(
+		"waited_ms", (v->running ? v->ticket.waited_us : t - v->came) /
+				 BRF_US_PER_MS),
 	    BRF_LU("patience_ms", rq->patience_us / BRF_US_PER_MS),
 	    BRF_LU("left_ms",
 		rq->deadline > t ? (rq->deadline - t) / BRF_US_PER_MS : 0),
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -8,8 +8,8 @@
 #define SETTINGS_EVERY_US (500 * BRF_US_PER_MS) /* looks at the file */
 #define LOG_EVERY_US BRF_US_PER_S		/* lines on load */
 #define FLUSH_US (100 * BRF_US_PER_MS) /* longest that lines are held */
-#define FLUSH_BYTES 4096u /* from which they are written at once */
-#define STOP_EVERY_US (50 * BRF_US_PER_MS)	/* looks at what is left */
+#define FLUSH_BYTES 4096u	       /* from which they are written at once */
+#define STOP_EVERY_US (50 * BRF_US_PER_MS) /* looks at what is left */
 /* Callers are told within two questions, a second apart, that this node is
  * not ready; until then they send. */
 #define STOP_LEAST_US (2500 * BRF_US_PER_MS)
@@ -33,8 +33,7 @@
 	brf_links_flush(node->links);
 	if (brf_log_held() >= FLUSH_BYTES)
 		brf_log_flush();
-	else if (brf_log_held() != 0 &&
-		 !brf_timer_active(&node->flush_log))
+	else if (brf_log_held() != 0 && !brf_timer_active(&node->flush_log))
 		brf_timer_start(node->turn.timers, &node->flush_log, FLUSH_US);
 }
 
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -91,9 +91,8 @@
 {
 	struct brf_link *before = peer->link;
 
-	peer->link = addr != NULL
-			 ? brf_links_get(peer->all->config.links, addr)
-			 : NULL;
+	peer->link =
+	    addr != NULL ? brf_links_get(peer->all->config.links, addr) : NULL;
 	if (before != NULL)
 		brf_link_forget(before);
 }
@@ -176,14 +175,10 @@
 void
 brf_mesh_services_finish(struct brf_mesh_services *s)
 {
-	struct brf_mesh_service *service;
+	struct brf_list *l;
 
-	while (!brf_list_empty(&s->list)) {
-		service =
-		    brf_list_entry(s->list.next, struct brf_mesh_service, link);
-		brf_list_remove(&service->link);
-		free(service);
-	}
+	while ((l = brf_list_pop(&s->list)) != NULL)
+		free(brf_list_entry(l, struct brf_mesh_service, link));
 }
 
 static bool
--- a/src/mesh/tables.c
+++ b/src/mesh/tables.c
@@ -74,9 +74,10 @@
 void
 brf_mesh_tables_finish(struct brf_mesh_tables *t)
 {
-	while (!brf_list_empty(&t->routes))
-		route_free(brf_list_entry(
-		    t->routes.next, struct brf_mesh_route, link));
+	struct brf_list *l;
+
+	while ((l = brf_list_pop(&t->routes)) != NULL)
+		route_free(brf_list_entry(l, struct brf_mesh_route, link));
 	brf_table_unref(t->current);
 	brf_buf_free(&t->text);
 }
--- a/src/mesh/trail.c
+++ b/src/mesh/trail.c
@@ -28,9 +28,10 @@
 {
 	bool known = hop->known_age_us != UINT64_MAX;
 
-	brf_log_request(BRF_LOG_INFO, "request_sent", BRF_LS("request", end->id),
-	    BRF_LS("target", hop->target), BRF_LS("ring", hop->ring),
-	    BRF_LU("at_ms", ms(hop->at_us)), BRF_LU("repeat", hop->repeat),
+	brf_log_request(BRF_LOG_INFO, "request_sent",
+	    BRF_LS("request", end->id), BRF_LS("target", hop->target),
+	    BRF_LS("ring", hop->ring), BRF_LU("at_ms", ms(hop->at_us)),
+	    BRF_LU("repeat", hop->repeat),
 	    BRF_LD("estimate_ms", hop->estimate_us / BRF_US_PER_MS),
 	    BRF_LU("known", known),
 	    BRF_LU("known_age_ms", known ? ms(hop->known_age_us) : 0),
@@ -61,8 +62,8 @@
 	    BRF_LU("parent", end->parent),
 	    BRF_LU("allowed_ms", ms(end->allowed_us)),
 	    BRF_LU("objective_ms", r != NULL ? ms(r->objective_us) : 0),
-	    BRF_LD("share", trail->share), BRF_LD("repeats_left", trail->budget),
-	    BRF_LU("hops", trail->count),
+	    BRF_LD("share", trail->share),
+	    BRF_LD("repeats_left", trail->budget), BRF_LU("hops", trail->count),
 	    BRF_LU("status", (uint64_t)end->status),
 	    BRF_LS("reason", brf_reason_name(end->reason)),
 	    BRF_LU("retry_after_ms", end->retry_after_ms),
--- a/src/policy/pace.c
+++ b/src/policy/pace.c
@@ -2,9 +2,9 @@
 
 #define MARKS_CLEAN 0.02 /* share of marks that counts as next to none */
 #define CUT 0.3
-#define RISE_FIRST 0.02	 /* in a round, and after the first without marks */
-#define RISE_MOST 0.08	 /* after many of those */
-#define TOOK_STEP 0.1	 /* weight of one request in the usual time */
+#define RISE_FIRST 0.02 /* in a round, and after the first without marks */
+#define RISE_MOST 0.08	/* after many of those */
+#define TOOK_STEP 0.1	/* weight of one request in the usual time */
 
 /* Waits at which each request is marked, microseconds, by rank. */
 static const double mark_us[BRF_PACE_RANKS] = { 300e3, 150e3, 60e3 };
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -1,6 +1,6 @@
 #include "policy/place.h"
 
-#define SERVICE_MS 50.0 /* taken where no target was ever heard */
+#define SERVICE_MS 50.0		 /* taken where no target was ever heard */
 #define LOAD_AGE_US BRF_US_PER_S /* life of a gate's word on its load */
 #define COLD_FACTOR 2.0 /* a target that warms up takes so much longer */
 #define GOOD_STEP 0.05	/* weight of one hop in the share of good ones */
@@ -122,7 +122,9 @@
 	}
 	if (heard == 0 || heard == count)
 		return;
-	usual = sum > heard ? sum / (double)heard : 1;
+	usual = sum / (double)heard;
+	if (usual < 1)
+		usual = 1;
 	for (i = 0; i < count; i++)
 		targets[i]->usual_ms = usual;
 }
@@ -138,7 +140,8 @@
 
 	for (i = 0; i < count; i++) {
 		if ((targets[i]->ring == BRF_PLACE_FAR) != far ||
-		    request->tried[i] || !may_get(targets[i], request, last, now))
+		    request->tried[i] ||
+		    !may_get(targets[i], request, last, now))
 			continue;
 		c = cost(targets[i], random, now);
 		if (best == BRF_PLACE_NONE || c < least) {
@@ -175,8 +178,8 @@
 
 	set_usual(targets, count);
 	for (last = 0; last < 2 && found == BRF_PLACE_NONE; last++) {
-		found = choose(
-		    targets, count, false, last, request, random, now);
+		found =
+		    choose(targets, count, false, last, request, random, now);
 		if (found == BRF_PLACE_NONE && may_go_far)
 			found = choose(
 			    targets, count, true, last, request, random, now);
--- a/src/table/table.c
+++ b/src/table/table.c
@@ -33,7 +33,7 @@
 	t->revision = revision;
 	t->limits = *limits;
 	t->index_size = INDEX_FIRST;
-	t->index = brf_calloc(t->index_size, sizeof(*t->index));
+	t->index = brf_calloc(t->index_size, sizeof(void *));
 	return (t);
 }
 
@@ -124,7 +124,7 @@
 		return;
 	free(t->index);
 	t->index_size *= 2;
-	t->index = brf_calloc(t->index_size, sizeof(*t->index));
+	t->index = brf_calloc(t->index_size, sizeof(void *));
 	for (i = 0; i < t->route_count; i++)
 		*find_slot(t, t->routes[i]->host, t->routes[i]->prefix,
 		    strlen(t->routes[i]->prefix)) = t->routes[i];
@@ -174,7 +174,7 @@
 	if (*slot == NULL)
 		*slot = r; /* of two that are alike, the first one holds */
 	t->routes =
-	    brf_realloc(t->routes, (t->route_count + 1) * sizeof(*t->routes));
+	    brf_realloc(t->routes, (t->route_count + 1) * sizeof(void *));
 	t->routes[t->route_count++] = r;
 	return (true);
 }
--- a/test/link_fake.h
+++ b/test/link_fake.h
@@ -55,8 +55,7 @@
 		hop->arrived = true;
 		hop->answer.status = status;
 		hop->answer.body = BRF_BODY_CHUNKED;
-		brf_buf_add(
-		    &hop->answer.fields, fields.data(), fields.size());
+		brf_buf_add(&hop->answer.fields, fields.data(), fields.size());
 		hop->down.reader = hop->owner;
 		brf_task_post(tasks, hop->owner);
 	}
@@ -114,8 +113,8 @@
 
 		if (s->hop.state != BRF_HOP_ANSWERED || !s->reads)
 			return;
-		s->got.append(brf_pipe_data(&s->hop.down),
-		    brf_pipe_len(&s->hop.down));
+		s->got.append(
+		    brf_pipe_data(&s->hop.down), brf_pipe_len(&s->hop.down));
 		brf_pipe_consume(&s->hop.down, brf_pipe_len(&s->hop.down));
 	}
 };
@@ -162,8 +161,8 @@
 		f->text = f->got_text;
 	}
 
-	linked_node(struct flow_bench &bench, const char *name,
-	    const char *its_service)
+	linked_node(
+	    struct flow_bench &bench, const char *name, const char *its_service)
 	    : gate(&bench.turn.tasks)
 	{
 		static const struct brf_link_news_vt vt = { revision, text,
@@ -184,8 +183,8 @@
 		config.service = service;
 		links = brf_links_new(&config);
 		addr = loopback(0);
-		EXPECT_TRUE(brf_links_listen(links,
-		    (const struct sockaddr *)&addr, &port, &err));
+		EXPECT_TRUE(brf_links_listen(
+		    links, (const struct sockaddr *)&addr, &port, &err));
 		addr.sin_port = htons(port);
 	}
 };
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -40,14 +40,15 @@
 		EXPECT_STREQ(rq->method, "POST");
 		EXPECT_STREQ(rq->path, "/a/b?c");
 		EXPECT_STREQ(rq->host, "h.example");
-		EXPECT_EQ(std::string(rq->fields, rq->fields_len), "x-a: 1\r\n");
+		EXPECT_EQ(
+		    std::string(rq->fields, rq->fields_len), "x-a: 1\r\n");
 		EXPECT_EQ(rq->patience_us, 250000u);
 		EXPECT_EQ(rq->rank, 2u);
 		EXPECT_EQ(rq->length, 5u);
 		EXPECT_TRUE(rq->repeatable && rq->nested && !rq->repeat);
 		ASSERT_NE(hop->up, nullptr);
-		EXPECT_EQ(std::string(brf_pipe_data(hop->up),
-			      brf_pipe_len(hop->up)),
+		EXPECT_EQ(
+		    std::string(brf_pipe_data(hop->up), brf_pipe_len(hop->up)),
 		    "hello");
 		EXPECT_EQ(hop->up->state, BRF_PIPE_ENDED);
 		b.gate.answer(hop, 201, "x-b: 2\r\n");
@@ -150,8 +151,7 @@
 			std::string part(4096, 'x');
 
 			while (sent_up < length && brf_pipe_room(&s.up) != 0) {
-				brf_pipe_write(
-				    &s.up, part.data(), part.size());
+				brf_pipe_write(&s.up, part.data(), part.size());
 				sent_up += part.size();
 			}
 			if (sent_up == length)
@@ -207,7 +207,7 @@
 			}
 			uv_run(&bench.loop, UV_RUN_NOWAIT);
 		}
-		EXPECT_LT(written, 512u * 1024) ;
+		EXPECT_LT(written, 512u * 1024);
 		send(quick);
 		b.gate.refuse(arrived(2), BRF_R_OVERLOAD);
 		EXPECT_TRUE(bench.until(
@@ -292,7 +292,8 @@
 		brf_links_close(b.links, on_closed, &closed);
 		ASSERT_TRUE(bench.until([&] { return (closed == 1); }));
 		bench.turns(50);
-		/* by now the connection is gone; the hop still knows the link */
+		/* by now the connection is gone; the hop still knows the link
+		 */
 	}
 	close();
 }
@@ -355,8 +356,8 @@
 			return (brf_link_health(link) == BRF_LINK_SILENT);
 		}));
 		EXPECT_EQ(s.hop.state, BRF_HOP_OPEN);
-		EXPECT_TRUE(bench.until(
-		    [&] { return (s.hop.state != BRF_HOP_OPEN); }));
+		EXPECT_TRUE(
+		    bench.until([&] { return (s.hop.state != BRF_HOP_OPEN); }));
 		EXPECT_EQ(s.hop.state, BRF_HOP_FAILED);
 		EXPECT_EQ(brf_link_health(link), BRF_LINK_DOWN);
 	}
@@ -426,8 +427,8 @@
 	send.timeout_us = *rc::gen::arbitrary<uint32_t>();
 	send.patience_us = *rc::gen::arbitrary<uint32_t>();
 	send.rank = *rc::gen::inRange<uint32_t>(0, 256);
-	send.body = (enum brf_body_kind)*rc::gen::inRange(
-	    (int)BRF_BODY_NONE, (int)BRF_BODY_CHUNKED + 1);
+	send.body = (enum brf_body_kind) * rc::gen::inRange((int)BRF_BODY_NONE,
+					       (int)BRF_BODY_CHUNKED + 1);
 	send.repeatable = *rc::gen::arbitrary<bool>();
 	send.nested = *rc::gen::arbitrary<bool>();
 	send.repeat = *rc::gen::arbitrary<bool>();
@@ -470,10 +471,11 @@
 	struct brf_link_reply reply = {}, read = {};
 	struct brf_buf out = {};
 
-	reply.state = (enum brf_hop_state)*rc::gen::inRange(
-	    (int)BRF_HOP_ANSWERED, (int)BRF_HOP_FAILED + 1);
+	reply.state =
+	    (enum brf_hop_state) *
+	    rc::gen::inRange((int)BRF_HOP_ANSWERED, (int)BRF_HOP_FAILED + 1);
 	reply.reason =
-	    (enum brf_reason)*rc::gen::inRange(0, (int)BRF_REASON_COUNT);
+	    (enum brf_reason) * rc::gen::inRange(0, (int)BRF_REASON_COUNT);
 	reply.arrived = *rc::gen::arbitrary<bool>();
 	reply.marked = *rc::gen::arbitrary<bool>();
 	reply.inner = *rc::gen::arbitrary<bool>();
@@ -523,8 +525,7 @@
 		    *rc::gen::arbitrary<char>();
 	struct one_record r(out);
 
-	if (r.whole &&
-	    brf_link_send_get(&r.xdr, &r.record, &read, &r.err)) {
+	if (r.whole && brf_link_send_get(&r.xdr, &r.record, &read, &r.err)) {
 		RC_ASSERT(read.id.data >= r.record.data);
 		RC_ASSERT(read.part.data + read.part.len <=
 			  r.record.data + r.record.len);
--- a/test/log_test.cc
+++ b/test/log_test.cc
@@ -113,7 +113,7 @@
 	close(fds[0]);
 	close(fds[1]);
 	EXPECT_NE(text.find("\"dropped\":" +
-		      std::to_string(after.dropped - before.dropped)),
+			    std::to_string(after.dropped - before.dropped)),
 	    std::string::npos);
 	EXPECT_EQ(text.back(), '\n');
 }
--- a/test/pace_test.cc
+++ b/test/pace_test.cc
@@ -186,8 +186,8 @@
 		brf_kinship_visit(&parent, "a");
 		brf_kinship_visit(&stranger, "a");
 		brf_kinship_compare(&parent, 0);
-		brf_kinship_compare(&stranger,
-		    brf_random_below(&random.random, 100000));
+		brf_kinship_compare(
+		    &stranger, brf_random_below(&random.random, 100000));
 	}
 	EXPECT_GT(brf_kinship_weight(&parent), 0.95);
 	EXPECT_LT(brf_kinship_weight(&stranger), 0.06);
