Wake the owner of a writer that was full and then wrote all at once

A core of the stalled node shows an answer's pipe full, its connection with nothing to write and nobody to wake it: the owner of a writer stopped at PENDING_MAX bytes, and the flush that followed gave all of them to the kernel at once, so that no write waited and `drained` was never called. Ruled out: the link's window (room 0 on both ends as it should be), the target connection (paused with input, its pipe full), the stand-in (its socket in persist).

brf_writer_full() now flushes before it says so: a full writer always has a write that waits. test/writer_test.cc plays it without a node.

--- a/src/flow/server_answer.c
+++ b/src/flow/server_answer.c
@@ -1,9 +1,6 @@
 #include "flow/server_impl.h"
 #include "http/framing.h"
 
-#define PENDING_MAX 131072u /* bytes waiting for the socket */
-#define CHUNK_TEXT 24	    /* bytes of a chunk's size line */
-
 void
 brf_flow_answer(struct brf_flow_request *r, int status, const char *fields,
     size_t fields_len, enum brf_body_kind kind, uint64_t length,
@@ -103,7 +100,7 @@
 	len = brf_pipe_len(r->answer);
 	if (r->framing == BRF_BODY_LENGTH && len > r->missing)
 		len = r->missing;
-	if (len != 0 && brf_writer_pending(w) >= PENDING_MAX)
+	if (len != 0 && brf_writer_full(w))
 		return (PROGRESS_WAIT);
 	if (len != 0)
 		write_part(r, len);
--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -7,7 +7,6 @@
 
 #define READ_SIZE 65536u	     /* bytes asked of the kernel at once */
 #define HEAD_MAX 65536u		     /* bytes of an answer's head */
-#define PENDING_MAX 131072u	     /* bytes waiting for the socket */
 #define CONNECT_US BRF_US_PER_S	     /* for a connection to open */
 #define IDLE_US (8 * BRF_US_PER_S)   /* kept where the target doesn't say */
 #define IDLE_EARLY_US BRF_US_PER_S   /* before the target would close it */
@@ -425,7 +424,7 @@
 	if (c->body_sent || c->stop_sending)
 		return;
 	len = brf_pipe_len(body);
-	if (len != 0 && brf_writer_pending(&c->writer) < PENDING_MAX) {
+	if (len != 0 && !brf_writer_full(&c->writer)) {
 		if (chunked)
 			brf_buf_printf(out, "%zx\r\n", len);
 		brf_buf_add(out, brf_pipe_data(body), len);
--- a/src/flow/writer.c
+++ b/src/flow/writer.c
@@ -63,9 +63,19 @@
 	return (0);
 }
 
-size_t
-brf_writer_pending(const struct brf_writer *w)
+static size_t
+pending(const struct brf_writer *w)
 {
 	return (w->out.len +
 		(w->busy ? uv_stream_get_write_queue_size(w->stream) : 0));
 }
+
+bool
+brf_writer_full(struct brf_writer *w)
+{
+	if (pending(w) < BRF_WRITER_HIGH)
+		return (false);
+	/* only a write that waits wakes its owner */
+	return (brf_writer_flush(w) == 0 && w->busy &&
+		pending(w) >= BRF_WRITER_HIGH);
+}
--- a/src/flow/writer.h
+++ b/src/flow/writer.h
@@ -5,6 +5,8 @@
 
 #include "base/buf.h"
 
+#define BRF_WRITER_HIGH 131072u /* bytes waiting, above which it is full */
+
 /**
  * DOC: Bytes on their way into a stream socket.
  *
@@ -43,8 +45,13 @@
  */
 int brf_writer_flush(struct brf_writer *w);
 
-/* Bytes that the kernel has not taken yet. */
-size_t brf_writer_pending(const struct brf_writer *w);
+/**
+ * brf_writer_full() - whether nothing more should be added now.
+ *
+ * When it is, a write is waiting and @drained will be called.  A stream that
+ * has failed is not full; the next brf_writer_flush() says so.
+ */
+bool brf_writer_full(struct brf_writer *w);
 
 BRF_END_DECLS
 
--- /dev/null
+++ b/test/writer_test.cc
@@ -0,0 +1,105 @@
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+
+#include "flow/writer.h"
+
+namespace
+{
+
+const size_t PART = 65536;
+const size_t TOTAL = 64 * PART;
+
+/* Adds parts as long as the writer takes them, and goes on when it is told. */
+struct a_writer : public testing::Test {
+	uv_loop_t loop;
+	uv_pipe_t stream;
+	struct brf_writer w;
+	int far = -1;
+	size_t added = 0, came = 0;
+
+	void
+	SetUp() override
+	{
+		int fds[2];
+
+		signal(SIGPIPE, SIG_IGN);
+		ASSERT_EQ(0, socketpair(AF_UNIX, SOCK_STREAM, 0, fds));
+		far = fds[1];
+		uv_loop_init(&loop);
+		uv_pipe_init(&loop, &stream, 0);
+		stream.data = this;
+		ASSERT_EQ(0, uv_pipe_open(&stream, fds[0]));
+		brf_writer_init(&w, (uv_stream_t *)&stream, drained);
+	}
+
+	void
+	TearDown() override
+	{
+		uv_close((uv_handle_t *)&stream, NULL);
+		uv_run(&loop, UV_RUN_DEFAULT);
+		brf_writer_free(&w);
+		uv_loop_close(&loop);
+		close(far);
+	}
+
+	void
+	pump()
+	{
+		std::string part(PART, 'x');
+
+		while (added < TOTAL && !brf_writer_full(&w)) {
+			brf_buf_add(&w.out, part.data(), part.size());
+			added += PART;
+		}
+		ASSERT_EQ(0, brf_writer_flush(&w));
+	}
+
+	static void
+	drained(struct brf_writer *w, int status)
+	{
+		ASSERT_EQ(0, status);
+		((struct a_writer *)w->stream->data)->pump();
+	}
+
+	void
+	read_all()
+	{
+		char buf[PART];
+		ssize_t n;
+
+		while ((n = recv(far, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
+			came += (size_t)n;
+	}
+};
+
+TEST_F(a_writer, is_full_only_while_a_write_waits)
+{
+	while (added < TOTAL && !brf_writer_full(&w))
+		pump();
+	EXPECT_TRUE(w.busy);
+	read_all();
+	for (int i = 0; i < 1000 && came < TOTAL; i++) {
+		uv_run(&loop, UV_RUN_NOWAIT);
+		ASSERT_TRUE(w.busy || !brf_writer_full(&w))
+		    << "nobody wakes its owner";
+		read_all();
+	}
+	EXPECT_EQ(TOTAL, came);
+}
+
+TEST_F(a_writer, that_has_failed_is_not_full)
+{
+	std::string much(4 * BRF_WRITER_HIGH, 'x');
+
+	close(far);
+	far = -1;
+	brf_buf_add(&w.out, much.data(), much.size());
+	EXPECT_FALSE(brf_writer_full(&w));
+	EXPECT_NE(0, brf_writer_flush(&w));
+}
+
+} // namespace
