Give each service a bit of its own in what a request may lead to

Each service now has its own bit, in the order in which it was first heard of; beyond 64 services bits are shared again. A second sign: a route most of whose requests end together with a running one is of calls.

--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -536,6 +536,8 @@
 static void
 find_parent(struct call *call)
 {
+	brf_kinship_began(&call->kept->kinship,
+	    brf_mesh_gate_ends_with(call->callers->gate, call->deadline_asked));
 	call->nested = brf_kinship_is_call(&call->kept->kinship);
 	call->has_parent =
 	    call->nested && brf_mesh_gate_parent(call->callers->gate,
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -175,8 +175,8 @@
 	hop->state = state;
 	hop->marked = v->marked;
 	hop->inner =
-	    v->route != NULL &&
-	    brf_kinship_is_inner(&v->route->kinship, *v->gate->config.services);
+	    v->route != NULL && brf_kinship_is_inner(&v->route->kinship,
+				    v->gate->config.services->bits);
 	if (hop->marked)
 		v->gate->counts.marked++;
 	hop->has_load = true;
@@ -443,7 +443,8 @@
 	v->serial = ++gate->serial;
 	v->route = find_route(gate, rq);
 	if (v->route != NULL)
-		brf_kinship_visit(&v->route->kinship, rq->caller);
+		brf_kinship_visit(&v->route->kinship,
+		    brf_mesh_service_bit(gate->config.services, rq->caller));
 	brf_task_init(&v->work, work);
 	v->timer.fire = deadline_passed;
 	v->timer.arg = v;
@@ -600,6 +601,20 @@
 	return (theirs > deadline ? theirs - deadline : deadline - theirs);
 }
 
+bool
+brf_mesh_gate_ends_with(const struct brf_mesh_gate *gate, uint64_t deadline)
+{
+	struct brf_list *l;
+	struct visit *v;
+
+	brf_list_foreach (l, &gate->open) {
+		v = brf_list_entry(l, struct visit, link);
+		if (v->running && apart(v, deadline) < BRF_KINSHIP_SAME_US)
+			return (true);
+	}
+	return (false);
+}
+
 /* Learn from a call which routes' requests make calls. */
 static void
 compare_all(const struct brf_mesh_gate *gate, uint64_t deadline)
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -8,6 +8,7 @@
 #include "base/timer.h"
 #include "fleet/local.h"
 #include "flow/hop.h"
+#include "mesh/services.h"
 #include "mesh/tables.h"
 
 /**
@@ -37,7 +38,7 @@
 	struct brf_random *random;
 	const struct brf_field_names *names;
 	struct brf_mesh_tables *tables;
-	const uint64_t *services;
+	const struct brf_mesh_services *services;
 	struct sockaddr_in target;
 };
 
@@ -65,6 +66,11 @@
  */
 void brf_mesh_gate_refuse(struct brf_mesh_gate *gate, enum brf_reason reason);
 
+/* Whether a running request ends together with a call or request that ends at
+ * @deadline, clock time. */
+bool brf_mesh_gate_ends_with(
+    const struct brf_mesh_gate *gate, uint64_t deadline);
+
 /**
  * struct brf_mesh_parent - the request at the target that a call belongs to.
  * @serial: names it to brf_mesh_gate_mark()
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -358,7 +358,7 @@
 		.random = node->random,
 		.names = node->adapter->names,
 		.tables = &node->tables,
-		.services = &node->services.names,
+		.services = &node->services,
 		.target = node->settings.target };
 	struct brf_links_config links = { .loop = &node->loop,
 		.tasks = &node->turn.tasks,
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -2,7 +2,8 @@
 
 #include "base/log.h"
 #include "mesh/services.h"
-#include "policy/kinship.h"
+
+#define BITS 64u
 
 static bool
 same_address(const struct sockaddr_in *a, const struct sockaddr_in *b)
@@ -23,8 +24,8 @@
 	return (BRF_PLACE_FAR);
 }
 
-struct brf_mesh_service *
-brf_mesh_service_get(struct brf_mesh_services *s, const char *name)
+static struct brf_mesh_service *
+find(const struct brf_mesh_services *s, const char *name)
 {
 	struct brf_mesh_service *service;
 	struct brf_list *l;
@@ -34,7 +35,26 @@
 		if (strcmp(service->name, name) == 0)
 			return (service);
 	}
+	return (NULL);
+}
+
+uint64_t
+brf_mesh_service_bit(const struct brf_mesh_services *s, const char *name)
+{
+	const struct brf_mesh_service *service = find(s, name);
+
+	return (service != NULL ? service->bit : 0);
+}
+
+struct brf_mesh_service *
+brf_mesh_service_get(struct brf_mesh_services *s, const char *name)
+{
+	struct brf_mesh_service *service = find(s, name);
+
+	if (service != NULL)
+		return (service);
 	service = brf_calloc(1, sizeof(*service));
+	service->bit = 1ull << s->count++ % BITS;
 	brf_copy_name(service->name, sizeof(service->name), name);
 	brf_repeat_budget_init(&service->repeats, s->config.repeat_ratio,
 	    s->config.repeat_window_us);
@@ -64,16 +84,16 @@
 }
 
 static void
-note_names(struct brf_mesh_services *s)
+note_bits(struct brf_mesh_services *s)
 {
 	struct brf_mesh_service *service;
 	struct brf_list *l;
 
-	s->names = 0;
+	s->bits = 0;
 	brf_list_foreach (l, &s->list) {
 		service = brf_list_entry(l, struct brf_mesh_service, link);
 		if (service->count != 0)
-			s->names |= brf_kinship_bit(service->name);
+			s->bits |= service->bit;
 	}
 }
 
@@ -142,7 +162,7 @@
 		add(s, t);
 	peer = t->data;
 	update(peer, t);
-	note_names(s);
+	note_bits(s);
 	if (t->lapsed && peer->place.ring == BRF_PLACE_SELF)
 		s->lapsed_here(s->arg, peer->id);
 }
@@ -156,7 +176,7 @@
 
 	peer->target = NULL;
 	leave_service(peer);
-	note_names(s);
+	note_bits(s);
 	set_link(peer, NULL);
 	brf_mesh_peer_unref(peer);
 }
--- a/src/mesh/services.h
+++ b/src/mesh/services.h
@@ -31,11 +31,13 @@
 
 /**
  * struct brf_mesh_service - one service.
+ * @bit: its own among up to 64 services; further ones share them
  * @peers: its targets, @count of them
  */
 struct brf_mesh_service {
 	struct brf_list link;
 	char name[BRF_NAME_MAX + 1];
+	uint64_t bit;
 	struct brf_mesh_peer *peers[BRF_PLACE_MAX];
 	size_t count;
 	struct brf_repeat_budget repeats;
@@ -60,14 +62,16 @@
 /**
  * struct brf_mesh_services - all services; hears of changes as a watcher of
  * the directory.
- * @names: of the services that have targets, see policy/kinship.h
+ * @bits: of the services that have targets, see policy/kinship.h
+ * @count: services that were ever known
  * @lapsed_here: the entry of this VM's target has lapsed
  */
 struct brf_mesh_services {
 	struct brf_directory_watcher watcher;
 	struct brf_mesh_services_config config;
 	struct brf_list list;
-	uint64_t names;
+	uint64_t bits;
+	uint32_t count;
 	void (*lapsed_here)(void *arg, const char *id);
 	void *arg;
 };
@@ -84,6 +88,10 @@
 struct brf_mesh_service *brf_mesh_service_get(
     struct brf_mesh_services *s, const char *name);
 
+/* The bit of a service; 0 for one that was never known. */
+uint64_t brf_mesh_service_bit(
+    const struct brf_mesh_services *s, const char *name);
+
 /**
  * brf_mesh_service_choose() - the target that a request goes to next.
  * @tried: targets that it has been at, @tried_count of them; they are only
--- a/src/policy/kinship.c
+++ b/src/policy/kinship.c
@@ -1,24 +1,16 @@
-#include <xxhash.h>
-
 #include "policy/kinship.h"
 
-#define BITS 64u
 #define TOLD_STEP 0.1	/* weight of one gate's word */
+#define ALIKE_STEP 0.05 /* weight of one request */
 #define CALL_FROM 0.5	/* from which a route's requests are taken for calls */
 #define VISITS_LEAST 8u /* before the calls of a route are reckoned with */
 #define WEIGHT_LEAST 0.02 /* of a route of which no calls were seen */
 
-uint64_t
-brf_kinship_bit(const char *service)
-{
-	return (1ull << XXH3_64bits(service, strlen(service)) % BITS);
-}
-
 void
-brf_kinship_visit(struct brf_kinship *k, const char *caller)
+brf_kinship_visit(struct brf_kinship *k, uint64_t caller)
 {
 	k->visits++;
-	k->callers |= brf_kinship_bit(caller);
+	k->callers |= caller;
 }
 
 bool
@@ -36,10 +28,16 @@
 	k->inner += TOLD_STEP * ((inner ? 1.0 : 0.0) - k->inner);
 }
 
+void
+brf_kinship_began(struct brf_kinship *k, bool together)
+{
+	k->alike += ALIKE_STEP * ((together ? 1.0 : 0.0) - k->alike);
+}
+
 bool
 brf_kinship_is_call(const struct brf_kinship *k)
 {
-	return (k->inner > CALL_FROM);
+	return (k->inner > CALL_FROM || k->alike > CALL_FROM);
 }
 
 void
--- a/src/policy/kinship.h
+++ b/src/policy/kinship.h
@@ -17,6 +17,8 @@
  * A call ends no later than its parent.  When it ends together with a running
  * request, that is the parent; when its own time is shorter, the parent is one
  * of those that end later, of a route whose requests were seen to make calls.
+ * A route of which most requests end together with a running one is of calls,
+ * too, whoever sends it.
  */
 
 /* Requests of a route, per service, before it is judged. */
@@ -28,12 +30,13 @@
 
 /**
  * struct brf_kinship - of one route; a zeroed struct has seen nothing.
- * @callers: services that send its requests, as bits of their names' hash
+ * @callers: services that send its requests, as bits
  * @visits: its requests at this node's gate
  * @same: calls here that ended together with one of its requests
  * @near: calls that ended within BRF_KINSHIP_NEAR_US of one, but not together;
  *	so many are alike by chance
  * @inner: what gates say of its requests that begin here, fading; 1 for calls
+ * @alike: share of them that end together with a running request, fading
  */
 struct brf_kinship {
 	uint64_t callers;
@@ -41,26 +44,30 @@
 	uint32_t same;
 	uint32_t near;
 	double inner;
+	double alike;
 };
 
 BRF_BEGIN_DECLS
 
-/* The bit of a service in a set of them. */
-uint64_t brf_kinship_bit(const char *service);
-
-/* A request has come to this node's gate from the VM of a @caller's target. */
-void brf_kinship_visit(struct brf_kinship *k, const char *caller);
+/**
+ * brf_kinship_visit() - a request has come to this node's gate.
+ * @caller: the service of the VM where it began, as a bit; 0 when unknown
+ */
+void brf_kinship_visit(struct brf_kinship *k, uint64_t caller);
 
 /**
  * brf_kinship_is_inner() - whether its requests are calls, as this gate has
  * seen them.
- * @services: all services that there are
+ * @services: all services that there are, as bits
  */
 bool brf_kinship_is_inner(const struct brf_kinship *k, uint64_t services);
 
 /* A gate has said whether they are. */
 void brf_kinship_told(struct brf_kinship *k, bool inner);
 
+/* A request has begun here, and ends together with a running one or not. */
+void brf_kinship_began(struct brf_kinship *k, bool together);
+
 /* Whether requests of the route that begin here are calls. */
 bool brf_kinship_is_call(const struct brf_kinship *k);
 
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -47,7 +47,7 @@
 	struct brf_notice notice = {};
 	struct brf_random_seeded random;
 	struct brf_mesh_tables tables;
-	uint64_t services = 0;
+	struct brf_mesh_services services = {};
 	bool closed = false;
 
 	void
--- a/test/pace_test.cc
+++ b/test/pace_test.cc
@@ -138,20 +138,16 @@
 
 TEST(kinship, a_route_that_some_services_never_send_is_of_calls)
 {
-	const char *names[] = { "a", "b", "c", "d" };
 	struct brf_kinship calls = {}, begins = {};
 	struct brf_random_seeded random;
-	uint64_t all = 0;
+	const uint64_t all = 0xf;
 
 	brf_random_seeded_init(&random, 2);
-	for (const char *n : names)
-		all |= brf_kinship_bit(n);
-	ASSERT_EQ(__builtin_popcountll(all), 4);
 	for (size_t i = 0; i < 32; i++) {
 		EXPECT_FALSE(brf_kinship_is_inner(&calls, all)) << i;
-		brf_kinship_visit(&calls, names[i % 2]);
+		brf_kinship_visit(&calls, 1u << i % 2);
 		brf_kinship_visit(
-		    &begins, names[brf_random_below(&random.random, 4)]);
+		    &begins, 1u << brf_random_below(&random.random, 4));
 	}
 	EXPECT_TRUE(brf_kinship_is_inner(&calls, all));
 	EXPECT_FALSE(brf_kinship_is_inner(&begins, all));
@@ -172,6 +168,23 @@
 	EXPECT_FALSE(brf_kinship_is_call(&k));
 }
 
+/* All services may send a call. */
+TEST(kinship, a_route_that_ends_together_with_running_requests_is_of_calls)
+{
+	struct brf_kinship calls = {}, begins = {};
+	struct brf_random_seeded random;
+
+	brf_random_seeded_init(&random, 6);
+	for (int i = 0; i < 200; i++) {
+		brf_kinship_began(&calls, true);
+		/* with many running, some end together by chance */
+		brf_kinship_began(
+		    &begins, brf_random_below(&random.random, 5) == 0);
+		EXPECT_FALSE(brf_kinship_is_call(&begins));
+	}
+	EXPECT_TRUE(brf_kinship_is_call(&calls));
+}
+
 /*
  * One route's requests make calls, another's make none.  Both end at random
  * times, and each call ends with its parent.
@@ -183,8 +196,8 @@
 
 	brf_random_seeded_init(&random, 5);
 	for (int i = 0; i < 4000; i++) {
-		brf_kinship_visit(&parent, "a");
-		brf_kinship_visit(&stranger, "a");
+		brf_kinship_visit(&parent, 1);
+		brf_kinship_visit(&stranger, 1);
 		brf_kinship_compare(&parent, 0);
 		brf_kinship_compare(
 		    &stranger, brf_random_below(&random.random, 100000));
@@ -198,7 +211,7 @@
 	struct brf_kinship fresh = {}, capped = {};
 
 	for (int i = 0; i < 1000; i++)
-		brf_kinship_visit(&capped, "a");
+		brf_kinship_visit(&capped, 1);
 	EXPECT_GT(brf_kinship_weight(&fresh), 0);
 	EXPECT_GT(brf_kinship_weight(&capped), 0);
 	EXPECT_LT(brf_kinship_weight(&capped), 0.1);
