Fuzz heads, the link's messages and the platform's decoders

Five targets: heads of requests (whole and in pieces must agree) and answers, records of a link, the routing table, the store's answers and polls, questions to a node.

--- a/Makefile
+++ b/Makefile
@@ -37,11 +37,11 @@
 PLATFORM_PARTS := $(filter-out platform/main.c,$(PLATFORM_SRC))
 TEST_SRC := $(sort $(wildcard test/*.cc platform/test/*.cc))
 
-FUZZ_SRC := $(sort $(wildcard fuzz/*.c))
+FUZZ_SRC := $(sort $(wildcard fuzz/*.c platform/test/fuzz/*.c))
 GENERATED := src/wire/proto.h src/wire/proto_xdr.c
 C_FILES := $(filter-out $(GENERATED),$(sort $(wildcard src/*/*.[ch] \
-	include/*.h platform/*.[ch] standin/*/*.[ch] fuzz/*.[ch] \
-	bench/*.[ch])))
+	include/*.h platform/*.[ch] platform/test/fuzz/*.c standin/*/*.[ch] \
+	fuzz/*.[ch] bench/*.[ch])))
 CC_FILES := $(sort $(wildcard test/*.cc test/*.h platform/test/*.cc))
 
 objs = $(patsubst %,$(BUILD)/%.o,$(1))
@@ -117,7 +117,13 @@
 	@echo LD $@
 	@$(CLANG) -fsanitize=fuzzer,address,undefined $^ $(PKG_LIBS) -o $@
 
-FUZZERS := $(patsubst fuzz/%.c,build/fuzz/bin/%,$(FUZZ_SRC))
+build/fuzz/bin/%: build/fuzz/platform/test/fuzz/%.c.o \
+    $(patsubst %,build/fuzz/%.o,$(PLATFORM_PARTS)) build/fuzz/libbrf.a
+	@mkdir -p $(@D)
+	@echo LD $@
+	@$(CLANG) -fsanitize=fuzzer,address,undefined $^ $(PKG_LIBS) -o $@
+
+FUZZERS := $(patsubst %.c,build/fuzz/bin/%,$(notdir $(FUZZ_SRC)))
 SEED ?= 1
 SECONDS ?= 60
 
--- /dev/null
+++ b/fuzz/link_message.c
@@ -0,0 +1,96 @@
+#include <stdlib.h>
+
+#include "link/codec.h"
+
+/* libFuzzer's name. NOLINTNEXTLINE(readability-identifier-naming) */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void
+check_text(const struct brf_record *record, const struct brf_link_text *text)
+{
+	if (text->len != 0 &&
+	    (text->data < record->data ||
+		text->data + text->len > record->data + record->len))
+		abort();
+}
+
+static void
+read_call(enum brf_link_procedure procedure, XDR *xdr,
+    const struct brf_record *record)
+{
+	struct brf_error err;
+	struct brf_link_hello hello;
+	struct brf_link_send send;
+	struct brf_link_data part;
+	struct brf_link_room room;
+	uint64_t revision;
+
+	switch (procedure) {
+	case BRF_LINK_HELLO:
+		if (brf_link_hello_get(xdr, record, &hello, &err))
+			check_text(record, &hello.service);
+		break;
+	case BRF_LINK_SEND:
+		if (!brf_link_send_get(xdr, record, &send, &err))
+			break;
+		check_text(record, &send.id);
+		check_text(record, &send.path);
+		check_text(record, &send.fields);
+		check_text(record, &send.part);
+		break;
+	case BRF_LINK_DATA:
+		if (brf_link_data_get(xdr, record, &part, &err))
+			check_text(record, &part.part);
+		break;
+	case BRF_LINK_ROOM:
+		brf_link_room_get(xdr, record, &room, &err);
+		break;
+	case BRF_LINK_REVISION:
+	case BRF_LINK_TABLE:
+		brf_link_revision_get(xdr, record, &revision, &err);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+read_reply(bool table, XDR *xdr, const struct brf_record *record)
+{
+	struct brf_error err;
+	struct brf_link_reply reply;
+	struct brf_link_text text;
+	uint64_t revision;
+
+	if (table && brf_link_table_get(xdr, record, &revision, &text, &err))
+		check_text(record, &text);
+	if (!table && brf_link_reply_get(xdr, record, &reply, &err)) {
+		check_text(record, &reply.fields);
+		check_text(record, &reply.part);
+	}
+}
+
+/* The first byte tells whether a reply is one to BRF_LINK_TABLE. */
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct brf_record_reader r = { .most = 65536 };
+	struct brf_rpc_header header;
+	struct brf_record record;
+	struct brf_error err;
+	XDR xdr;
+
+	if (size == 0)
+		return (0);
+	brf_record_feed(&r, data + 1, size - 1);
+	while (brf_record_next(&r, &record, &err) == BRF_RECORD_WHOLE) {
+		if (!brf_rpc_read(&xdr, &record, &header, &err))
+			break;
+		if (header.is_call)
+			read_call(header.procedure, &xdr, &record);
+		else if (header.status == BRF_RPC_SUCCESS)
+			read_reply((data[0] & 1) != 0, &xdr, &record);
+	}
+	brf_record_reader_free(&r);
+	return (0);
+}
