Send calls to the other region when all targets of this one leave

Ruled out: the gates of the other region (20 to 23 of 24 slots busy, they took more when asked), late news (a refusal is news enough).

A refusal as draining now keeps hops away for 2 s, or until the directory says otherwise, and a target that takes no work no longer counts as one that is here. Tests: place.a_region_whose_targets_all_leave_sends_calls_to_the_other, which failed before, and place.a_region_that_is_only_full_keeps_its_calls.

--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -537,6 +537,7 @@
 	brf_mesh_tables_finish(&node->tables);
 	brf_metrics_free(node->metrics);
 	brf_turn_free(&node->turn);
+	brf_log(BRF_LOG_INFO, "ended", BRF_LU("unfinished", node->unfinished));
 	brf_log_flush();
 	free(node);
 }
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -129,6 +129,7 @@
 	set_link(peer, peer->place.ring != BRF_PLACE_SELF ? &e->gate : NULL);
 	peer->place.warm_at = t->seen + e->warmup_us;
 	peer->place.draining = e->state != BRF_TARGET_READY;
+	peer->place.leaving_until = 0;
 	if (peer->service != service) {
 		leave_service(peer);
 		enter_service(peer, service);
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -8,6 +8,7 @@
 #define STREAK_MAX 3u	/* failures in a row before it gets nothing */
 #define EJECT_FIRST_US (500 * BRF_US_PER_MS)
 #define EJECT_MOST_US (4 * BRF_US_PER_S)
+#define LEAVING_US (2 * BRF_US_PER_S) /* until one that left is asked again */
 #define FULL 0.95     /* share of slots in use from which there is no room */
 #define FULL_US 100e3 /* penalty of a target without room, microseconds */
 #define UNSURE_US 1e6 /* penalty where the way there is in doubt */
@@ -88,7 +89,7 @@
 may_get(const struct brf_place_target *t,
     const struct brf_place_request *request, bool last, uint64_t now)
 {
-	if (t->draining)
+	if (t->draining || t->leaving_until > now)
 		return (false);
 	if (t->streak < STREAK_MAX)
 		return (true);
@@ -152,15 +153,20 @@
 	return (best);
 }
 
-/* Whether a target in this region was tried, so that there is one. */
+/* Whether a target in this region was tried that takes work: it has no room,
+ * but there is one. */
 static bool
 was_near(struct brf_place_target *const *targets, size_t count,
-    const struct brf_place_request *request)
+    const struct brf_place_request *request, uint64_t now)
 {
+	const struct brf_place_target *t;
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		if (request->tried[i] && targets[i]->ring != BRF_PLACE_FAR)
+		t = targets[i];
+		if (request->tried[i] && t->ring != BRF_PLACE_FAR &&
+		    !t->draining && t->leaving_until <= now &&
+		    t->streak < STREAK_MAX)
 			return (true);
 	}
 	return (false);
@@ -171,7 +177,7 @@
     const struct brf_place_request *request, struct brf_random *random,
     uint64_t now)
 {
-	bool may_go_far = !was_near(targets, count, request) ||
+	bool may_go_far = !was_near(targets, count, request, now) ||
 			  (!request->nested && request->rank == 0);
 	size_t found = BRF_PLACE_NONE;
 	int last;
@@ -238,6 +244,10 @@
 	case BRF_PLACE_FULL:
 		heard(t);
 		break;
+	case BRF_PLACE_LEAVING:
+		heard(t);
+		t->leaving_until = now + LEAVING_US;
+		break;
 	case BRF_PLACE_SHED:
 		heard(t);
 		learn(t, 0);
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -15,7 +15,8 @@
  * time, and what waits there with a penalty for having to wait at all, divided
  * by the share of its hops that came back. Another zone adds a small penalty.
  * The other region, whose link is narrow and billed, is for requests that find
- * no target in this one, and for the most important ones that find no room.
+ * no target in this one, or none that takes work, and for the most important
+ * ones that find no room.
  */
 
 /**
@@ -44,6 +45,8 @@
  * @good: share of hops that ended well, fading
  * @streak: hops in a row that failed without a word of the target
  * @ejected_until: clock time before which it gets nothing
+ * @leaving_until: clock time before which it gets nothing, as its gate said
+ *	that it takes no new work
  * @probing: a hop that is to show whether it is back
  * @draining: it says that it takes no new work
  * @silent: nothing comes back from its node
@@ -61,6 +64,7 @@
 	double good;
 	uint32_t streak;
 	uint64_t ejected_until;
+	uint64_t leaving_until;
 	bool probing;
 	bool draining;
 	bool silent;
@@ -105,6 +109,7 @@
  * enum brf_place_end - how a hop ended, as far as it tells of its target.
  * @BRF_PLACE_GOOD: answered
  * @BRF_PLACE_FULL: refused for want of room
+ * @BRF_PLACE_LEAVING: refused because the target takes no new work
  * @BRF_PLACE_SHED: the target itself refused or failed it
  * @BRF_PLACE_LOST: no word came, or the way there is broken
  * @BRF_PLACE_NEUTRAL: its sender gave it up
@@ -112,6 +117,7 @@
 enum brf_place_end {
 	BRF_PLACE_GOOD,
 	BRF_PLACE_FULL,
+	BRF_PLACE_LEAVING,
 	BRF_PLACE_SHED,
 	BRF_PLACE_LOST,
 	BRF_PLACE_NEUTRAL
--- a/test/place_test.cc
+++ b/test/place_test.cc
@@ -183,6 +183,30 @@
 	EXPECT_EQ(choose(2), far);
 }
 
+TEST_F(place, a_region_whose_targets_all_leave_sends_calls_to_the_other)
+{
+	size_t far = add(BRF_PLACE_FAR), zone = add(BRF_PLACE_ZONE);
+	size_t region = add(BRF_PLACE_REGION);
+
+	tell(far, 0, 10);
+	tell(zone, 0, 10, BRF_PLACE_LEAVING);
+	EXPECT_EQ(choose(2, true, { zone }), region);
+	tell(region, 0, 10, BRF_PLACE_LEAVING);
+	EXPECT_EQ(choose(2, true, { zone, region }), far);
+	EXPECT_EQ(choose(2, true), far) << "asked again too soon";
+	now += 3 * BRF_US_PER_S;
+	EXPECT_EQ(choose(2, true), zone) << "it may be back";
+}
+
+TEST_F(place, a_region_that_is_only_full_keeps_its_calls)
+{
+	size_t far = add(BRF_PLACE_FAR), zone = add(BRF_PLACE_ZONE);
+
+	tell(far, 0, 10);
+	tell(zone, 10, 10, BRF_PLACE_FULL, 5);
+	EXPECT_EQ(choose(2, true, { zone }), BRF_PLACE_NONE);
+}
+
 TEST_F(place, a_draining_target_gets_nothing)
 {
 	size_t a = add(BRF_PLACE_ZONE);
