Hand the mark of a failed call to the request that fails with it

Calls that end at a time of their own name no parent; their marks went to any running request, and were lost with those that were cancelled since another call had failed. Ruled out: the gate's marker (all that waited were marked), the cut (it works in the other region, where fewer calls fail).

A failed call whose parent isn't sure leaves its mark at the gate; the next request that its target fails takes it over, and after 50 ms without one any that is answered. Tests: pace.a_failed_request_takes_over_the_mark_of_a_failed_call, pace.marks_of_failed_calls_reach_the_requests_that_fail.

--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -218,13 +218,14 @@
 
 /* Pass on what is known of pressure to where it can be met. */
 static void
-settle_pace(struct call *call)
+settle_pace(struct call *call, bool failed)
 {
 	struct brf_mesh_callers *callers = call->callers;
 	uint64_t t = now(callers);
 
-	if (call->has_parent && call->marked)
-		brf_mesh_gate_mark(callers->gate, call->parent.serial);
+	if (call->nested && call->marked)
+		brf_mesh_gate_mark(callers->gate,
+		    call->has_parent ? &call->parent : NULL, failed);
 	if (call->admitted)
 		brf_pace_ended(
 		    &call->kept->pace, call->marked, t - call->began, t);
@@ -240,7 +241,7 @@
 
 	release_hop(call, BRF_PLACE_NEUTRAL);
 	call->answered = true;
-	settle_pace(call);
+	settle_pace(call, true);
 	brf_timer_stop(call->callers->timers, &call->timer);
 	if (status == 503)
 		retry_after_ms = put_retry_after(call, &fields);
@@ -488,7 +489,7 @@
 	    call->hop.has_load ? &call->hop.load : NULL, t);
 	learn_kinship(call);
 	call->marked = call->marked || call->hop.marked;
-	settle_pace(call);
+	settle_pace(call, a->status >= 500);
 	log_answer(call);
 	brf_flow_answer(call->rq, a->status, a->fields.data, a->fields.len,
 	    a->body, a->length, &call->hop.down);
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -65,6 +65,7 @@
 	enum brf_reason refusing;
 	struct brf_mesh_gate_counts counts;
 	struct brf_pace_marker marker;
+	struct brf_pace_owed owed;
 	struct brf_metric *runs;
 	struct brf_metric *refusals;
 	struct brf_metric *failures;
@@ -250,6 +251,8 @@
 	memset(&v->run.answer, 0, sizeof(v->run.answer));
 	hop->arrived = true;
 	hop->down.reader = hop->owner;
+	v->marked = v->marked || brf_pace_pay(&v->gate->owed,
+				     hop->answer.status >= 500, now(v->gate));
 	report(v, BRF_HOP_ANSWERED);
 }
 
@@ -671,18 +674,26 @@
 	parent->serial = v->serial;
 	parent->rank = v->hop->request.rank;
 	parent->repeat = v->hop->request.repeat;
+	parent->sure = apart(v, deadline) < BRF_KINSHIP_SAME_US;
 	return (true);
 }
 
 void
-brf_mesh_gate_mark(struct brf_mesh_gate *gate, uint64_t serial)
+brf_mesh_gate_mark(struct brf_mesh_gate *gate,
+    const struct brf_mesh_parent *parent, bool failed)
 {
 	struct brf_list *l;
 	struct visit *v;
 
+	if (failed && (parent == NULL || !parent->sure)) {
+		brf_pace_owe(&gate->owed, now(gate));
+		return;
+	}
+	if (parent == NULL)
+		return;
 	brf_list_foreach (l, &gate->open) {
 		v = brf_list_entry(l, struct visit, link);
-		if (v->serial == serial)
+		if (v->serial == parent->serial)
 			v->marked = true;
 	}
 }
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -76,11 +76,13 @@
  * @serial: names it to brf_mesh_gate_mark()
  * @rank: of its root request
  * @repeat: it was sent to another target before
+ * @sure: both end together; else it is a guess
  */
 struct brf_mesh_parent {
 	uint64_t serial;
 	uint32_t rank;
 	bool repeat;
+	bool sure;
 };
 
 /**
@@ -93,8 +95,13 @@
 bool brf_mesh_gate_parent(struct brf_mesh_gate *gate, uint64_t deadline,
     struct brf_mesh_parent *parent);
 
-/* A call of this request met pressure. */
-void brf_mesh_gate_mark(struct brf_mesh_gate *gate, uint64_t serial);
+/**
+ * brf_mesh_gate_mark() - a call of a request at the target met pressure.
+ * @parent: NULL when it isn't known
+ * @failed: the call has failed
+ */
+void brf_mesh_gate_mark(struct brf_mesh_gate *gate,
+    const struct brf_mesh_parent *parent, bool failed);
 
 /* Log how the target's slots were used since the last call. */
 void brf_mesh_gate_log(struct brf_mesh_gate *gate);
--- a/src/policy/pace.c
+++ b/src/policy/pace.c
@@ -4,7 +4,9 @@
 #define CUT 0.3
 #define RISE_FIRST 0.02 /* in a round, and after the first without marks */
 #define RISE_MOST 0.08	/* after many of those */
-#define TOOK_STEP 0.1	/* weight of one request in the usual time */
+#define OWED_WAIT_US (50 * BRF_US_PER_MS) /* for the failure of the request */
+#define OWED_LIFE_US (500 * BRF_US_PER_MS)
+#define TOOK_STEP 0.1 /* weight of one request in the usual time */
 
 /* Waits at which each request is marked, microseconds, by rank. */
 static const double mark_us[BRF_PACE_RANKS] = { 300e3, 150e3, 60e3 };
@@ -22,6 +24,30 @@
 	return (true);
 }
 
+void
+brf_pace_owe(struct brf_pace_owed *o, uint64_t now)
+{
+	o->at[(o->first + o->count) % BRF_PACE_OWED_MAX] = now;
+	if (o->count < BRF_PACE_OWED_MAX)
+		o->count++;
+	else
+		o->first = (o->first + 1) % BRF_PACE_OWED_MAX;
+}
+
+bool
+brf_pace_pay(struct brf_pace_owed *o, bool failed, uint64_t now)
+{
+	while (o->count != 0 && now - o->at[o->first] > OWED_LIFE_US) {
+		o->first = (o->first + 1) % BRF_PACE_OWED_MAX;
+		o->count--;
+	}
+	if (o->count == 0 || (!failed && now - o->at[o->first] < OWED_WAIT_US))
+		return (false);
+	o->first = (o->first + 1) % BRF_PACE_OWED_MAX;
+	o->count--;
+	return (true);
+}
+
 void
 brf_pace_init(struct brf_pace *p, uint64_t now)
 {
--- a/src/policy/pace.h
+++ b/src/policy/pace.h
@@ -74,6 +74,35 @@
 bool brf_pace_mark(
     struct brf_pace_marker *m, uint32_t rank, uint64_t waited_us);
 
+/**
+ * struct brf_pace_owed - marks of calls that failed, whose request isn't known
+ * for sure; a zeroed struct is ready.
+ *
+ * Load it answers: calls that end at a time of their own name no parent, so
+ * that their marks went to any running request, and were lost with those that
+ * ended for the failure of another call.  A request whose call has failed
+ * mostly fails at once, too; that is how it is found.
+ * @at: clock times of the marks, the oldest at @first
+ */
+#define BRF_PACE_OWED_MAX 64u
+struct brf_pace_owed {
+	uint64_t at[BRF_PACE_OWED_MAX];
+	uint32_t first;
+	uint32_t count;
+};
+
+/* A call has failed under pressure.  Without room the oldest is forgotten. */
+void brf_pace_owe(struct brf_pace_owed *o, uint64_t now);
+
+/**
+ * brf_pace_pay() - a request ends that may have made such a call.
+ * @failed: its target has failed it
+ *
+ * Return: whether it takes the mark over.  One that was answered well takes
+ * only a mark for which no failed one came.
+ */
+bool brf_pace_pay(struct brf_pace_owed *o, bool failed, uint64_t now);
+
 BRF_END_DECLS
 
 #endif
--- a/test/pace_test.cc
+++ b/test/pace_test.cc
@@ -119,6 +119,59 @@
 	EXPECT_GT(r.begun, 0u);
 }
 
+TEST(pace, a_failed_request_takes_over_the_mark_of_a_failed_call)
+{
+	struct brf_pace_owed owed = {};
+	uint64_t t = 1000000;
+
+	EXPECT_FALSE(brf_pace_pay(&owed, true, t));
+	brf_pace_owe(&owed, t);
+	EXPECT_FALSE(brf_pace_pay(&owed, false, t + 1000));
+	EXPECT_TRUE(brf_pace_pay(&owed, true, t + 1000));
+	EXPECT_FALSE(brf_pace_pay(&owed, true, t + 1000)) << "taken twice";
+	brf_pace_owe(&owed, t);
+	EXPECT_TRUE(brf_pace_pay(&owed, false, t + 60000))
+	    << "a request that bears the failure of its call";
+	brf_pace_owe(&owed, t);
+	EXPECT_FALSE(brf_pace_pay(&owed, true, t + BRF_US_PER_S));
+	for (unsigned i = 0; i < 3 * BRF_PACE_OWED_MAX; i++)
+		brf_pace_owe(&owed, t);
+	for (unsigned i = 0; i < BRF_PACE_OWED_MAX; i++)
+		EXPECT_TRUE(brf_pace_pay(&owed, true, t));
+	EXPECT_FALSE(brf_pace_pay(&owed, true, t));
+}
+
+/*
+ * A service of many running requests whose calls fail for pressure, one of
+ * three calls, and end the requests that made them: of these, most bear the
+ * mark, and next to none of the others.
+ */
+TEST(pace, marks_of_failed_calls_reach_the_requests_that_fail)
+{
+	struct brf_pace_owed owed = {};
+	struct brf_random_seeded random;
+	unsigned failed = 0, marked = 0, wrong = 0, well = 0;
+	uint64_t t = 1000000;
+
+	brf_random_seeded_init(&random, 5);
+	for (unsigned i = 0; i < 20000; i++) {
+		bool fails = brf_random_unit(&random.random) < 0.33;
+
+		t += 1000;
+		if (!fails) {
+			well++;
+			wrong += brf_pace_pay(&owed, false, t);
+			continue;
+		}
+		failed++;
+		brf_pace_owe(&owed, t);
+		t += 500; /* until the target has answered */
+		marked += brf_pace_pay(&owed, true, t);
+	}
+	EXPECT_GT(marked, 0.95 * failed);
+	EXPECT_LT(wrong, 0.01 * well);
+}
+
 TEST(pace, marks_grow_with_the_wait_and_fall_with_importance)
 {
 	size_t marks[4] = {}, longer = 0;
