Let a stopping node's target go on getting work for a while

Ruled out: restarts (serving again 0.5 s after they begin).

policy/stop now plans a stop: callers hear of it at once, the target gets work for another 1.5 s (at most a quarter of the grace), then the gate refuses, the entry says that it drains, and what runs is finished. A target's own word that it drains binds meanwhile as before.

Tests: stop.*.

--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -10,11 +10,6 @@
 #define FLUSH_US (100 * BRF_US_PER_MS) /* longest that lines are held */
 #define FLUSH_BYTES 4096u	       /* from which they are written at once */
 #define STOP_EVERY_US (50 * BRF_US_PER_MS) /* looks at what is left */
-/* Callers are told within two questions, a second apart, that this node is
- * not ready; until then they send. */
-#define STOP_LEAST_US (2500 * BRF_US_PER_MS)
-#define STOP_QUIET_US (200 * BRF_US_PER_MS) /* with nothing open */
-#define STOP_SLACK_US (500 * BRF_US_PER_MS) /* of the grace, for closing */
 /* Repeats at a service also come from repeats at those that call it; a request
  * passes so many levels with calls of their own. */
 #define REPEAT_LEVELS 4.0
@@ -116,7 +111,7 @@
 	e->born = n->born;
 	e->warmup_us = n->warmup_us;
 	e->state = n->state;
-	if (node->phase != BRF_MESH_SERVING && e->state == BRF_TARGET_READY)
+	if (node->stop.refusing && e->state == BRF_TARGET_READY)
 		e->state = BRF_TARGET_DRAINING;
 }
 
@@ -157,7 +152,7 @@
 	    before.slots == notice->slots)
 		return;
 	log_notice(notice, "target_announced");
-	if (node->phase == BRF_MESH_SERVING)
+	if (!node->stop.refusing)
 		brf_mesh_gate_notice(
 		    node->gate, notice, result == BRF_LOCAL_REPLACED);
 	publish(node);
@@ -273,14 +268,19 @@
 look_at_rest(struct brf_timer *timer, void *arg)
 {
 	struct brf_mesh_node *node = arg;
-	uint64_t t = now(node), since = t - node->stopping_since;
+	uint64_t since = now(node) - node->stopping_since;
 	size_t rest = left(node);
 
-	if (rest != 0)
-		node->busy_at = t;
 	node->unfinished = rest != 0;
-	if ((since >= STOP_LEAST_US && t - node->busy_at >= STOP_QUIET_US) ||
-	    since + STOP_SLACK_US >= node->settings.grace_us) {
+	switch (brf_stop_look(&node->stop, since, rest)) {
+	case BRF_STOP_WAIT:
+		break;
+	case BRF_STOP_REFUSE:
+		brf_log(BRF_LOG_INFO, "target_refused", BRF_LU("left", rest));
+		brf_mesh_gate_refuse(node->gate, BRF_R_DRAINING);
+		publish(node);
+		break;
+	case BRF_STOP_END:
 		brf_log(BRF_LOG_INFO, "stopped", BRF_LU("left", rest),
 		    BRF_LU("after_ms", since / BRF_US_PER_MS));
 		brf_register_end(node->registration);
@@ -298,15 +298,10 @@
 	brf_log(BRF_LOG_INFO, "stopping", BRF_LU("left", left(node)));
 	node->phase = BRF_MESH_STOPPING;
 	node->stopping_since = now(node);
-	node->callers.ends_at =
-	    now(node) + node->settings.grace_us > STOP_SLACK_US
-		? now(node) + node->settings.grace_us - STOP_SLACK_US
-		: now(node);
-	node->callers.picky_from = now(node) + STOP_LEAST_US;
-	node->busy_at = now(node);
-	brf_mesh_gate_refuse(node->gate, BRF_R_DRAINING);
+	brf_stop_init(&node->stop, node->settings.grace_us);
+	node->callers.ends_at = node->stopping_since + node->stop.most_us;
+	node->callers.picky_from = node->stopping_since + node->stop.least_us;
 	brf_flow_drain(node->entry);
-	publish(node);
 	brf_timer_start(node->turn.timers, &node->stop_poll, STOP_EVERY_US);
 }
 
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -9,6 +9,7 @@
 #include "mesh/call.h"
 #include "mesh/gate.h"
 #include "mesh/settings.h"
+#include "policy/stop.h"
 #include "fleet/register.h"
 
 /**
@@ -31,7 +32,7 @@
  * struct brf_mesh_node - what the parts of one daemon share.
  * @path: of the settings file
  * @changed_at: modification time of that file, nanoseconds
- * @busy_at: clock time at which something was last open while stopping
+ * @stop: what is due, from @stopping_since on
  */
 struct brf_mesh_node {
 	struct brf_mesh_settings settings;
@@ -66,7 +67,7 @@
 	enum brf_mesh_phase phase;
 	uint64_t started;
 	uint64_t stopping_since;
-	uint64_t busy_at;
+	struct brf_stop stop;
 	bool unfinished;
 	int closing;
 };
--- /dev/null
+++ b/src/policy/stop.c
@@ -0,0 +1,35 @@
+#include "policy/stop.h"
+
+/* Callers are told within two questions, a second apart, that this node is
+ * not ready; until then they send. */
+#define LEAST_US (2500 * BRF_US_PER_MS)
+#define SERVE_US (1500 * BRF_US_PER_MS) /* most runs end in the second left */
+#define SERVE_SHARE 4			/* at most this part of the grace */
+#define QUIET_US (200 * BRF_US_PER_MS)	/* with nothing open */
+#define SLACK_US (500 * BRF_US_PER_MS)	/* of the grace, for closing */
+
+void
+brf_stop_init(struct brf_stop *s, uint64_t grace_us)
+{
+	memset(s, 0, sizeof(*s));
+	s->most_us = grace_us > SLACK_US ? grace_us - SLACK_US : 0;
+	s->least_us = s->most_us < LEAST_US ? s->most_us : LEAST_US;
+	s->serve_us = grace_us / SERVE_SHARE;
+	if (s->serve_us > SERVE_US)
+		s->serve_us = SERVE_US;
+}
+
+enum brf_stop_step
+brf_stop_look(struct brf_stop *s, uint64_t since_us, size_t open)
+{
+	if (open != 0)
+		s->busy_us = since_us;
+	if (!s->refusing && since_us >= s->serve_us) {
+		s->refusing = true;
+		return (BRF_STOP_REFUSE);
+	}
+	if (since_us >= s->most_us || (s->refusing && since_us >= s->least_us &&
+					  since_us - s->busy_us >= QUIET_US))
+		return (BRF_STOP_END);
+	return (BRF_STOP_WAIT);
+}
--- /dev/null
+++ b/test/stop_test.cc
@@ -0,0 +1,69 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "policy/stop.h"
+
+namespace
+{
+
+const uint64_t GRACE = 6 * BRF_US_PER_S;
+
+/* Looks every 50 ms; @open tells what is open at a time.  Returns when it
+ * ended, and in @refused when the target got no more work. */
+uint64_t
+play(uint64_t grace, const std::function<size_t(uint64_t)> &open,
+    uint64_t *refused)
+{
+	struct brf_stop s;
+
+	brf_stop_init(&s, grace);
+	*refused = UINT64_MAX;
+	for (uint64_t t = 0;; t += 50 * BRF_US_PER_MS) {
+		switch (brf_stop_look(&s, t, open(t))) {
+		case BRF_STOP_REFUSE:
+			EXPECT_EQ(*refused, UINT64_MAX) << "twice";
+			*refused = t;
+			break;
+		case BRF_STOP_END:
+			return (t);
+		case BRF_STOP_WAIT:
+			break;
+		}
+	}
+}
+
+} // namespace
+
+TEST(stop, the_target_is_of_use_until_its_last_second)
+{
+	uint64_t refused, ended;
+
+	ended = play(
+	    GRACE, [](uint64_t t) { return (t < 1800000); }, &refused);
+	EXPECT_EQ(refused, 1500 * BRF_US_PER_MS);
+	EXPECT_EQ(ended, 2500 * BRF_US_PER_MS);
+}
+
+TEST(stop, what_runs_is_finished)
+{
+	uint64_t refused, ended;
+
+	ended = play(
+	    GRACE, [](uint64_t t) { return (t < 4000000); }, &refused);
+	EXPECT_GE(ended, 4000000u);
+	EXPECT_LE(ended, 4300000u);
+}
+
+TEST(stop, it_ends_before_it_is_ended_by_force)
+{
+	uint64_t refused;
+
+	for (uint64_t grace :
+	    { 700000u, 1000000u, 3000000u, 6000000u, 60000000u }) {
+		EXPECT_LT(play(
+			      grace, [](uint64_t) { return (1); }, &refused),
+		    grace);
+		EXPECT_LT(refused, grace) << "refused before it ends";
+	}
+}
