Let a stopping node's target get work for 2.2 s

Most runs are done within the 0.3 s until callers have left at 2.5 s; the rest has until 0.5 s before the end of the grace. At most half of the grace.

--- a/src/policy/stop.c
+++ b/src/policy/stop.c
@@ -3,8 +3,8 @@
 /* Callers are told within two questions, a second apart, that this node is
  * not ready; until then they send. */
 #define LEAST_US (2500 * BRF_US_PER_MS)
-#define SERVE_US (1500 * BRF_US_PER_MS) /* most runs end in the second left */
-#define SERVE_SHARE 4			/* at most this part of the grace */
+#define SERVE_US (2200 * BRF_US_PER_MS) /* runs end while callers leave */
+#define SERVE_SHARE 2			/* at most this part of the grace */
 #define QUIET_US (200 * BRF_US_PER_MS)	/* with nothing open */
 #define SLACK_US (500 * BRF_US_PER_MS)	/* of the grace, for closing */
 
