--- a/src/policy/stop.c
+++ b/src/policy/stop.c
@@ -4,7 +4,7 @@
  * not ready; until then they send. */
 #define LEAST_US (2500 * BRF_US_PER_MS)
 #define SERVE_US (2200 * BRF_US_PER_MS) /* runs end while callers leave */
-#define SERVE_SHARE 2			/* at most this part of the grace */
+#define SERVE_SHARE 2			/* at most this part of the time */
 #define QUIET_US (200 * BRF_US_PER_MS)	/* with nothing open */
 #define SLACK_US (500 * BRF_US_PER_MS)	/* of the grace, for closing */
 
@@ -14,7 +14,7 @@
 	memset(s, 0, sizeof(*s));
 	s->most_us = grace_us > SLACK_US ? grace_us - SLACK_US : 0;
 	s->least_us = s->most_us < LEAST_US ? s->most_us : LEAST_US;
-	s->serve_us = grace_us / SERVE_SHARE;
+	s->serve_us = s->most_us / SERVE_SHARE;
 	if (s->serve_us > SERVE_US)
 		s->serve_us = SERVE_US;
 }
