Hear of targets from peers when a node starts without the store

Each took hops for its target at once, since others knew its entry, but knew no target itself until the store was back, so that the calls of what ran there failed: 414 as no_target and 1400 of their parents in two seconds. Ruled out: disproved entries (none was dropped), the routing table (it had come over a link).

A node that has not read the store asks the nodes that it has a connection with for the targets they know, when the connection opens and each second; what it hears it keeps as lapsed, so that it goes when the target's node does not know it or the store does not confirm it within 20 s.

--- a/fuzz/link_message.c
+++ b/fuzz/link_message.c
@@ -55,25 +55,33 @@
 }
 
 static void
-read_reply(bool table, XDR *xdr, const struct brf_record *record)
+read_reply(
+    enum brf_link_procedure to, XDR *xdr, const struct brf_record *record)
 {
 	struct brf_error err;
 	struct brf_link_reply reply;
 	struct brf_link_text text;
 	uint64_t revision;
 
-	if (table && brf_link_table_get(xdr, record, &revision, &text, &err))
+	if (to == BRF_LINK_TABLE &&
+	    brf_link_table_get(xdr, record, &revision, &text, &err))
 		check_text(record, &text);
-	if (!table && brf_link_reply_get(xdr, record, &reply, &err)) {
+	if (to == BRF_LINK_TARGETS &&
+	    brf_link_targets_get(xdr, record, &text, &err))
+		check_text(record, &text);
+	if (to == BRF_LINK_SEND &&
+	    brf_link_reply_get(xdr, record, &reply, &err)) {
 		check_text(record, &reply.fields);
 		check_text(record, &reply.part);
 	}
 }
 
-/* The first byte tells whether a reply is one to BRF_LINK_TABLE. */
+/* The first byte tells what replies are to. */
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
+	static const enum brf_link_procedure asked[] = { BRF_LINK_SEND,
+		BRF_LINK_TABLE, BRF_LINK_TARGETS };
 	struct brf_record_reader r = { .most = 65536 };
 	struct brf_rpc_header header;
 	struct brf_record record;
@@ -89,7 +97,7 @@
 		if (header.is_call)
 			read_call(header.procedure, &xdr, &record);
 		else if (header.status == BRF_RPC_SUCCESS)
-			read_reply((data[0] & 1) != 0, &xdr, &record);
+			read_reply(asked[data[0] % 3], &xdr, &record);
 	}
 	brf_record_reader_free(&r);
 	return (0);
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -108,6 +108,14 @@
 	d->watcher->changed(d->watcher, t, is_new);
 }
 
+static void
+set_lapsed(struct brf_directory_target *t)
+{
+	t->lapsed = true;
+	brf_timer_start(
+	    t->directory->timers, &t->lapse, BRF_DIRECTORY_LAPSE_US);
+}
+
 static void
 on_gone(void *arg, const char *key, uint64_t revision)
 {
@@ -117,11 +125,10 @@
 
 	if (t == NULL)
 		return;
-	t->lapsed = true;
+	set_lapsed(t);
 	t->revision = revision;
 	brf_log(BRF_LOG_INFO, "target_lapsed", BRF_LS("target", t->entry.id),
 	    BRF_LS("service", t->entry.service), BRF_LU("revision", revision));
-	brf_timer_start(d->timers, &t->lapse, BRF_DIRECTORY_LAPSE_US);
 	d->watcher->changed(d->watcher, t, false);
 }
 
@@ -201,6 +208,67 @@
 	return (&d->targets);
 }
 
+void
+brf_directory_tell(const struct brf_directory *d, struct brf_buf *out)
+{
+	const struct brf_directory_target *t;
+	char key[BRF_ENTRY_KEY_MAX];
+	struct brf_list *l;
+
+	brf_list_foreach (l, &d->targets) {
+		t = brf_list_entry(l, struct brf_directory_target, link);
+		brf_entry_key(t->entry.id, key);
+		brf_buf_puts(out, key);
+		brf_buf_puts(out, " ");
+		brf_entry_write(&t->entry, out);
+		brf_buf_puts(out, "\n");
+	}
+}
+
+static void
+hear_line(struct brf_directory *d, const char *line, size_t len)
+{
+	const char *space = memchr(line, ' ', len);
+	char key[BRF_ENTRY_KEY_MAX];
+	struct brf_directory_target *t;
+	struct brf_entry entry;
+	struct brf_error err;
+
+	if (space == NULL || (size_t)(space - line) >= sizeof(key))
+		return;
+	memcpy(key, line, (size_t)(space - line));
+	key[space - line] = '\0';
+	if (!brf_entry_read(&entry, key, space + 1,
+		len - (size_t)(space + 1 - line), &err)) {
+		brf_log(BRF_LOG_WARN, "entry_unreadable", BRF_LE(&err));
+		return;
+	}
+	if (entry.state == BRF_TARGET_LEFT || find(d, entry.id) != NULL)
+		return;
+	t = add(d);
+	t->entry = entry;
+	t->seen = now(d);
+	set_lapsed(t);
+	log_change(t);
+	d->watcher->changed(d->watcher, t, true);
+}
+
+void
+brf_directory_hear(struct brf_directory *d, const char *text, size_t len)
+{
+	const char *end = text + len, *stop;
+	size_t before = d->count;
+
+	for (; text < end; text = stop + 1) {
+		stop = memchr(text, '\n', (size_t)(end - text));
+		if (stop == NULL)
+			break;
+		hear_line(d, text, (size_t)(stop - text));
+	}
+	brf_log(BRF_LOG_INFO, "targets_told", BRF_LU("targets", d->count),
+	    BRF_LU("before", before));
+}
+
 void
 brf_directory_disprove(struct brf_directory_target *t)
 {
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -13,6 +13,7 @@
  * its node may be dead, or may just not reach the store.  It is kept for
  * BRF_DIRECTORY_LAPSE_US, marked as lapsed, so that a store which loses leases
  * takes no target away; who sends work there finds out which of the two it is.
+ * A node that starts while the store is away hears of targets from its peers.
  */
 
 #define BRF_DIRECTORY_LAPSE_US (20 * BRF_US_PER_S)
@@ -70,6 +71,21 @@
 /* All struct brf_directory_target, by link. */
 struct brf_list *brf_directory_targets(struct brf_directory *d);
 
+/**
+ * brf_directory_tell() - append what is known, a line for each target: key,
+ * a space, the entry's text.
+ */
+void brf_directory_tell(const struct brf_directory *d, struct brf_buf *out);
+
+/**
+ * brf_directory_hear() - what another node's brf_directory_tell() wrote; any
+ * bytes.
+ *
+ * Targets that are not known yet are taken up as lapsed ones: they go when
+ * their node does not know them, or the store does not confirm them in time.
+ */
+void brf_directory_hear(struct brf_directory *d, const char *text, size_t len);
+
 /**
  * brf_directory_disprove() - the target is not there any more, as its own node
  * says; drop it if its entry has lapsed.
--- a/src/link/codec.c
+++ b/src/link/codec.c
@@ -429,10 +429,33 @@
 }
 
 void
-brf_link_null_put(struct brf_buf *out, uint32_t xid)
+brf_link_ask_put(
+    struct brf_buf *out, uint32_t xid, enum brf_link_procedure procedure)
 {
 	struct brf_rpc_writer w;
 
-	begin_call(&w, out, 0, xid, BRF_LINK_NULL);
+	begin_call(&w, out, 0, xid, procedure);
 	brf_rpc_end(&w, true);
 }
+
+void
+brf_link_targets_put(
+    struct brf_buf *out, uint32_t xid, const struct brf_link_text *text)
+{
+	struct brf_rpc_writer w;
+
+	brf_rpc_begin_reply(
+	    &w, out, FIXED_MAX + text->len, xid, BRF_RPC_SUCCESS);
+	put_text(&w.xdr, text);
+	brf_rpc_end(&w, true);
+}
+
+bool
+brf_link_targets_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_text *text, struct brf_error *err)
+{
+	if (!get_text(xdr, record, text, BRF_BODY_MAX) ||
+	    !brf_rpc_at_end(xdr, record))
+		return (bad(err, "targets"));
+	return (true);
+}
--- a/src/link/codec.h
+++ b/src/link/codec.h
@@ -20,6 +20,8 @@
  *	REVISION	unsigned hyper, of the sender's table; no reply
  *	TABLE		unsigned hyper, what the sender has; replied with
  *			unsigned hyper and opaque: a newer one, or 0 and nothing
+ *	TARGETS		nothing; replied with opaque: the targets that the
+ *			other end knows
  */
 
 #define BRF_LINK_PROGRAM 0x20b1d002u
@@ -32,7 +34,8 @@
 	BRF_LINK_ROOM,
 	BRF_LINK_CANCEL,
 	BRF_LINK_REVISION,
-	BRF_LINK_TABLE
+	BRF_LINK_TABLE,
+	BRF_LINK_TARGETS
 };
 
 #define BRF_LINK_PART 16384u  /* bytes of a body in one message */
@@ -163,7 +166,14 @@
 bool brf_link_table_get(XDR *xdr, const struct brf_record *record,
     uint64_t *revision, struct brf_link_text *text, struct brf_error *err);
 
-void brf_link_null_put(struct brf_buf *out, uint32_t xid);
+/* BRF_LINK_NULL or BRF_LINK_TARGETS: a question without arguments. */
+void brf_link_ask_put(
+    struct brf_buf *out, uint32_t xid, enum brf_link_procedure procedure);
+
+void brf_link_targets_put(
+    struct brf_buf *out, uint32_t xid, const struct brf_link_text *text);
+bool brf_link_targets_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_text *text, struct brf_error *err);
 
 BRF_END_DECLS
 
--- a/src/link/conn.c
+++ b/src/link/conn.c
@@ -4,6 +4,7 @@
 #define XID_HELLO 0xffffffffu
 #define XID_TABLE 0xfffffffeu
 #define XID_REVISION 0xfffffffdu
+#define XID_TARGETS 0xfffffffbu
 
 void
 brf_link_conn_init(struct brf_link_conn *lc, struct brf_links *links,
@@ -58,6 +59,49 @@
 	brf_conn_touch(&lc->conn);
 }
 
+void
+brf_link_conn_ask(struct brf_link_conn *lc)
+{
+	struct brf_link_hints *hints = brf_links_of(lc)->config.hints;
+
+	if (hints == NULL || lc->asking || !hints->vt->wanted(hints))
+		return;
+	lc->asking = true;
+	brf_link_ask_put(&lc->conn.out, XID_TARGETS, BRF_LINK_TARGETS);
+	brf_conn_touch(&lc->conn);
+}
+
+static void
+serve_targets(struct brf_link_conn *lc, uint32_t xid)
+{
+	struct brf_link_hints *hints = brf_links_of(lc)->config.hints;
+	struct brf_buf known = { .data = NULL };
+	struct brf_link_text text;
+
+	if (hints != NULL)
+		hints->vt->write(hints, &known);
+	text.data = known.len != 0 ? known.data : "";
+	text.len = known.len;
+	brf_link_targets_put(&lc->conn.out, xid, &text);
+	brf_conn_touch(&lc->conn);
+	brf_buf_free(&known);
+}
+
+static bool
+take_targets(struct brf_link_conn *lc, XDR *xdr,
+    const struct brf_record *record, struct brf_error *err)
+{
+	struct brf_link_hints *hints = brf_links_of(lc)->config.hints;
+	struct brf_link_text text;
+
+	lc->asking = false;
+	if (!brf_link_targets_get(xdr, record, &text, err))
+		return (false);
+	if (hints != NULL && hints->vt->wanted(hints))
+		hints->vt->got(hints, text.data, text.len);
+	return (true);
+}
+
 static void
 serve_table(struct brf_link_conn *lc, uint32_t xid, uint64_t theirs)
 {
@@ -106,6 +150,7 @@
 			return (false);
 		brf_link_conn_hello(lc, header->xid, true);
 		brf_link_conn_learn(lc, hello.revision);
+		brf_link_conn_ask(lc);
 		return (true);
 	case BRF_LINK_REVISION:
 		if (!brf_link_revision_get(xdr, record, &theirs, err))
@@ -117,6 +162,9 @@
 			return (false);
 		serve_table(lc, header->xid, theirs);
 		return (true);
+	case BRF_LINK_TARGETS:
+		serve_targets(lc, header->xid);
+		return (true);
 	default:
 		*known = false;
 		return (true);
@@ -138,7 +186,8 @@
 			    "program %x", header->program));
 		return (common_call(lc, header, xdr, record, known, err));
 	}
-	if (header->xid != XID_HELLO && header->xid != XID_TABLE) {
+	if (header->xid != XID_HELLO && header->xid != XID_TABLE &&
+	    header->xid != XID_TARGETS) {
 		*known = false;
 		return (true);
 	}
@@ -147,9 +196,12 @@
 		    err, BRF_E_RPC_DENIED, 0, "status %d", header->status));
 	if (header->xid == XID_TABLE)
 		return (take_table(lc, xdr, record, err));
+	if (header->xid == XID_TARGETS)
+		return (take_targets(lc, xdr, record, err));
 	if (!brf_link_hello_get(xdr, record, &hello, err))
 		return (false);
 	brf_link_conn_learn(lc, hello.revision);
+	brf_link_conn_ask(lc);
 	return (true);
 }
 
@@ -193,6 +245,19 @@
 	}
 }
 
+void
+brf_links_ask(struct brf_links *links)
+{
+	struct brf_link_conn *lc;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &links->set.conns) {
+		lc = brf_list_entry(l, struct brf_link_conn, conn.link);
+		if (!lc->conn.closing && lc->connected)
+			brf_link_conn_ask(lc);
+	}
+}
+
 void
 brf_links_greet(struct brf_links *links)
 {
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -403,7 +403,7 @@
 	}
 	if (silence >= BRF_LINK_PING_US && lc->asked == 0) {
 		lc->asked = brf_links_now(links);
-		brf_link_null_put(&lc->conn.out, XID_PING);
+		brf_link_ask_put(&lc->conn.out, XID_PING, BRF_LINK_NULL);
 		brf_conn_touch(&lc->conn);
 	}
 	brf_timer_start(links->config.timers, &lc->timer,
--- a/src/link/impl.h
+++ b/src/link/impl.h
@@ -46,6 +46,7 @@
  * @asked: clock time of a question for a sign of life; 0 for none
  * @timer: gives up connecting, then looks for silence
  * @fetching: BRF_LINK_TABLE is not answered yet
+ * @asking: BRF_LINK_TARGETS is not answered yet
  */
 struct brf_link_conn {
 	struct brf_conn conn;
@@ -61,6 +62,7 @@
 	bool silent;
 	bool up; /* the other side was heard */
 	bool fetching;
+	bool asking;
 };
 
 /**
@@ -159,6 +161,9 @@
     const struct brf_rpc_header *header, XDR *xdr,
     const struct brf_record *record, bool *known, struct brf_error *err);
 
+/* Ask for the targets that the other end knows, if they are wanted here. */
+void brf_link_conn_ask(struct brf_link_conn *lc);
+
 /* The other end's table is at @revision: ask for it when ours is older. */
 void brf_link_conn_learn(struct brf_link_conn *lc, uint64_t revision);
 
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -23,7 +23,8 @@
  * silent when none comes, and is closed when it stays so.
  *
  * Each side tells the revision of its routing table when a connection opens
- * and when it changes, and gives the table's text to those who ask.
+ * and when it changes, and gives the table's text to those who ask.  A node
+ * that has not read the store yet asks its peers for the targets they know.
  *
  * The process must ignore SIGPIPE.
  */
@@ -50,6 +51,7 @@
 struct brf_link;
 struct brf_links;
 struct brf_link_news;
+struct brf_link_hints;
 
 /**
  * struct brf_link_news_vt - the routing table, as links pass it on.
@@ -69,6 +71,23 @@
 	const struct brf_link_news_vt *vt;
 };
 
+/**
+ * struct brf_link_hints_vt - targets, as peers tell of them when the store
+ * does not.
+ * @wanted: whether this node has to ask
+ * @write: append what this node knows
+ * @got: a peer has answered; any bytes
+ */
+struct brf_link_hints_vt {
+	bool (*wanted)(struct brf_link_hints *hints);
+	void (*write)(struct brf_link_hints *hints, struct brf_buf *out);
+	void (*got)(struct brf_link_hints *hints, const char *text, size_t len);
+};
+
+struct brf_link_hints {
+	const struct brf_link_hints_vt *vt;
+};
+
 /**
  * struct brf_links_config - what brf_links_new() needs; all of it outlives
  * the links.
@@ -83,6 +102,7 @@
 	struct brf_metrics *metrics;
 	struct brf_hop_backend *gate;
 	struct brf_link_news *news;
+	struct brf_link_hints *hints;
 	const char *node;
 	const char *service;
 };
@@ -121,6 +141,9 @@
 /* The table has changed: tell all peers. */
 void brf_links_tell(struct brf_links *links);
 
+/* Ask all peers for targets, if they are wanted. */
+void brf_links_ask(struct brf_links *links);
+
 /* This VM's target has another service: tell all peers. */
 void brf_links_greet(struct brf_links *links);
 
--- /dev/null
+++ b/src/mesh/hints.c
@@ -0,0 +1,44 @@
+#include "mesh/hints.h"
+
+static struct brf_directory *
+directory_of(struct brf_link_hints *hints)
+{
+	return (
+	    brf_container_of(hints, struct brf_mesh_hints, hints)->directory);
+}
+
+static bool
+wanted(struct brf_link_hints *hints)
+{
+	const struct brf_directory *d = directory_of(hints);
+
+	return (d != NULL && !brf_directory_synced(d));
+}
+
+static void
+write_known(struct brf_link_hints *hints, struct brf_buf *out)
+{
+	const struct brf_directory *d = directory_of(hints);
+
+	if (d != NULL)
+		brf_directory_tell(d, out);
+}
+
+static void
+got(struct brf_link_hints *hints, const char *text, size_t len)
+{
+	brf_directory_hear(directory_of(hints), text, len);
+}
+
+static const struct brf_link_hints_vt hints_vt = {
+	.wanted = wanted,
+	.write = write_known,
+	.got = got,
+};
+
+void
+brf_mesh_hints_init(struct brf_mesh_hints *h)
+{
+	h->hints.vt = &hints_vt;
+	h->directory = NULL;
+}
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -6,7 +6,7 @@
 #include "mesh/node.h"
 
 #define SETTINGS_EVERY_US (500 * BRF_US_PER_MS) /* looks at the file */
-#define LOG_EVERY_US BRF_US_PER_S		/* lines on load */
+#define LOG_EVERY_US BRF_US_PER_S      /* lines on load, questions to peers */
 #define FLUSH_US (100 * BRF_US_PER_MS) /* longest that lines are held */
 #define FLUSH_BYTES 4096u	       /* from which they are written at once */
 #define STOP_EVERY_US (50 * BRF_US_PER_MS) /* looks at what is left */
@@ -230,6 +230,7 @@
 	brf_timer_start(node->turn.timers, timer, LOG_EVERY_US);
 	brf_mesh_gate_log(node->gate);
 	brf_mesh_tables_log(&node->tables);
+	brf_links_ask(node->links);
 }
 
 static void
@@ -360,9 +361,11 @@
 		.timers = node->turn.timers,
 		.metrics = node->metrics,
 		.news = &node->tables.news,
+		.hints = &node->hints.hints,
 		.node = node->settings.node,
 		.service = node->settings.service };
 
+	brf_mesh_hints_init(&node->hints);
 	brf_mesh_tables_init(&node->tables, &node->turn.clock,
 	    node->adapter->vt->read_table, table_changed, node);
 	node->gate = brf_mesh_gate_new(&gate);
@@ -403,6 +406,7 @@
 	    brf_register_new(node->store, node->turn.timers, node->random);
 	node->directory = brf_directory_new(node->store, node->turn.timers,
 	    node->random, &node->services.watcher);
+	node->hints.directory = node->directory;
 	follow_table(node);
 }
 
@@ -522,6 +526,7 @@
 	brf_http_server_free(node->ready);
 	brf_http_server_free(node->admin);
 	brf_follow_free(node->table_follow);
+	node->hints.directory = NULL;
 	brf_directory_free(node->directory);
 	brf_register_free(node->registration);
 	brf_mesh_services_finish(&node->services);
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -8,6 +8,7 @@
 #include "mesh/adapter.h"
 #include "mesh/call.h"
 #include "mesh/gate.h"
+#include "mesh/hints.h"
 #include "mesh/settings.h"
 #include "policy/stop.h"
 #include "fleet/register.h"
@@ -49,6 +50,7 @@
 	struct brf_store *store;
 	struct brf_mesh_gate *gate;
 	struct brf_links *links;
+	struct brf_mesh_hints hints;
 	struct brf_mesh_services services;
 	struct brf_directory *directory;
 	struct brf_register *registration;
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -446,6 +446,42 @@
 	brf_directory_free(d);
 }
 
+TEST(directory, targets_told_by_a_peer_are_there_until_the_store_speaks)
+{
+	struct fleet_bench b, away;
+	struct seen s = { { seen::changed, seen::gone }, {} }, t = s;
+	struct brf_directory *d =
+	    brf_directory_new(&b.store.store, b.timers, &b.random.random, &s.w);
+	struct brf_directory *other = brf_directory_new(
+	    &away.store.store, away.timers, &away.random.random, &t.w);
+	struct brf_buf told = {};
+	std::string noise = "x\n\n" + key + " {broken\n" +
+			    std::string(300, 'k') + " {}\n" + key;
+
+	b.store.put(key, text(entry("t-1")));
+	b.store.put(std::string(BRF_ENTRY_PREFIX) + "t-2", text(entry("t-2")));
+	b.settle();
+	brf_directory_tell(d, &told);
+	brf_directory_hear(other, noise.data(), noise.size());
+	EXPECT_TRUE(t.lapsed.empty());
+	brf_directory_hear(other, told.data, told.len);
+	brf_directory_hear(other, told.data, told.len);
+	EXPECT_EQ(t.lapsed,
+	    (std::map<std::string, bool>{ { "t-1", true }, { "t-2", true } }));
+	EXPECT_FALSE(brf_directory_synced(other));
+	away.store.put(key, text(entry("t-1")));
+	away.settle();
+	EXPECT_TRUE(brf_directory_synced(other));
+	EXPECT_FALSE(t.lapsed.at("t-1"));
+	for (int i = 0; i < 5; i++)
+		away.settle();
+	EXPECT_EQ(t.lapsed, (std::map<std::string, bool>{ { "t-1", false } }))
+	    << "the store knows no other";
+	brf_buf_free(&told);
+	brf_directory_free(other);
+	brf_directory_free(d);
+}
+
 TEST(entry, what_is_written_is_read)
 {
 	struct brf_entry e = entry("t-1", BRF_TARGET_DRAINING), back;
--- a/test/link_fake.h
+++ b/test/link_fake.h
@@ -129,6 +129,12 @@
 		uint64_t got = 0;
 		std::string got_text;
 	} news;
+	struct fake_hints {
+		struct brf_link_hints hints;
+		bool wanted = false;
+		std::string text;
+		std::string got;
+	} hints;
 	char service[BRF_NAME_MAX + 1];
 	struct brf_links *links;
 	struct sockaddr_in addr;
@@ -161,6 +167,29 @@
 		f->text = f->got_text;
 	}
 
+	static bool
+	wanted(struct brf_link_hints *h)
+	{
+		return (((struct fake_hints *)(void *)h)->wanted);
+	}
+
+	static void
+	write(struct brf_link_hints *h, struct brf_buf *out)
+	{
+		auto *f = (struct fake_hints *)(void *)h;
+
+		brf_buf_add(out, f->text.data(), f->text.size());
+	}
+
+	static void
+	hinted(struct brf_link_hints *h, const char *text, size_t len)
+	{
+		auto *f = (struct fake_hints *)(void *)h;
+
+		f->got.assign(text, len);
+		f->wanted = false;
+	}
+
 	linked_node(
 	    struct flow_bench &bench, const char *name, const char *its_service)
 	    : gate(&bench.turn.tasks)
@@ -171,7 +200,11 @@
 		struct brf_error err;
 		uint16_t port;
 
+		static const struct brf_link_hints_vt hints_vt = { wanted,
+			write, hinted };
+
 		news.news.vt = &vt;
+		hints.hints.vt = &hints_vt;
 		brf_copy_name(service, sizeof(service), its_service);
 		config.loop = &bench.loop;
 		config.tasks = &bench.turn.tasks;
@@ -179,6 +212,7 @@
 		config.metrics = bench.metrics;
 		config.gate = &gate.backend;
 		config.news = &news.news;
+		config.hints = &hints.hints;
 		config.node = name;
 		config.service = service;
 		links = brf_links_new(&config);
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -342,6 +342,36 @@
 	close();
 }
 
+TEST_F(two_nodes, targets_are_told_to_a_node_that_has_no_store)
+{
+	{
+		struct sent s(bench);
+		struct brf_hop *hop;
+
+		a.hints.text = "those a knows";
+		b.hints.wanted = true;
+		send(s);
+		hop = arrived();
+		EXPECT_TRUE(bench.until([&] { return (!b.hints.wanted); }));
+		EXPECT_EQ(b.hints.got, "those a knows");
+		EXPECT_EQ(a.hints.got, "");
+		a.hints.text = std::string(300000, 't');
+		b.hints.wanted = true;
+		brf_links_ask(b.links);
+		EXPECT_TRUE(bench.until([&] { return (!b.hints.wanted); }));
+		EXPECT_EQ(b.hints.got.size(), 300000u);
+		b.hints.text = "those b knows";
+		a.hints.wanted = true;
+		brf_links_ask(a.links);
+		EXPECT_TRUE(bench.until([&] { return (!a.hints.wanted); }));
+		EXPECT_EQ(a.hints.got, "those b knows");
+		b.gate.refuse(hop, BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until(
+		    [&] { return (s.hop.state == BRF_HOP_REFUSED); }));
+	}
+	close();
+}
+
 /* A listener that takes connections and never says a word. */
 TEST_F(two_nodes, a_silent_node_is_noticed_and_given_up)
 {
