Judge requests that end alike against chance; log an ejection once

The share of alike ends now has to lie three quarters of the way from what chance gives to all. Test: kinship.requests_that_begin_beside_very_many_running_are_no_calls, which failed before.

--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -537,8 +537,11 @@
 static void
 find_parent(struct call *call)
 {
-	brf_kinship_began(&call->kept->kinship,
-	    brf_mesh_gate_ends_with(call->callers->gate, call->deadline_asked));
+	uint32_t same, near;
+
+	brf_mesh_gate_ends_with(
+	    call->callers->gate, call->deadline_asked, &same, &near);
+	brf_kinship_began(&call->kept->kinship, same, near);
 	call->nested = brf_kinship_is_call(&call->kept->kinship);
 	call->has_parent =
 	    call->nested && brf_mesh_gate_parent(call->callers->gate,
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -604,18 +604,24 @@
 	return (theirs > deadline ? theirs - deadline : deadline - theirs);
 }
 
-bool
-brf_mesh_gate_ends_with(const struct brf_mesh_gate *gate, uint64_t deadline)
+void
+brf_mesh_gate_ends_with(const struct brf_mesh_gate *gate, uint64_t deadline,
+    uint32_t *same, uint32_t *near)
 {
 	struct brf_list *l;
 	struct visit *v;
 
+	*same = 0;
+	*near = 0;
 	brf_list_foreach (l, &gate->open) {
 		v = brf_list_entry(l, struct visit, link);
-		if (v->running && apart(v, deadline) < BRF_KINSHIP_SAME_US)
-			return (true);
+		if (!v->running)
+			continue;
+		if (apart(v, deadline) < BRF_KINSHIP_SAME_US)
+			(*same)++;
+		else if (apart(v, deadline) < BRF_KINSHIP_NEAR_US)
+			(*near)++;
 	}
-	return (false);
 }
 
 /* Learn from a call which routes' requests make calls. */
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -66,10 +66,14 @@
  */
 void brf_mesh_gate_refuse(struct brf_mesh_gate *gate, enum brf_reason reason);
 
-/* Whether a running request ends together with a call or request that ends at
- * @deadline, clock time. */
-bool brf_mesh_gate_ends_with(
-    const struct brf_mesh_gate *gate, uint64_t deadline);
+/**
+ * brf_mesh_gate_ends_with() - count running requests that end at about the
+ * time of one that has begun here.
+ * @deadline: of that, clock time
+ * @same, @near: see brf_kinship_began()
+ */
+void brf_mesh_gate_ends_with(const struct brf_mesh_gate *gate,
+    uint64_t deadline, uint32_t *same, uint32_t *near);
 
 /**
  * struct brf_mesh_parent - the request at the target that a call belongs to.
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -260,8 +260,8 @@
 	bool was_out = until != 0;
 
 	brf_place_ended(&peer->place, end, load, now);
-	if (peer->place.ejected_until != until &&
-	    peer->place.ejected_until != 0)
+	/* hops that were open when it was ejected say nothing new */
+	if (peer->place.ejected_until > now && until <= now)
 		brf_log(BRF_LOG_INFO, "target_ejected",
 		    BRF_LS("target", peer->id),
 		    BRF_LU("lost_in_a_row", peer->place.streak),
--- a/src/policy/kinship.c
+++ b/src/policy/kinship.c
@@ -1,7 +1,11 @@
+#include <math.h>
+
 #include "policy/kinship.h"
 
 #define TOLD_STEP 0.1	/* weight of one gate's word */
-#define ALIKE_STEP 0.05 /* weight of one request */
+#define ALIKE_COUNT 50u /* requests that the share of alike ones looks at */
+#define ALIKE_LEAST 10u /* before it is judged */
+#define ALIKE_FROM 0.75 /* of the way from chance to all */
 #define CALL_FROM 0.5	/* from which a route's requests are taken for calls */
 #define VISITS_LEAST 8u /* before the calls of a route are reckoned with */
 #define WEIGHT_LEAST 0.02 /* of a route of which no calls were seen */
@@ -29,15 +33,30 @@
 }
 
 void
-brf_kinship_began(struct brf_kinship *k, bool together)
+brf_kinship_began(struct brf_kinship *k, uint32_t same, uint32_t near)
+{
+	double expected = (double)near * BRF_KINSHIP_SAME_US /
+			  (BRF_KINSHIP_NEAR_US - BRF_KINSHIP_SAME_US);
+	double step;
+
+	if (k->begun < ALIKE_COUNT)
+		k->begun++;
+	step = 1.0 / k->begun;
+	k->alike += step * ((same != 0 ? 1.0 : 0.0) - k->alike);
+	k->chance += step * (1 - exp(-expected) - k->chance);
+}
+
+static bool
+is_alike(const struct brf_kinship *k)
 {
-	k->alike += ALIKE_STEP * ((together ? 1.0 : 0.0) - k->alike);
+	return (k->begun >= ALIKE_LEAST &&
+		k->alike > k->chance + ALIKE_FROM * (1 - k->chance));
 }
 
 bool
 brf_kinship_is_call(const struct brf_kinship *k)
 {
-	return (k->inner > CALL_FROM || k->alike > CALL_FROM);
+	return (k->inner > CALL_FROM || is_alike(k));
 }
 
 void
--- a/src/policy/kinship.h
+++ b/src/policy/kinship.h
@@ -17,8 +17,8 @@
  * A call ends no later than its parent.  When it ends together with a running
  * request, that is the parent; when its own time is shorter, the parent is one
  * of those that end later, of a route whose requests were seen to make calls.
- * A route of which most requests end together with a running one is of calls,
- * too, whoever sends it.
+ * A route of which far more requests end together with a running one than would
+ * by chance is of calls, too, whoever sends it.
  */
 
 /* Requests of a route, per service, before it is judged. */
@@ -36,7 +36,9 @@
  * @near: calls that ended within BRF_KINSHIP_NEAR_US of one, but not together;
  *	so many are alike by chance
  * @inner: what gates say of its requests that begin here, fading; 1 for calls
+ * @begun: of them, up to some
  * @alike: share of them that end together with a running request, fading
+ * @chance: share that would do so by chance, fading
  */
 struct brf_kinship {
 	uint64_t callers;
@@ -44,7 +46,9 @@
 	uint32_t same;
 	uint32_t near;
 	double inner;
+	uint32_t begun;
 	double alike;
+	double chance;
 };
 
 BRF_BEGIN_DECLS
@@ -65,8 +69,12 @@
 /* A gate has said whether they are. */
 void brf_kinship_told(struct brf_kinship *k, bool inner);
 
-/* A request has begun here, and ends together with a running one or not. */
-void brf_kinship_began(struct brf_kinship *k, bool together);
+/**
+ * brf_kinship_began() - a request has begun here.
+ * @same: running requests that end together with it
+ * @near: that end within BRF_KINSHIP_NEAR_US of it, but not together
+ */
+void brf_kinship_began(struct brf_kinship *k, uint32_t same, uint32_t near);
 
 /* Whether requests of the route that begin here are calls. */
 bool brf_kinship_is_call(const struct brf_kinship *k);
--- a/test/pace_test.cc
+++ b/test/pace_test.cc
@@ -229,15 +229,48 @@
 
 	brf_random_seeded_init(&random, 6);
 	for (int i = 0; i < 200; i++) {
-		brf_kinship_began(&calls, true);
+		brf_kinship_began(&calls, 1, 0);
 		/* with many running, some end together by chance */
-		brf_kinship_began(
-		    &begins, brf_random_below(&random.random, 5) == 0);
+		brf_kinship_began(&begins,
+		    brf_random_below(&random.random, 5) == 0,
+		    brf_random_below(&random.random, 3));
 		EXPECT_FALSE(brf_kinship_is_call(&begins));
 	}
 	EXPECT_TRUE(brf_kinship_is_call(&calls));
 }
 
+/*
+ * So many run that most requests end together with one of them by chance;
+ * calls still end together with their own, and what begins is told apart.
+ */
+TEST(kinship, requests_that_begin_beside_very_many_running_are_no_calls)
+{
+	const uint64_t spread = 600 * BRF_US_PER_MS;
+	struct brf_kinship calls = {}, begins = {};
+	struct brf_random_seeded random;
+	unsigned together = 0;
+
+	brf_random_seeded_init(&random, 8);
+	for (int i = 0; i < 5000; i++) {
+		uint32_t same = 0, near = 0;
+
+		for (int running = 0; running < 200; running++) {
+			uint64_t apart =
+			    brf_random_below(&random.random, spread / 2);
+
+			same += apart < BRF_KINSHIP_SAME_US;
+			near += apart >= BRF_KINSHIP_SAME_US &&
+				apart < BRF_KINSHIP_NEAR_US;
+		}
+		together += same != 0;
+		brf_kinship_began(&begins, same, near);
+		brf_kinship_began(&calls, same + 1, near);
+		ASSERT_FALSE(brf_kinship_is_call(&begins)) << i;
+		ASSERT_TRUE(i < 200 || brf_kinship_is_call(&calls)) << i;
+	}
+	EXPECT_GT(together, 3000u);
+}
+
 /*
  * One route's requests make calls, another's make none.  Both end at random
  * times, and each call ends with its parent.
