Say once what connections, numbers, chunks and answers share; drop what nobody calls

Found by reading the whole change again; behaviour stays as it is.

- base/tcp: the read buffer of all connections (was in three files), the bound on unacknowledged bytes (four), ADDRESS:PORT (three, of which two refuse port 0 themselves). node/settings keeps its own, which is stricter on digits.
- base/json: counts (three copies) and seconds (two).
- flow/chunks: decoding a chunked body in place, for server and target.
- Removed, without a caller: brf_directory_count, _heard, _revision and _targets, brf_follow_heard and _revision with what fed them, brf_field_find, brf_flow_close_idle, brf_flow_connections, brf_flow_conn_idle, brf_mesh_gate_target.
A comment named a state that target.c does not have.

--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -181,33 +181,6 @@
 	return (brf_follow_synced(d->follow));
 }
 
-uint64_t
-brf_directory_heard(const struct brf_directory *d)
-{
-	return (brf_follow_heard(d->follow));
-}
-
-size_t
-brf_directory_count(const struct brf_directory *d)
-{
-	return (d->count);
-}
-
-uint64_t
-brf_directory_revision(const struct brf_directory *d, const char *id)
-{
-	char key[BRF_ENTRY_KEY_MAX];
-
-	brf_entry_key(id, key);
-	return (brf_follow_revision(d->follow, key));
-}
-
-struct brf_list *
-brf_directory_targets(struct brf_directory *d)
-{
-	return (&d->targets);
-}
-
 void
 brf_directory_tell(const struct brf_directory *d, struct brf_buf *out)
 {
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -62,14 +62,6 @@
 
 /* Whether all targets that the store has were read at least once. */
 bool brf_directory_synced(const struct brf_directory *d);
-uint64_t brf_directory_heard(const struct brf_directory *d);
-size_t brf_directory_count(const struct brf_directory *d);
-
-/* The store's revision of a target's entry; 0 when it has none. */
-uint64_t brf_directory_revision(const struct brf_directory *d, const char *id);
-
-/* All struct brf_directory_target, by link. */
-struct brf_list *brf_directory_targets(struct brf_directory *d);
 
 /**
  * brf_directory_tell() - append what is known, a line for each target: key,
--- a/src/fleet/entry.c
+++ b/src/fleet/entry.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 
 #include <arpa/inet.h>
-#include <jansson.h>
-
+#include "base/json.h"
+#include "base/tcp.h"
 #include "fleet/entry.h"
 
 static const char *const state_names[] = {
@@ -67,18 +67,6 @@
 	return (true);
 }
 
-static bool
-read_number(const json_t *root, const char *name, uint64_t most, uint64_t *out)
-{
-	const json_t *v = json_object_get(root, name);
-
-	if (!json_is_integer(v) || json_integer_value(v) < 0 ||
-	    (uint64_t)json_integer_value(v) > most)
-		return (false);
-	*out = (uint64_t)json_integer_value(v);
-	return (true);
-}
-
 static bool
 read_state(const json_t *root, enum brf_target_state *state)
 {
@@ -98,22 +86,8 @@
 read_gate(const json_t *root, struct sockaddr_in *gate)
 {
 	const char *s = json_string_value(json_object_get(root, "gate"));
-	char address[INET_ADDRSTRLEN];
-	const char *colon;
-	char *end;
-	long port;
 
-	colon = s != NULL ? strchr(s, ':') : NULL;
-	if (colon == NULL || (size_t)(colon - s) >= sizeof(address))
-		return (false);
-	memcpy(address, s, (size_t)(colon - s));
-	address[colon - s] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	memset(gate, 0, sizeof(*gate));
-	gate->sin_family = AF_INET;
-	gate->sin_port = htons((uint16_t)port);
-	return (*end == '\0' && port > 0 && port <= UINT16_MAX &&
-		inet_pton(AF_INET, address, &gate->sin_addr) == 1);
+	return (s != NULL && brf_tcp_parse(s, gate) && gate->sin_port != 0);
 }
 
 static bool
@@ -126,9 +100,9 @@
 	    !read_name(root, "region", e->region) ||
 	    !read_name(root, "version", e->version) ||
 	    !read_name(root, "node", e->node) || !read_gate(root, &e->gate) ||
-	    !read_number(root, "slots", BRF_ENTRY_SLOTS_MAX, &slots) ||
-	    !read_number(root, "born", INT64_MAX, &e->born) ||
-	    !read_number(root, "warmup_us", INT64_MAX, &e->warmup_us) ||
+	    !brf_json_count(root, "slots", BRF_ENTRY_SLOTS_MAX, &slots) ||
+	    !brf_json_count(root, "born", INT64_MAX, &e->born) ||
+	    !brf_json_count(root, "warmup_us", INT64_MAX, &e->warmup_us) ||
 	    !read_state(root, &e->state))
 		return (false);
 	e->slots = (uint32_t)slots;
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -29,17 +29,10 @@
 	struct brf_backoff backoff;
 	struct brf_list buckets[BUCKETS];
 	uint64_t revision;
-	uint64_t heard;
 	bool synced;
 	bool lost;
 };
 
-static uint64_t
-now(const struct brf_follow *f)
-{
-	return (brf_now(brf_timers_clock(f->config.timers)));
-}
-
 static struct brf_list *
 bucket_of(struct brf_follow *f, const char *key)
 {
@@ -106,7 +99,6 @@
 static void
 heard(struct brf_follow *f)
 {
-	f->heard = now(f);
 	f->backoff.failures = 0;
 	if (f->lost)
 		brf_log(BRF_LOG_INFO, "store_regained",
@@ -270,22 +262,8 @@
 	free(f);
 }
 
-uint64_t
-brf_follow_heard(const struct brf_follow *f)
-{
-	return (f->heard);
-}
-
 bool
 brf_follow_synced(const struct brf_follow *f)
 {
 	return (f->synced);
 }
-
-uint64_t
-brf_follow_revision(const struct brf_follow *f, const char *key)
-{
-	const struct known *k = find(f, key);
-
-	return (k != NULL ? k->revision : 0);
-}
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -40,17 +40,9 @@
 struct brf_follow *brf_follow_new(const struct brf_follow_config *config);
 void brf_follow_free(struct brf_follow *f);
 
-/**
- * brf_follow_heard() - clock time of the store's last word; 0 for none.
- */
-uint64_t brf_follow_heard(const struct brf_follow *f);
-
 /* Whether all was read at least once. */
 bool brf_follow_synced(const struct brf_follow *f);
 
-/* Revision of a key, as far as known; 0 when it is not there. */
-uint64_t brf_follow_revision(const struct brf_follow *f, const char *key);
-
 BRF_END_DECLS
 
 #endif
--- /dev/null
+++ b/src/flow/chunks.c
@@ -0,0 +1,20 @@
+#include "flow/chunks.h"
+
+enum brf_chunks_result
+brf_chunks_decode(struct phr_chunked_decoder *decoder, struct brf_buf *input,
+    size_t given, size_t *len, size_t *used)
+{
+	ssize_t rest;
+
+	*len = given;
+	*used = given;
+	rest = phr_decode_chunked(decoder, input->data, len);
+	if (rest == -1)
+		return (BRF_CHUNKS_BROKEN);
+	if (rest < 0)
+		return (BRF_CHUNKS_MORE);
+	/* what follows the body stands behind its decoded bytes */
+	*used = given - (size_t)rest;
+	memmove(input->data + *used, input->data + *len, (size_t)rest);
+	return (BRF_CHUNKS_WHOLE);
+}
--- a/src/flow/head.c
+++ b/src/flow/head.c
@@ -344,24 +344,3 @@
 	brf_buf_puts(b, value);
 	brf_buf_add(b, "\r\n", 2);
 }
-
-const char *
-brf_field_find(
-    const char *fields, size_t fields_len, const char *name, size_t *len)
-{
-	const char *p = fields, *end = fields + fields_len, *eol;
-	size_t name_len = strlen(name);
-
-	while (p < end) {
-		eol = memmem(p, (size_t)(end - p), "\r\n", 2);
-		if (eol == NULL)
-			return (NULL);
-		if ((size_t)(eol - p) >= name_len + 2 && p[name_len] == ':' &&
-		    strncasecmp(p, name, name_len) == 0) {
-			*len = (size_t)(eol - p) - name_len - 2;
-			return (p + name_len + 2);
-		}
-		p = eol + 2;
-	}
-	return (NULL);
-}
--- a/src/flow/head.h
+++ b/src/flow/head.h
@@ -136,16 +136,6 @@
 /* Append "name: value" and CRLF. */
 void brf_field_put(struct brf_buf *b, const char *name, const char *value);
 
-/**
- * brf_field_find() - value of a field in a block.
- * @name: lower case
- * @len: filled with the bytes of the value
- *
- * Return: NULL when there is none.
- */
-const char *brf_field_find(
-    const char *fields, size_t fields_len, const char *name, size_t *len);
-
 BRF_END_DECLS
 
 #endif
--- a/src/flow/server.c
+++ b/src/flow/server.c
@@ -79,31 +79,12 @@
 	server->draining = true;
 }
 
-void
-brf_flow_close_idle(struct brf_flow_server *server)
-{
-	struct brf_list *l, *next;
-	struct brf_flow_conn *c;
-
-	brf_list_foreach_safe (l, next, &server->conns) {
-		c = brf_list_entry(l, struct brf_flow_conn, link);
-		if (brf_flow_conn_idle(c))
-			brf_flow_conn_close(c, BRF_FLOW_CUT);
-	}
-}
-
 size_t
 brf_flow_open(const struct brf_flow_server *server)
 {
 	return (server->open);
 }
 
-size_t
-brf_flow_connections(const struct brf_flow_server *server)
-{
-	return (server->conn_count);
-}
-
 void
 brf_flow_check_closed(struct brf_flow_server *server)
 {
--- a/src/flow/server.h
+++ b/src/flow/server.h
@@ -153,12 +153,8 @@
  */
 void brf_flow_drain(struct brf_flow_server *server);
 
-/* Close connections on which nothing of a request has come. */
-void brf_flow_close_idle(struct brf_flow_server *server);
-
 /* Requests that are not answered whole. */
 size_t brf_flow_open(const struct brf_flow_server *server);
-size_t brf_flow_connections(const struct brf_flow_server *server);
 
 /**
  * brf_flow_server_close() - close all connections; run the loop until @closed
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -1,9 +1,9 @@
-#include <netinet/tcp.h>
 #include <stdlib.h>
 
+#include "base/tcp.h"
+#include "flow/chunks.h"
 #include "flow/server_impl.h"
 
-#define READ_SIZE 65536u /* bytes asked of the kernel at once */
 #define INPUT_MAX 65536u /* bytes read ahead of what is used */
 #define AHEAD_MAX 16u	 /* requests of one connection that are open */
 #define KEEPALIVE_S 15	 /* seconds of silence before a caller is probed */
@@ -84,13 +84,6 @@
 	uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
-bool
-brf_flow_conn_idle(const struct brf_flow_conn *c)
-{
-	return (c->state == BRF_FLOW_CONN_OPEN && c->input.len == 0 &&
-		brf_list_empty(&c->requests));
-}
-
 static void
 give(struct brf_flow_request *r)
 {
@@ -265,30 +258,23 @@
 static bool
 read_chunked_body(struct brf_flow_conn *c, struct brf_flow_request *r)
 {
-	size_t given = brf_pipe_room(&r->body), len;
-	ssize_t rest;
+	size_t given = brf_pipe_room(&r->body), len, used;
+	enum brf_chunks_result result;
 
 	if (given > c->input.len)
 		given = c->input.len;
 	if (given == 0)
 		return (false);
-	len = given;
-	rest = phr_decode_chunked(&c->decoder, c->input.data, &len);
-	if (rest == -1)
+	result = brf_chunks_decode(&c->decoder, &c->input, given, &len, &used);
+	if (result == BRF_CHUNKS_BROKEN)
 		return (refuse_body(r, 400));
 	c->body_bytes += len;
 	if (body_is_over(c))
 		return (refuse_body(r, 413));
 	brf_pipe_write(&r->body, c->input.data, len);
-	if (rest < 0) {
-		brf_buf_consume(&c->input, given);
-		return (true);
-	}
-	/* what follows the body stands behind its decoded bytes */
-	memmove(c->input.data + given - (size_t)rest, c->input.data + len,
-	    (size_t)rest);
-	brf_buf_consume(&c->input, given - (size_t)rest);
-	end_body(r);
+	brf_buf_consume(&c->input, used);
+	if (result == BRF_CHUNKS_WHOLE)
+		end_body(r);
 	return (true);
 }
 
@@ -324,16 +310,6 @@
 	return (read_head(c));
 }
 
-static void
-on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
-{
-	static char shared[READ_SIZE]; /* used up before the next read */
-
-	(void)handle;
-	(void)suggested;
-	*buf = uv_buf_init(shared, sizeof(shared));
-}
-
 static void set_reading(struct brf_flow_conn *c);
 
 static void
@@ -366,7 +342,7 @@
 	if (pause)
 		uv_read_stop((uv_stream_t *)&c->tcp);
 	else
-		uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+		uv_read_start((uv_stream_t *)&c->tcp, brf_tcp_alloc, on_read);
 }
 
 /* How long the present state may last; 0 for as long as it likes. */
@@ -457,13 +433,9 @@
 static void
 set_options(struct brf_flow_conn *c)
 {
-	unsigned ms = UNACKED_MS;
-	uv_os_fd_t fd;
-
 	uv_tcp_nodelay(&c->tcp, 1);
 	uv_tcp_keepalive(&c->tcp, 1, KEEPALIVE_S);
-	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	brf_tcp_bound_unacked(&c->tcp, UNACKED_MS);
 }
 
 void
@@ -483,7 +455,8 @@
 	server->conn_count++;
 	server->connections->value++;
 	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0 ||
-	    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read) != 0) {
+	    uv_read_start((uv_stream_t *)&c->tcp, brf_tcp_alloc, on_read) !=
+		0) {
 		brf_flow_conn_close(c, BRF_FLOW_GONE);
 		return;
 	}
--- a/src/flow/server_impl.h
+++ b/src/flow/server_impl.h
@@ -83,9 +83,6 @@
 /* Close at once; open requests end as @end. */
 void brf_flow_conn_close(struct brf_flow_conn *c, enum brf_flow_end end);
 
-/* Nothing of a request has come and none is open. */
-bool brf_flow_conn_idle(const struct brf_flow_conn *c);
-
 /* Take @r out of its connection and tell its handler. */
 void brf_flow_request_end(struct brf_flow_request *r, enum brf_flow_end end);
 
--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -1,11 +1,12 @@
-#include <netinet/tcp.h>
 #include <stdlib.h>
 
+#include "base/tcp.h"
+#include "flow/chunks.h"
 #include "flow/target.h"
 #include "flow/writer.h"
 #include "http/parser.h"
 
-#define READ_SIZE 65536u	     /* bytes asked of the kernel at once */
+#define INPUT_MAX 65536u	     /* bytes read ahead of what is used */
 #define HEAD_MAX 65536u		     /* bytes of an answer's head */
 #define CONNECT_US BRF_US_PER_S	     /* for a connection to open */
 #define IDLE_US (8 * BRF_US_PER_S)   /* kept where the target doesn't say */
@@ -15,7 +16,6 @@
 
 /**
  * enum reading - what comes next on a connection.
- * @READ_SKIP_*: the body of an answer that belongs to no open run
  */
 enum reading {
 	READ_HEAD,
@@ -320,29 +320,22 @@
 static bool
 read_chunked(struct brf_flow_target_conn *c)
 {
-	size_t given = room(c), len;
-	ssize_t rest;
+	size_t given = room(c), len, used;
+	enum brf_chunks_result result;
 
 	if (given > c->input.len)
 		given = c->input.len;
 	if (given == 0)
 		return (false);
-	len = given;
-	rest = phr_decode_chunked(&c->decoder, c->input.data, &len);
-	if (rest == -1) {
+	result = brf_chunks_decode(&c->decoder, &c->input, given, &len, &used);
+	if (result == BRF_CHUNKS_BROKEN) {
 		fail_conn(c, true);
 		return (false);
 	}
 	deliver(c, c->input.data, len);
-	if (rest < 0) {
-		brf_buf_consume(&c->input, given);
-		return (true);
-	}
-	/* what follows the body stands behind its decoded bytes */
-	memmove(c->input.data + given - (size_t)rest, c->input.data + len,
-	    (size_t)rest);
-	brf_buf_consume(&c->input, given - (size_t)rest);
-	end_answer(c);
+	brf_buf_consume(&c->input, used);
+	if (result == BRF_CHUNKS_WHOLE)
+		end_answer(c);
 	return (true);
 }
 
@@ -450,22 +443,12 @@
 	brf_buf_free(&c->writer.out);
 }
 
-static void
-on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
-{
-	static char shared[READ_SIZE]; /* used up before the next read */
-
-	(void)handle;
-	(void)suggested;
-	*buf = uv_buf_init(shared, sizeof(shared));
-}
-
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
 
 static void
 set_reading(struct brf_flow_target_conn *c)
 {
-	bool pause = c->input.len >= READ_SIZE && !c->ended;
+	bool pause = c->input.len >= INPUT_MAX && !c->ended;
 
 	if (c->ended || pause == c->paused)
 		return;
@@ -473,7 +456,7 @@
 	if (pause)
 		uv_read_stop((uv_stream_t *)&c->tcp);
 	else
-		uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+		uv_read_start((uv_stream_t *)&c->tcp, brf_tcp_alloc, on_read);
 }
 
 static void
@@ -552,12 +535,8 @@
 static void
 set_options(struct brf_flow_target_conn *c)
 {
-	unsigned ms = UNACKED_MS;
-	uv_os_fd_t fd;
-
 	uv_tcp_nodelay(&c->tcp, 1);
-	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	brf_tcp_bound_unacked(&c->tcp, UNACKED_MS);
 }
 
 static void
@@ -574,7 +553,7 @@
 	}
 	c->connected = true;
 	set_options(c);
-	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	uv_read_start((uv_stream_t *)&c->tcp, brf_tcp_alloc, on_read);
 	if (!send_head(c, c->run))
 		fail_conn(c, false);
 }
--- a/src/http/request.c
+++ b/src/http/request.c
@@ -477,6 +477,20 @@
 	brf_message_unref(m);
 }
 
+void
+brf_respond_metrics(
+    struct brf_http_request *request, const struct brf_metrics *metrics)
+{
+	struct brf_message *m = brf_message_new();
+
+	m->status = 200;
+	brf_message_add_header(
+	    m, "content-type", 12, "text/plain; version=0.0.4", 25, NULL);
+	brf_metrics_write(metrics, &m->body);
+	brf_http_respond(request, m, NULL, 0);
+	brf_message_unref(m);
+}
+
 void
 brf_respond_status(struct brf_http_request *request, int status)
 {
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,6 +1,6 @@
-#include <netinet/tcp.h>
 #include <stdlib.h>
 
+#include "base/tcp.h"
 #include "bulrushford.h"
 #include "http/server_impl.h"
 
@@ -83,13 +83,9 @@
 static void
 set_options(struct brf_http_conn *c)
 {
-	unsigned ms = WRITE_TIMEOUT_MS;
-	uv_os_fd_t fd;
-
 	uv_tcp_nodelay(&c->tcp, 1);
 	uv_tcp_keepalive(&c->tcp, 1, KEEPALIVE_S);
-	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	brf_tcp_bound_unacked(&c->tcp, WRITE_TIMEOUT_MS);
 }
 
 static void
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -120,6 +120,13 @@
 void brf_respond_json(
     struct brf_http_request *request, int status, struct brf_buf *text);
 
+/**
+ * brf_respond_metrics() - brf_http_respond() with all of @metrics, in
+ * Prometheus' text format.
+ */
+void brf_respond_metrics(
+    struct brf_http_request *request, const struct brf_metrics *metrics);
+
 /**
  * brf_respond_status() - brf_http_respond() without a body.
  */
--- a/src/mesh/admin.c
+++ b/src/mesh/admin.c
@@ -20,19 +20,6 @@
 	brf_respond_status(http, brf_mesh_node_is_ready(node) ? 200 : 503);
 }
 
-static void
-answer_metrics(struct brf_mesh_node *node, struct brf_http_request *http)
-{
-	struct brf_message *m = brf_message_new();
-
-	m->status = 200;
-	brf_message_add_header(
-	    m, "content-type", 12, "text/plain; version=0.0.4", 25, NULL);
-	brf_metrics_write(node->metrics, &m->body);
-	brf_http_respond(http, m, NULL, 0);
-	brf_message_unref(m);
-}
-
 static void
 answer_question(struct brf_mesh_node *node, struct brf_http_request *http)
 {
@@ -58,7 +45,7 @@
 		break;
 	case BRF_MESH_OTHER:
 		if (strcmp(m->path, "/metrics") == 0)
-			answer_metrics(node, http);
+			brf_respond_metrics(http, node->metrics);
 		else
 			brf_respond_status(http, 404);
 		break;
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -733,12 +733,6 @@
 	return (gate->open_count);
 }
 
-const char *
-brf_mesh_gate_target(const struct brf_mesh_gate *gate)
-{
-	return (gate->refusing == BRF_R_NONE ? gate->notice.id : "");
-}
-
 void
 brf_mesh_gate_close(
     struct brf_mesh_gate *gate, void (*closed)(void *arg), void *arg)
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -113,8 +113,6 @@
 /* Hops that wait or run. */
 size_t brf_mesh_gate_open(const struct brf_mesh_gate *gate);
 
-/* Id of the target that hops may run on; empty when there is none. */
-const char *brf_mesh_gate_target(const struct brf_mesh_gate *gate);
 void brf_mesh_gate_load(
     const struct brf_mesh_gate *gate, struct brf_gate_load *load);
 
--- a/src/mesh/settings.c
+++ b/src/mesh/settings.c
@@ -2,8 +2,7 @@
 #include <math.h>
 #include <stdlib.h>
 
-#include <arpa/inet.h>
-
+#include "base/tcp.h"
 #include "mesh/settings.h"
 
 #define FILE_MAX 65536u /* bytes of a settings file */
@@ -36,22 +35,7 @@
 static bool
 parse_address(const char *text, void *field)
 {
-	struct sockaddr_in *addr = field;
-	const char *colon = strrchr(text, ':');
-	char host[INET_ADDRSTRLEN], *end;
-	long port;
-
-	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
-		return (false);
-	memcpy(host, text, (size_t)(colon - text));
-	host[colon - text] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	memset(addr, 0, sizeof(*addr));
-	addr->sin_family = AF_INET;
-	addr->sin_port = htons((uint16_t)port);
-	return (colon[1] != '\0' && *end == '\0' && port >= 0 &&
-		port <= UINT16_MAX &&
-		inet_pton(AF_INET, host, &addr->sin_addr) == 1);
+	return (brf_tcp_parse(text, field));
 }
 
 static bool
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -232,14 +232,7 @@
 static void
 metrics(struct brf_node *node, struct brf_http_request *http)
 {
-	struct brf_message *m = brf_message_new();
-
-	m->status = 200;
-	brf_message_add_header(
-	    m, "content-type", 12, "text/plain; version=0.0.4", 25, NULL);
-	brf_metrics_write(node->metrics, &m->body);
-	brf_http_respond(http, m, NULL, 0);
-	brf_message_unref(m);
+	brf_respond_metrics(http, node->metrics);
 }
 
 static void
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -81,6 +81,12 @@
 		(t->good > GOOD_LEAST ? t->good : GOOD_LEAST));
 }
 
+static bool
+takes_work(const struct brf_place_target *t, uint64_t now)
+{
+	return (!t->draining && t->leaving_until <= now);
+}
+
 /*
  * Who was ejected is tried with one request, which can be repeated; before
  * its time as well when there is nobody else to try.
@@ -89,7 +95,7 @@
 may_get(const struct brf_place_target *t,
     const struct brf_place_request *request, bool last, uint64_t now)
 {
-	if (t->draining || t->leaving_until > now)
+	if (!takes_work(t, now))
 		return (false);
 	if (t->streak < STREAK_MAX)
 		return (true);
@@ -165,8 +171,7 @@
 	for (i = 0; i < count; i++) {
 		t = targets[i];
 		if (request->tried[i] && t->ring != BRF_PLACE_FAR &&
-		    !t->draining && t->leaving_until <= now &&
-		    t->streak < STREAK_MAX)
+		    takes_work(t, now) && t->streak < STREAK_MAX)
 			return (true);
 	}
 	return (false);
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -1,8 +1,6 @@
-#include <netinet/tcp.h>
-
+#include "base/tcp.h"
 #include "wire/conn.h"
 
-#define READ_SIZE 65536u		   /* bytes asked of the kernel */
 #define OUT_KEPT ((size_t)256 * 1024)	   /* bytes of memory kept */
 #define OUT_HIGH ((size_t)4 * 1024 * 1024) /* stop reading above */
 #define KEEPALIVE_S 10			   /* seconds of silence */
@@ -139,16 +137,6 @@
 		fail_system(conn, rc, "write");
 }
 
-static void
-on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
-{
-	static char shared[READ_SIZE]; /* used up before the next read */
-
-	(void)handle;
-	(void)suggested;
-	*buf = uv_buf_init(shared, sizeof(shared));
-}
-
 static void
 deliver(struct brf_conn *conn)
 {
@@ -209,7 +197,8 @@
 	if (pause)
 		uv_read_stop((uv_stream_t *)&conn->tcp);
 	else
-		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+		uv_read_start(
+		    (uv_stream_t *)&conn->tcp, brf_tcp_alloc, on_read);
 }
 
 static void
@@ -246,21 +235,16 @@
 static void
 set_options(struct brf_conn *conn)
 {
-	unsigned int unacked = UNACKED_MS;
-	uv_os_fd_t fd;
-
 	uv_tcp_nodelay(&conn->tcp, 1);
 	uv_tcp_keepalive(&conn->tcp, 1, KEEPALIVE_S);
-	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked,
-		    sizeof(unacked));
+	brf_tcp_bound_unacked(&conn->tcp, UNACKED_MS);
 }
 
 void
 brf_conn_start(struct brf_conn *conn)
 {
 	set_options(conn);
-	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+	uv_read_start((uv_stream_t *)&conn->tcp, brf_tcp_alloc, on_read);
 }
 
 void
