Draw Retry-After in a module with a test of its own

It stood in mesh/call.c, where nothing could play a crowd against it. Behaviour as before. Tests: retry_after.*, the spread of 1000 callers that are refused at once, a return early enough to be in time, none to a process that stops.

--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -4,6 +4,7 @@
 #include "mesh/call.h"
 #include "mesh/gate.h"
 #include "mesh/trail.h"
+#include "policy/retry_after.h"
 
 #define REPLAY_MAX 65536u /* bytes of a body that are kept for another hop */
 #define HOPS_MAX BRF_TRAIL_HOPS
@@ -17,12 +18,6 @@
 /* Gates without room that a request is offered to. */
 #define FULL_MAX 2u
 
-/* When a refused caller is to come back: this share of the objective, and up
- * to as much again. */
-#define RETURN_SHARE 0.2
-#define RETURN_LEAST_MS 50u
-#define RETURN_PRESET_MS 500u
-
 /**
  * struct call - one request.
  * @table: that it is judged by
@@ -188,29 +183,19 @@
 	free(call);
 }
 
-/* Nothing is won by coming back to a process that stops. */
-static uint64_t
-until_end_ms(const struct brf_mesh_callers *callers)
-{
-	uint64_t t = now(callers);
-
-	return (
-	    callers->ends_at > t ? (callers->ends_at - t) / BRF_US_PER_MS : 0);
-}
-
 /* Seconds with fractions, as callers honour them.  Return: the time, ms. */
 static uint64_t
 put_retry_after(struct call *call, struct brf_buf *fields)
 {
-	uint64_t base = RETURN_PRESET_MS, ms;
+	struct brf_mesh_callers *callers = call->callers;
+	struct brf_retry_after when = { .objective_us = 0 };
+	uint64_t t = now(callers), ms;
 
 	if (call->route != NULL)
-		base = (uint64_t)((double)call->route->objective_us /
-				  BRF_US_PER_MS * RETURN_SHARE);
-	if (base < RETURN_LEAST_MS)
-		base = RETURN_LEAST_MS;
-	ms = until_end_ms(call->callers) + base +
-	     brf_random_below(call->callers->random, base + 1);
+		when.objective_us = call->route->objective_us;
+	if (callers->ends_at > t)
+		when.away_us = callers->ends_at - t;
+	ms = brf_retry_after_us(&when, callers->random) / BRF_US_PER_MS;
 	brf_buf_printf(fields, "retry-after: %llu.%03llu\r\n",
 	    (unsigned long long)(ms / 1000), (unsigned long long)(ms % 1000));
 	return (ms);
