--- a/test/retry_after_test.cc
+++ b/test/retry_after_test.cc
@@ -50,8 +50,8 @@
 
 TEST(retry_after, nobody_comes_back_to_a_process_that_stops)
 {
-	EXPECT_GT(returns({ OBJECTIVE, 3 * BRF_US_PER_S }).front(),
-	    3 * BRF_US_PER_S);
+	EXPECT_GT(
+	    returns({ OBJECTIVE, 3 * BRF_US_PER_S }).front(), 3 * BRF_US_PER_S);
 }
 
 TEST(retry_after, without_a_route_there_is_a_time_all_the_same)
