Rest for a second after changes of targets before the store is asked again

Ruled out: renewals of leases (0.5 a second and node, at a tenth of the price).

A leaving target refuses by its own gate, so that nothing rests on how soon the others read of it. The table's watch keeps its 40 ms.

--- a/src/config/store.h
+++ b/src/config/store.h
@@ -123,6 +123,8 @@
  * struct brf_store_watch - changes of all keys with a prefix.
  * @prefix: read during brf_store_watch_start() only
  * @from: first revision wanted
+ * @pause_us: where the store has to be polled, time from an answer with
+ *	changes to the next poll; changes in between come together
  * @event: may stop the watch
  * @ended: called once, not after brf_store_watch_stop(); BRF_E_STORE_COMPACTED
  *	when @from is no longer kept
@@ -131,6 +133,7 @@
 struct brf_store_watch {
 	const char *prefix;
 	uint64_t from;
+	uint64_t pause_us;
 	void (*event)(
 	    struct brf_store_watch *watch, const struct brf_store_event *event);
 	void (*ended)(
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -3,6 +3,10 @@
 #include "base/log.h"
 #include "fleet/directory.h"
 
+/* After changes: many nodes that start or stop are read of together.  A target
+ * that has left refuses by itself meanwhile. */
+#define PAUSE_US BRF_US_PER_S
+
 struct brf_directory {
 	struct brf_timers *timers;
 	struct brf_directory_watcher *watcher;
@@ -149,6 +153,7 @@
 		.timers = timers,
 		.random = random,
 		.prefix = BRF_ENTRY_PREFIX,
+		.pause_us = PAUSE_US,
 		.set = on_set,
 		.gone = on_gone,
 		.synced = on_synced,
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -139,6 +139,7 @@
 	(void)timer;
 	f->watch.prefix = f->config.prefix;
 	f->watch.from = f->revision + 1;
+	f->watch.pause_us = f->config.pause_us;
 	brf_store_watch_start(f->config.store, &f->watch);
 }
 
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -9,6 +9,8 @@
 #define LOG_EVERY_US BRF_US_PER_S      /* lines on load, questions to peers */
 #define FLUSH_US (100 * BRF_US_PER_MS) /* longest that lines are held */
 #define FLUSH_BYTES 4096u	       /* from which they are written at once */
+/* After a routing table: tables in quick succession are taken as one. */
+#define TABLE_PAUSE_US (40 * BRF_US_PER_MS)
 #define STOP_EVERY_US (50 * BRF_US_PER_MS) /* looks at what is left */
 /* Repeats at a service also come from repeats at those that call it; a request
  * passes so many levels with calls of their own. */
@@ -85,6 +87,7 @@
 		.timers = node->turn.timers,
 		.random = node->random,
 		.prefix = node->adapter->table_prefix,
+		.pause_us = TABLE_PAUSE_US,
 		.set = table_set,
 		.gone = table_gone,
 		.synced = table_synced,
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -86,8 +86,8 @@
 follow(struct fleet_bench &b, struct copy &c)
 {
 	struct brf_follow_config config = { &b.store.store, b.timers,
-		&b.random.random, "p/", copy::set, copy::gone, copy::all_read,
-		&c };
+		&b.random.random, "p/", 0, copy::set, copy::gone,
+		copy::all_read, &c };
 
 	return (brf_follow_new(&config));
 }
