Explain failures: counters by service, class, end and reason, a trace command, OPERATIONS.md

Cause: a request's failure could be read only by joining the logs of several nodes by hand, and the metrics had neither classes nor reasons.

bulrushctl trace joins the logs by the request's id and by the serials that gates give, and names what failed where nothing below it did; bulrushctl failed lists ids. Gates also write the lines of answers that are failures. Metrics: mesh/tally (ends and latencies), mesh/gauges (ages, budgets, slots, the log). docs/OPERATIONS.md has the worked cases and the table of events.

Tests: timeline.*, tally.*, test_operations (the table against the code), test_node.Explaining.

--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -3,6 +3,8 @@
 
 #include "ctl/ctl.h"
 
+#define BRF_CTL_LOGS_MAX 1000 /* files on one command line */
+
 /* The type of a command's function; @args are those after its name. */
 typedef int brf_ctl_run_fn(struct brf_ctl *ctl, const char **args, int count);
 
@@ -33,6 +35,10 @@
 brf_ctl_run_fn brf_ctl_key;
 brf_ctl_run_fn brf_ctl_mint;
 
+/* trace.c */
+brf_ctl_run_fn brf_ctl_trace;
+brf_ctl_run_fn brf_ctl_failed;
+
 BRF_END_DECLS
 
 #endif
--- a/src/ctl/put.c
+++ b/src/ctl/put.c
@@ -365,7 +365,7 @@
 
 	(void)count;
 	if (!brf_ctl_check_service(args[0], &err) ||
-	    !brf_ctl_read_file(args[1], &w.text, &err))
+	    !brf_ctl_read_file(args[1], BRF_DOCUMENT_BYTES_MAX, &w.text, &err))
 		code = brf_ctl_fail(ctl, &err);
 	else if (!brf_ctl_check_text(ctl, &w.text, args[0], args[1]))
 		code = BRF_EXIT_FAILED;
--- a/src/ctl/show.c
+++ b/src/ctl/show.c
@@ -33,7 +33,7 @@
 	bool ok;
 
 	(void)count;
-	if (!brf_ctl_read_file(args[0], &text, &err)) {
+	if (!brf_ctl_read_file(args[0], BRF_DOCUMENT_BYTES_MAX, &text, &err)) {
 		brf_buf_free(&text);
 		return (brf_ctl_fail(ctl, &err));
 	}
@@ -167,7 +167,7 @@
 
 	(void)count;
 	if (read_present(ctl, args[0], &stored, &err) &&
-	    brf_ctl_read_file(args[1], &text, &err))
+	    brf_ctl_read_file(args[1], BRF_DOCUMENT_BYTES_MAX, &text, &err))
 		show_diff(ctl, &stored, &text);
 	else
 		code = brf_ctl_fail(ctl, &err);
--- a/src/ctl/stored.c
+++ b/src/ctl/stored.c
@@ -52,7 +52,7 @@
 }
 
 static bool
-read_stream(FILE *in, struct brf_buf *out)
+read_stream(FILE *in, size_t most, struct brf_buf *out)
 {
 	size_t n;
 
@@ -60,20 +60,21 @@
 		brf_buf_reserve(out, READ_STEP);
 		n = fread(out->data + out->len, 1, READ_STEP, in);
 		out->len += n;
-	} while (n != 0 && out->len <= BRF_DOCUMENT_BYTES_MAX);
+	} while (n != 0 && out->len <= most);
 	out->data[out->len] = '\0';
 	return (ferror(in) == 0);
 }
 
 bool
-brf_ctl_read_file(const char *path, struct brf_buf *out, struct brf_error *err)
+brf_ctl_read_file(
+    const char *path, size_t most, struct brf_buf *out, struct brf_error *err)
 {
 	bool is_input = strcmp(path, "-") == 0, ok;
 	FILE *in = is_input ? stdin : fopen(path, "r");
 
 	if (in == NULL)
 		return (brf_error_set(err, BRF_E_SYSTEM, errno, "%s", path));
-	ok = read_stream(in, out);
+	ok = read_stream(in, most, out);
 	if (!ok)
 		brf_error_set(err, BRF_E_SYSTEM, errno, "%s", path);
 	if (!is_input)
--- a/src/ctl/stored.h
+++ b/src/ctl/stored.h
@@ -35,9 +35,10 @@
     struct brf_ctl_stored *out, struct brf_error *err);
 void brf_ctl_stored_free(struct brf_ctl_stored *stored);
 
-/* The whole of a file, "-" for standard input, within the documents' bound. */
+/* The whole of a file, "-" for standard input; reading stops beyond @most
+ * bytes. */
 bool brf_ctl_read_file(
-    const char *path, struct brf_buf *out, struct brf_error *err);
+    const char *path, size_t most, struct brf_buf *out, struct brf_error *err);
 
 /**
  * brf_ctl_check_text() - check a document and print its problems.
--- /dev/null
+++ b/src/ctl/timeline.c
@@ -0,0 +1,344 @@
+#include <stdlib.h>
+#include <time.h>
+
+#include <jansson.h>
+
+#include "ctl/timeline.h"
+
+#define DEPTH_MAX 32u /* of calls that calls make */
+/* A call is logged while the request that made it is at its gate, give or take
+ * what lines are held and clocks differ. */
+#define SLACK_MS 1000.0
+
+/**
+ * struct line - one line of a log.
+ * @ms: when the step began, Unix time
+ * @end_ms: when it was logged
+ * @depth: of the request in the tree of calls
+ * @chosen: belongs to the story
+ */
+struct line {
+	json_t *json;
+	const char *node;
+	const char *event;
+	const char *request;
+	double ms;
+	double end_ms;
+	unsigned depth;
+	bool chosen;
+};
+
+struct brf_timeline {
+	struct line *lines;
+	size_t count;
+	size_t room;
+};
+
+static const char *
+text_of(const struct line *l, const char *name)
+{
+	const char *s = json_string_value(json_object_get(l->json, name));
+
+	return (s != NULL ? s : "");
+}
+
+static double
+number_of(const struct line *l, const char *name)
+{
+	return (json_number_value(json_object_get(l->json, name)));
+}
+
+static bool
+is_hop(const struct line *l)
+{
+	return (strncmp(l->event, "hop_", 4) == 0);
+}
+
+/* The line that tells how a request ended where it began. */
+static bool
+is_end(const struct line *l)
+{
+	return (strncmp(l->event, "request_", 8) == 0 &&
+		strcmp(l->event, "request_sent") != 0);
+}
+
+static bool
+is_bad(const struct line *l)
+{
+	return (strcmp(l->event, "request_failed") == 0 ||
+		strcmp(l->event, "request_late") == 0);
+}
+
+/* Unix time in milliseconds of an RFC 3339 time in UTC. */
+static double
+parse_time(const char *text)
+{
+	struct tm tm = { .tm_isdst = 0 };
+	double seconds;
+	int n = sscanf(text, "%d-%d-%dT%d:%d:%lfZ", &tm.tm_year, &tm.tm_mon,
+	    &tm.tm_mday, &tm.tm_hour, &tm.tm_min, &seconds);
+
+	if (n != 6)
+		return (0);
+	tm.tm_year -= 1900;
+	tm.tm_mon -= 1;
+	return (((double)timegm(&tm) + seconds) * 1000);
+}
+
+struct brf_timeline *
+brf_timeline_new(void)
+{
+	return (brf_calloc(1, sizeof(struct brf_timeline)));
+}
+
+void
+brf_timeline_free(struct brf_timeline *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->count; i++)
+		json_decref(t->lines[i].json);
+	free(t->lines);
+	free(t);
+}
+
+static void
+add(struct brf_timeline *t, json_t *json)
+{
+	struct line l = { .json = json };
+
+	l.node = text_of(&l, "node");
+	l.event = text_of(&l, "event");
+	l.request = text_of(&l, "request");
+	l.end_ms = parse_time(text_of(&l, "time"));
+	l.ms = l.end_ms - number_of(&l, "took_ms");
+	if (is_hop(&l))
+		l.ms -= number_of(&l, "waited_ms") + number_of(&l, "ran_ms");
+	if (t->count == t->room) {
+		t->room = t->room != 0 ? 2 * t->room : 1024;
+		t->lines = brf_realloc(t->lines, t->room * sizeof(l));
+	}
+	t->lines[t->count++] = l;
+}
+
+static void
+read_line(struct brf_timeline *t, const char *line, size_t len)
+{
+	const char *start = memchr(line, '{', len);
+	json_t *json;
+
+	if (start == NULL)
+		return;
+	json = json_loadb(start, len - (size_t)(start - line), 0, NULL);
+	if (json_is_string(json_object_get(json, "request")))
+		add(t, json);
+	else
+		json_decref(json);
+}
+
+void
+brf_timeline_read(struct brf_timeline *t, const char *text, size_t len)
+{
+	const char *end = text + len, *stop;
+
+	while (text < end) {
+		stop = memchr(text, '\n', (size_t)(end - text));
+		if (stop == NULL)
+			stop = end;
+		read_line(t, text, (size_t)(stop - text));
+		text = stop + 1;
+	}
+}
+
+static void choose(struct brf_timeline *t, const char *id, unsigned depth);
+
+/* Whether @l tells the end of a call that the request at hop @h made. */
+static bool
+is_call_of(const struct line *l, const struct line *h)
+{
+	return (is_end(l) && strcmp(l->node, h->node) == 0 &&
+		number_of(l, "parent") != 0 &&
+		number_of(l, "parent") == number_of(h, "serial") &&
+		l->end_ms >= h->ms - SLACK_MS &&
+		l->end_ms <= h->end_ms + SLACK_MS);
+}
+
+static void
+choose_calls(struct brf_timeline *t, const struct line *hop)
+{
+	size_t i;
+
+	if (hop->depth + 1 >= DEPTH_MAX)
+		return;
+	for (i = 0; i < t->count; i++) {
+		if (!t->lines[i].chosen && is_call_of(&t->lines[i], hop))
+			choose(t, t->lines[i].request, hop->depth + 1);
+	}
+}
+
+/* Take up the lines of a request and of the calls that it made. */
+static void
+choose(struct brf_timeline *t, const char *id, unsigned depth)
+{
+	size_t i;
+
+	for (i = 0; i < t->count; i++) {
+		if (strcmp(t->lines[i].request, id) != 0)
+			continue;
+		t->lines[i].chosen = true;
+		t->lines[i].depth = depth;
+	}
+	for (i = 0; i < t->count; i++) {
+		if (strcmp(t->lines[i].request, id) == 0 &&
+		    is_hop(&t->lines[i]))
+			choose_calls(t, &t->lines[i]);
+	}
+}
+
+static int
+by_time(const void *a, const void *b)
+{
+	const struct line *la = a, *lb = b;
+
+	if (la->ms != lb->ms)
+		return (la->ms < lb->ms ? -1 : 1);
+	if (la->end_ms != lb->end_ms)
+		return (la->end_ms < lb->end_ms ? -1 : 1);
+	return (strcmp(la->event, lb->event));
+}
+
+static void
+write_fields(const struct line *l, struct brf_buf *out)
+{
+	static const char *const heads[] = { "time", "level", "node", "event",
+		"request" };
+	const char *name;
+	json_t *value;
+	char *text;
+	size_t i;
+
+	json_object_foreach (l->json, name, value) {
+		for (i = 0; i < brf_nitems(heads); i++) {
+			if (strcmp(name, heads[i]) == 0)
+				break;
+		}
+		if (i < brf_nitems(heads))
+			continue;
+		text =
+		    json_dumps(value, JSON_ENCODE_ANY | JSON_REAL_PRECISION(6));
+		brf_buf_printf(out, " %s=%s", name, text);
+		free(text);
+	}
+}
+
+static void
+write_step(const struct line *l, double start, struct brf_buf *out)
+{
+	brf_buf_printf(out, "%9.0f ms  %*s%s at %s: %s", l->ms - start,
+	    (int)(2 * l->depth), "", l->event, l->node, l->request);
+	write_fields(l, out);
+	brf_buf_puts(out, "\n");
+}
+
+/* Whether a call that the request made at @hop failed or was late. */
+static bool
+hop_has_bad_call(const struct brf_timeline *t, const struct line *hop)
+{
+	size_t i;
+
+	for (i = 0; i < t->count; i++) {
+		if (t->lines[i].chosen && is_bad(&t->lines[i]) &&
+		    is_call_of(&t->lines[i], hop))
+			return (true);
+	}
+	return (false);
+}
+
+static void
+write_hop_cause(const struct line *h, struct brf_buf *out)
+{
+	brf_buf_printf(out,
+	    "cause: %s: %s at %s, reason %s, status %.0f: waited %.0f ms of at "
+	    "most %.0f, ran %.0f ms, %.0f ms left; %.0f of %.0f slots taken, "
+	    "%.0f waiting\n",
+	    h->request, h->event, h->node, text_of(h, "reason"),
+	    number_of(h, "status"), number_of(h, "waited_ms"),
+	    number_of(h, "patience_ms"), number_of(h, "ran_ms"),
+	    number_of(h, "left_ms"), number_of(h, "running"),
+	    number_of(h, "limit"), number_of(h, "waiting"));
+}
+
+static void
+write_end_cause(const struct line *l, struct brf_buf *out)
+{
+	brf_buf_printf(out,
+	    "cause: %s: %s at %s, reason %s, status %.0f after %.0f ms and "
+	    "%.0f hops; share of its route that begins %.3g\n",
+	    l->request, l->event, l->node, text_of(l, "reason"),
+	    number_of(l, "status"), number_of(l, "took_ms"),
+	    number_of(l, "hops"), number_of(l, "share"));
+}
+
+/* Why a request failed, unless a call that it made tells. */
+static void
+write_cause(
+    const struct brf_timeline *t, const struct line *bad, struct brf_buf *out)
+{
+	bool told = false, below = false;
+	const struct line *l;
+	size_t i;
+
+	for (i = 0; i < t->count; i++) {
+		l = &t->lines[i];
+		if (!l->chosen || !is_hop(l) ||
+		    strcmp(l->request, bad->request) != 0)
+			continue;
+		if (hop_has_bad_call(t, l)) {
+			below = true;
+			continue;
+		}
+		write_hop_cause(l, out);
+		told = true;
+	}
+	if (!told && !below)
+		write_end_cause(bad, out);
+}
+
+size_t
+brf_timeline_write(struct brf_timeline *t, const char *id, struct brf_buf *out)
+{
+	size_t i, steps = 0;
+	double start = 0;
+
+	for (i = 0; i < t->count; i++)
+		t->lines[i].chosen = false;
+	choose(t, id, 0);
+	qsort(t->lines, t->count, sizeof(t->lines[0]), by_time);
+	for (i = 0; i < t->count; i++) {
+		if (!t->lines[i].chosen)
+			continue;
+		if (steps++ == 0)
+			start = t->lines[i].ms;
+		write_step(&t->lines[i], start, out);
+	}
+	for (i = 0; i < t->count; i++) {
+		if (t->lines[i].chosen && is_bad(&t->lines[i]))
+			write_cause(t, &t->lines[i], out);
+	}
+	return (steps);
+}
+
+void
+brf_timeline_failed(const struct brf_timeline *t, struct brf_buf *out)
+{
+	const struct line *l;
+	size_t i;
+
+	for (i = 0; i < t->count; i++) {
+		l = &t->lines[i];
+		if (is_bad(l) && number_of(l, "nested") == 0)
+			brf_buf_printf(out, "%s %s status=%.0f reason=%s\n",
+			    l->request, l->event, number_of(l, "status"),
+			    text_of(l, "reason"));
+	}
+}
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -186,6 +186,30 @@
 	return (brf_follow_synced(d->follow));
 }
 
+const struct brf_follow *
+brf_directory_follow(const struct brf_directory *d)
+{
+	return (d->follow);
+}
+
+void
+brf_directory_count(
+    const struct brf_directory *d, double *listed, double *lapsed)
+{
+	const struct brf_directory_target *t;
+	struct brf_list *l;
+
+	*listed = 0;
+	*lapsed = 0;
+	brf_list_foreach (l, &d->targets) {
+		t = brf_list_entry(l, struct brf_directory_target, link);
+		if (t->lapsed)
+			(*lapsed)++;
+		else
+			(*listed)++;
+	}
+}
+
 void
 brf_directory_tell(const struct brf_directory *d, struct brf_buf *out)
 {
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -61,6 +61,13 @@
 void brf_directory_free(struct brf_directory *d);
 
 /* Whether all targets that the store has were read at least once. */
+/* What the store's word on targets comes by. */
+const struct brf_follow *brf_directory_follow(const struct brf_directory *d);
+
+/* Targets in the store, and those that have lapsed there. */
+void brf_directory_count(
+    const struct brf_directory *d, double *listed, double *lapsed);
+
 bool brf_directory_synced(const struct brf_directory *d);
 
 /**
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -29,6 +29,7 @@
 	struct brf_backoff backoff;
 	struct brf_list buckets[BUCKETS];
 	uint64_t revision;
+	uint64_t heard_at;
 	bool synced;
 	bool lost;
 };
@@ -100,6 +101,7 @@
 heard(struct brf_follow *f)
 {
 	f->backoff.failures = 0;
+	f->heard_at = brf_now(brf_timers_clock(f->config.timers));
 	if (f->lost)
 		brf_log(BRF_LOG_INFO, "store_regained",
 		    BRF_LS("prefix", f->config.prefix),
@@ -268,3 +270,9 @@
 {
 	return (f->synced);
 }
+
+uint64_t
+brf_follow_heard_at(const struct brf_follow *f)
+{
+	return (f->heard_at);
+}
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -46,6 +46,9 @@
 /* Whether all was read at least once. */
 bool brf_follow_synced(const struct brf_follow *f);
 
+/* Clock time of the store's last answer; 0 before the first. */
+uint64_t brf_follow_heard_at(const struct brf_follow *f);
+
 BRF_END_DECLS
 
 #endif
--- a/src/mesh/admin.c
+++ b/src/mesh/admin.c
@@ -20,6 +20,18 @@
 	brf_respond_status(http, brf_mesh_node_is_ready(node) ? 200 : 503);
 }
 
+static void
+answer_metrics(
+    struct brf_mesh_node *node, struct brf_http_request *http, const char *path)
+{
+	if (strcmp(path, "/metrics") != 0) {
+		brf_respond_status(http, 404);
+		return;
+	}
+	brf_mesh_gauges_read(&node->gauges, node);
+	brf_respond_metrics(http, node->metrics);
+}
+
 static void
 answer_question(struct brf_mesh_node *node, struct brf_http_request *http)
 {
@@ -44,10 +56,7 @@
 		brf_respond_status(http, 400);
 		break;
 	case BRF_MESH_OTHER:
-		if (strcmp(m->path, "/metrics") == 0)
-			brf_respond_metrics(http, node->metrics);
-		else
-			brf_respond_status(http, 404);
+		answer_metrics(node, http, m->path);
 		break;
 	}
 }
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -34,6 +34,7 @@
  * @doubt: why it may have run; BRF_R_NONE when it has not
  * @refusal: why the last hop was not run
  * @open: a hop is under way
+ * @end: how it ended, with @why and after @took
  */
 struct call {
 	struct brf_mesh_callers *callers;
@@ -65,6 +66,9 @@
 	bool nested;
 	bool has_parent;
 	bool marked;
+	enum brf_tally_end end;
+	enum brf_reason why;
+	uint64_t took;
 	struct brf_trail trail;
 };
 
@@ -86,6 +90,35 @@
 	return (now(call->callers) - call->began);
 }
 
+static void
+set_end(struct call *call, enum brf_tally_end end, enum brf_reason why)
+{
+	call->end = end;
+	call->why = why;
+	call->took = elapsed(call);
+}
+
+/* What a status of this node's own tells the caller. */
+static enum brf_tally_end
+own_end(int status)
+{
+	if (status == 503)
+		return (BRF_TALLY_NOT_RUN);
+	return (status < 500 ? BRF_TALLY_REJECTED : BRF_TALLY_UNKNOWN);
+}
+
+static void
+count_end(struct call *call)
+{
+	struct brf_mesh_service *service = call->service;
+
+	brf_tally_add(
+	    service != NULL ? &service->tally : &call->callers->unrouted,
+	    call->callers->metrics, service != NULL ? service->name : "",
+	    call->route != NULL ? rank(call) : 0, call->end, call->why,
+	    call->took);
+}
+
 static void
 log_end(struct call *call, const char *event, int status,
     enum brf_reason reason, uint64_t retry_after_ms)
@@ -100,6 +133,7 @@
 		.rank = call->route != NULL ? rank(call) : 0,
 		.nested = call->nested,
 		.parent = call->has_parent ? call->parent.serial : 0,
+		.parent_sure = call->has_parent && call->parent.sure,
 		.took_us = elapsed(call),
 		.allowed_us = call->deadline - call->began,
 		.status = status,
@@ -171,6 +205,7 @@
 	size_t i;
 
 	release_hop(call, BRF_PLACE_NEUTRAL);
+	count_end(call);
 	brf_hop_release(&call->hop);
 	for (i = 0; i < call->hops; i++)
 		brf_mesh_peer_unref(call->peers[i]);
@@ -228,6 +263,7 @@
 	call->answered = true;
 	settle_pace(call, true);
 	brf_timer_stop(call->callers->timers, &call->timer);
+	set_end(call, own_end(status), reason);
 	if (status == 503)
 		retry_after_ms = put_retry_after(call, &fields);
 	log_end(call, "request_failed", status, reason, retry_after_ms);
@@ -451,9 +487,14 @@
 {
 	int status = call->hop.answer.status;
 
-	if (status >= 500)
+	set_end(call,
+	    status >= 500 ? BRF_TALLY_TARGET_FAILED
+	    : elapsed(call) > call->route->objective_us ? BRF_TALLY_LATE
+							: BRF_TALLY_SERVED,
+	    BRF_R_NONE);
+	if (call->end == BRF_TALLY_TARGET_FAILED)
 		log_end(call, "request_failed", status, BRF_R_NONE, 0);
-	else if (elapsed(call) > call->route->objective_us)
+	else if (call->end == BRF_TALLY_LATE)
 		log_end(call, "request_late", status, BRF_R_NONE, 0);
 	else if (brf_trail_is_sampled(call->rq->head.id))
 		log_end(call, "request_ended", status, BRF_R_NONE, 0);
@@ -657,10 +698,13 @@
 	(void)handler;
 	if (end == BRF_FLOW_GONE) {
 		release_hop(call, BRF_PLACE_NEUTRAL);
+		set_end(call, BRF_TALLY_LEFT, BRF_R_CANCELLED);
 		log_end(call, "request_left", 0, BRF_R_CANCELLED, 0);
 	} else if (end == BRF_FLOW_CUT) {
+		set_end(call, BRF_TALLY_UNKNOWN, BRF_R_BROKEN_ANSWER);
 		log_end(call, "request_failed", 0, BRF_R_BROKEN_ANSWER, 0);
 	} else if (end == BRF_FLOW_REFUSED) {
+		set_end(call, BRF_TALLY_REJECTED, BRF_R_MALFORMED);
 		log_end(call, "request_failed", 0, BRF_R_MALFORMED, 0);
 	}
 	call_free(call);
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -29,6 +29,7 @@
  * @picky_from: from when on a request that may last longer is refused; before,
  *	callers have not been told to stay away
  * @open: calls that have not ended
+ * @unrouted: of requests that no route takes
  */
 struct brf_mesh_callers {
 	struct brf_flow_handler handler;
@@ -43,6 +44,7 @@
 	uint64_t ends_at;
 	uint64_t picky_from;
 	size_t open;
+	struct brf_tally unrouted;
 };
 
 BRF_BEGIN_DECLS
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -115,6 +115,8 @@
 	    BRF_LU("serial", v->serial), BRF_LU("rank", rq->rank),
 	    BRF_LU("nested", rq->nested), BRF_LU("repeat", rq->repeat),
 	    BRF_LS("reason", brf_reason_name(reason)),
+	    BRF_LU("status", (uint64_t)v->run.answer.status),
+	    BRF_LU("marked", v->marked),
 	    BRF_LU(
 		"waited_ms", (v->running ? v->ticket.waited_us : t - v->came) /
 				 BRF_US_PER_MS),
@@ -243,7 +245,8 @@
 {
 	struct brf_hop *hop = v->hop;
 
-	if (brf_trail_is_sampled(hop->request.id))
+	if (v->run.answer.status >= 500 ||
+	    brf_trail_is_sampled(hop->request.id))
 		log_visit(v, "hop_answered", BRF_R_NONE, ran_us(v));
 	if (hop->down.state == BRF_PIPE_ENDED)
 		leave_slot(v, true);
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -337,6 +337,7 @@
 	}
 	node->random = brf_random_system();
 	node->metrics = brf_metrics_new();
+	brf_mesh_gauges_init(&node->gauges, node->metrics);
 	node->started = now(node);
 	node->watch_settings.fire = look_at_settings;
 	node->watch_settings.arg = node;
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -8,6 +8,7 @@
 #include "mesh/adapter.h"
 #include "mesh/call.h"
 #include "mesh/gate.h"
+#include "mesh/gauges.h"
 #include "mesh/hints.h"
 #include "mesh/settings.h"
 #include "policy/stop.h"
@@ -45,6 +46,7 @@
 	uv_signal_t signals[3];
 	struct brf_random *random;
 	struct brf_metrics *metrics;
+	struct brf_mesh_gauges gauges;
 	struct brf_mesh_tables tables;
 	struct brf_http_loop *http;
 	struct brf_store *store;
--- a/src/mesh/services.h
+++ b/src/mesh/services.h
@@ -3,6 +3,7 @@
 
 #include "fleet/directory.h"
 #include "link/link.h"
+#include "mesh/tally.h"
 #include "policy/place.h"
 #include "policy/repeat.h"
 
@@ -33,6 +34,7 @@
  * struct brf_mesh_service - one service.
  * @bit: its own among up to 64 services; further ones share them
  * @peers: its targets, @count of them
+ * @tally: of requests for it that began here
  */
 struct brf_mesh_service {
 	struct brf_list link;
@@ -41,6 +43,7 @@
 	struct brf_mesh_peer *peers[BRF_PLACE_MAX];
 	size_t count;
 	struct brf_repeat_budget repeats;
+	struct brf_tally tally;
 };
 
 /**
--- /dev/null
+++ b/src/mesh/tally.c
@@ -0,0 +1,56 @@
+#include "mesh/tally.h"
+
+#define LABELS_MAX 256
+
+static const char *const end_names[BRF_TALLY_ENDS] = {
+	[BRF_TALLY_SERVED] = "served",
+	[BRF_TALLY_LATE] = "late",
+	[BRF_TALLY_TARGET_FAILED] = "target_failed",
+	[BRF_TALLY_NOT_RUN] = "not_run",
+	[BRF_TALLY_UNKNOWN] = "unknown",
+	[BRF_TALLY_REJECTED] = "rejected",
+	[BRF_TALLY_LEFT] = "left",
+};
+
+static struct brf_metric *
+make_counter(struct brf_metrics *metrics, const char *service, uint32_t class,
+    enum brf_tally_end end, enum brf_reason reason)
+{
+	char labels[LABELS_MAX];
+
+	snprintf(labels, sizeof(labels),
+	    "service=\"%s\",class=\"%u\",end=\"%s\",reason=\"%s\"", service,
+	    class, end_names[end], brf_reason_name(reason));
+	return (brf_metrics_counter(metrics, "brf_requests_total",
+	    "Requests that began at this node, by how they ended.", labels));
+}
+
+static struct brf_histogram *
+make_histogram(struct brf_metrics *metrics, const char *service, uint32_t class)
+{
+	char labels[LABELS_MAX];
+
+	snprintf(labels, sizeof(labels), "service=\"%s\",class=\"%u\"", service,
+	    class);
+	return (brf_metrics_histogram(metrics, "brf_request_seconds",
+	    "Time from a request's arrival to its answer's head.", labels));
+}
+
+void
+brf_tally_add(struct brf_tally *t, struct brf_metrics *metrics,
+    const char *service, uint32_t rank, enum brf_tally_end end,
+    enum brf_reason reason, uint64_t took_us)
+{
+	uint32_t class =
+	    rank < BRF_TALLY_CLASSES ? rank : BRF_TALLY_CLASSES - 1;
+	struct brf_metric **counter = &t->ends[class][end][reason];
+
+	if (*counter == NULL)
+		*counter = make_counter(metrics, service, class, end, reason);
+	(*counter)->value++;
+	if (end == BRF_TALLY_LEFT)
+		return;
+	if (t->took[class] == NULL)
+		t->took[class] = make_histogram(metrics, service, class);
+	brf_histogram_add(t->took[class], took_us);
+}
--- a/src/mesh/trail.c
+++ b/src/mesh/trail.c
@@ -60,6 +60,7 @@
 	    BRF_LS("service", end->service), BRF_LU("table", end->revision),
 	    BRF_LU("rank", end->rank), BRF_LU("nested", end->nested),
 	    BRF_LU("parent", end->parent),
+	    BRF_LU("parent_sure", end->parent_sure),
 	    BRF_LU("allowed_ms", ms(end->allowed_us)),
 	    BRF_LU("objective_ms", r != NULL ? ms(r->objective_us) : 0),
 	    BRF_LD("share", trail->share),
--- a/src/mesh/trail.h
+++ b/src/mesh/trail.h
@@ -64,7 +64,8 @@
  * @route: NULL for none
  * @service: "" for none
  * @revision: of the routing table that it was judged by; 0 for none
- * @parent: serial of the request that made it at this VM's gate, 0 for none
+ * @parent: serial of the request that made it at this VM's gate, 0 for none;
+ *	a guess without @parent_sure
  * @status: sent to the caller
  * @retry_after_ms: sent with it; 0 for none
  */
@@ -77,6 +78,7 @@
 	uint32_t rank;
 	bool nested;
 	uint64_t parent;
+	bool parent_sure;
 	uint64_t took_us;
 	uint64_t allowed_us;
 	int status;
