--- a/src/base/log.c
+++ b/src/base/log.c
@@ -217,7 +217,7 @@
 	return (false);
 }
 
-void
+bool
 brf_log_write_each(enum brf_log_level level, const char *event, uint32_t burst,
     const struct brf_log_field *fields)
 {
@@ -226,7 +226,7 @@
 
 	if (level < logger.least || !pass_rate(event, burst, &left_out) ||
 	    !has_room())
-		return;
+		return (false);
 	brf_buf_clear(b);
 	put_time(b);
 	put_string(b, "level", level_names[level]);
@@ -243,6 +243,7 @@
 	logger.untold = 0;
 	brf_buf_puts(b, "}\n");
 	put_line(b);
+	return (true);
 }
 
 void
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -19,7 +19,7 @@
  */
 
 #define BRF_LOG_BURST 20u
-#define BRF_LOG_REQUEST_BURST 200u
+#define BRF_LOG_REQUEST_BURST 10u
 /* Bytes of lines that wait for their reader. */
 #define BRF_LOG_HELD_MAX 65536u
 
@@ -102,12 +102,16 @@
 	    (const struct brf_log_field[]){ \
 		__VA_ARGS__ __VA_OPT__(, ){ .type = BRF_LOG_END } })
 
-/* A line on a single request. */
-#define brf_log_request(level, event, ...)                          \
-	brf_log_write_each((level), (event), BRF_LOG_REQUEST_BURST, \
-	    (const struct brf_log_field[]){                         \
+/* The same with another bound on the event's lines in a second. */
+#define brf_log_each(level, event, burst, ...)        \
+	brf_log_write_each((level), (event), (burst), \
+	    (const struct brf_log_field[]){           \
 		__VA_ARGS__ __VA_OPT__(, ){ .type = BRF_LOG_END } })
 
+/* A line on a single request. */
+#define brf_log_request(level, event, ...) \
+	brf_log_each((level), (event), BRF_LOG_REQUEST_BURST, __VA_ARGS__)
+
 BRF_BEGIN_DECLS
 
 /**
@@ -126,8 +130,8 @@
 void brf_log_write(enum brf_log_level level, const char *event,
     const struct brf_log_field *fields);
 
-/* The same with another bound on the event's lines in a second. */
-void brf_log_write_each(enum brf_log_level level, const char *event,
+/* Return: whether the line was written or held. */
+bool brf_log_write_each(enum brf_log_level level, const char *event,
     uint32_t burst, const struct brf_log_field *fields);
 
 /* From now on hold lines until brf_log_flush(). */
--- a/src/ctl/timeline.c
+++ b/src/ctl/timeline.c
@@ -11,7 +11,9 @@
 #define SLACK_MS 1000.0
 
 /**
- * struct line - one line of a log.
+ * struct line - one line of a log, or of one that tells of many requests what
+ * it tells of one of them.
+ * @owned: text of @request; NULL where it is in @json
  * @ms: when the step began, Unix time
  * @end_ms: when it was logged
  * @depth: of the request in the tree of calls
@@ -22,16 +24,31 @@
 	const char *node;
 	const char *event;
 	const char *request;
+	char *owned;
 	double ms;
 	double end_ms;
 	unsigned depth;
 	bool chosen;
 };
 
+#define NAME_MAX_BYTES 128u
+#define KINDS_MAX 16u /* of failed calls that are told apart */
+
+/**
+ * struct peer - the node beside a target.
+ */
+struct peer {
+	char target[NAME_MAX_BYTES];
+	char node[NAME_MAX_BYTES];
+};
+
 struct brf_timeline {
 	struct line *lines;
 	size_t count;
 	size_t room;
+	struct peer *peers;
+	size_t peer_count;
+	size_t peer_room;
 };
 
 static const char *
@@ -54,18 +71,25 @@
 	return (strncmp(l->event, "hop_", 4) == 0);
 }
 
+/* One of many requests on a line. */
+static bool
+is_digest(const struct line *l)
+{
+	return (strcmp(l->event, "requests_failed") == 0);
+}
+
 /* The line that tells how a request ended where it began. */
 static bool
 is_end(const struct line *l)
 {
-	return (strncmp(l->event, "request_", 8) == 0 &&
-		strcmp(l->event, "request_sent") != 0);
+	return (is_digest(l) || (strncmp(l->event, "request_", 8) == 0 &&
+				    strcmp(l->event, "request_sent") != 0));
 }
 
 static bool
 is_bad(const struct line *l)
 {
-	return (strcmp(l->event, "request_failed") == 0 ||
+	return (is_digest(l) || strcmp(l->event, "request_failed") == 0 ||
 		strcmp(l->event, "request_late") == 0);
 }
 
@@ -96,20 +120,54 @@
 {
 	size_t i;
 
-	for (i = 0; i < t->count; i++)
+	for (i = 0; i < t->count; i++) {
 		json_decref(t->lines[i].json);
+		free(t->lines[i].owned);
+	}
 	free(t->lines);
+	free(t->peers);
 	free(t);
 }
 
+static struct peer *
+find_peer(const struct brf_timeline *t, const char *target)
+{
+	size_t i;
+
+	for (i = 0; i < t->peer_count; i++) {
+		if (strcmp(t->peers[i].target, target) == 0)
+			return (&t->peers[i]);
+	}
+	return (NULL);
+}
+
 static void
-add(struct brf_timeline *t, json_t *json)
+note_peer(struct brf_timeline *t, const char *target, const char *node)
 {
-	struct line l = { .json = json };
+	struct peer *p = find_peer(t, target);
+
+	if (p == NULL) {
+		if (t->peer_count == t->peer_room) {
+			t->peer_room =
+			    t->peer_room != 0 ? 2 * t->peer_room : 64;
+			t->peers = brf_realloc(
+			    t->peers, t->peer_room * sizeof(*t->peers));
+		}
+		p = &t->peers[t->peer_count++];
+	}
+	brf_copy_name(p->target, sizeof(p->target), target);
+	brf_copy_name(p->node, sizeof(p->node), node);
+}
+
+/* Takes over @json and @owned. */
+static void
+add(struct brf_timeline *t, json_t *json, char *owned)
+{
+	struct line l = { .json = json, .owned = owned };
 
 	l.node = text_of(&l, "node");
 	l.event = text_of(&l, "event");
-	l.request = text_of(&l, "request");
+	l.request = owned != NULL ? owned : text_of(&l, "request");
 	l.end_ms = parse_time(text_of(&l, "time"));
 	l.ms = l.end_ms - number_of(&l, "took_ms");
 	if (is_hop(&l))
@@ -121,6 +179,26 @@
 	t->lines[t->count++] = l;
 }
 
+static void
+note_target(struct brf_timeline *t, const json_t *json)
+{
+	struct line l = { .json = (json_t *)json };
+
+	if (strcmp(text_of(&l, "event"), "target_known") == 0)
+		note_peer(t, text_of(&l, "target"), text_of(&l, "peer"));
+}
+
+static void
+add_each(struct brf_timeline *t, json_t *json, const char *ids)
+{
+	size_t len;
+
+	for (; *ids != '\0'; ids += len + (ids[len] != '\0')) {
+		len = strcspn(ids, " ");
+		add(t, json_incref(json), brf_strdup(ids, len));
+	}
+}
+
 static void
 read_line(struct brf_timeline *t, const char *line, size_t len)
 {
@@ -130,10 +208,15 @@
 	if (start == NULL)
 		return;
 	json = json_loadb(start, len - (size_t)(start - line), 0, NULL);
-	if (json_is_string(json_object_get(json, "request")))
-		add(t, json);
-	else
-		json_decref(json);
+	if (json_is_string(json_object_get(json, "request"))) {
+		add(t, json, NULL);
+		return;
+	}
+	if (json_is_string(json_object_get(json, "requests")))
+		add_each(t, json,
+		    json_string_value(json_object_get(json, "requests")));
+	note_target(t, json);
+	json_decref(json);
 }
 
 void
@@ -211,7 +294,7 @@
 write_fields(const struct line *l, struct brf_buf *out)
 {
 	static const char *const heads[] = { "time", "level", "node", "event",
-		"request" };
+		"request", "requests" };
 	const char *name;
 	json_t *value;
 	char *text;
@@ -279,12 +362,115 @@
 	    number_of(l, "hops"), number_of(l, "share"));
 }
 
+/* The target that a request was sent to last; "" for none. */
+static const char *
+last_target(const struct brf_timeline *t, const struct line *bad)
+{
+	const char *target = text_of(bad, "target");
+	size_t i;
+
+	for (i = 0; i < t->count; i++) {
+		if (strcmp(t->lines[i].event, "request_sent") == 0 &&
+		    strcmp(t->lines[i].request, bad->request) == 0)
+			target = text_of(&t->lines[i], "target");
+	}
+	return (target);
+}
+
+static bool
+is_targets_failure(const struct line *l)
+{
+	return (number_of(l, "status") >= 500 &&
+		strcmp(text_of(l, "reason"), "none") == 0);
+}
+
+/**
+ * struct kind - calls that failed alike.
+ * @example: one of them
+ */
+struct kind {
+	const char *service;
+	const char *reason;
+	const struct line *example;
+	unsigned count;
+};
+
+static void
+count_kind(struct kind *kinds, size_t *count, const struct line *l)
+{
+	const char *service = text_of(l, "service");
+	const char *reason = text_of(l, "reason");
+	size_t i;
+
+	for (i = 0; i < *count; i++) {
+		if (strcmp(kinds[i].service, service) == 0 &&
+		    strcmp(kinds[i].reason, reason) == 0)
+			break;
+	}
+	if (i == KINDS_MAX)
+		return;
+	if (i == *count)
+		kinds[(*count)++] = (struct kind){ service, reason, l, 0 };
+	kinds[i].count++;
+}
+
+/* Calls that failed at @node in a span of time, the most frequent first. */
+static size_t
+find_kinds(const struct brf_timeline *t, const char *node, double from,
+    double to, struct kind *kinds)
+{
+	const struct line *l;
+	struct kind most;
+	size_t i, count = 0;
+
+	for (i = 0; i < t->count; i++) {
+		l = &t->lines[i];
+		if (is_bad(l) && number_of(l, "nested") != 0 &&
+		    strcmp(l->node, node) == 0 && l->end_ms >= from &&
+		    l->end_ms <= to)
+			count_kind(kinds, &count, l);
+	}
+	for (i = 1; i < count; i++) {
+		if (kinds[i].count <= kinds[0].count)
+			continue;
+		most = kinds[i];
+		kinds[i] = kinds[0];
+		kinds[0] = most;
+	}
+	return (count);
+}
+
+/* Where a target failed a request and no call of it is known: the calls that
+ * failed at its node while it ran, and what made the most of those fail. */
+static void
+write_meanwhile(const struct brf_timeline *t, const char *node, double from,
+    double to, unsigned depth, struct brf_buf *out)
+{
+	struct kind kinds[KINDS_MAX];
+	size_t i, count = find_kinds(t, node, from, to, kinds);
+	const struct peer *peer;
+
+	for (i = 0; i < count; i++)
+		brf_buf_printf(out,
+		    "cause: calls made at %s that failed meanwhile: %u to %s, "
+		    "%s, such as %s\n",
+		    node, kinds[i].count, kinds[i].service, kinds[i].reason,
+		    kinds[i].example->request);
+	if (count == 0 || depth + 1 >= DEPTH_MAX ||
+	    !is_targets_failure(kinds[0].example))
+		return;
+	peer = find_peer(t, last_target(t, kinds[0].example));
+	if (peer != NULL)
+		write_meanwhile(t, peer->node, from, to, depth + 1, out);
+}
+
 /* Why a request failed, unless a call that it made tells. */
 static void
 write_cause(
     const struct brf_timeline *t, const struct line *bad, struct brf_buf *out)
 {
 	bool told = false, below = false;
+	const struct peer *peer;
 	const struct line *l;
 	size_t i;
 
@@ -298,10 +484,17 @@
 			continue;
 		}
 		write_hop_cause(l, out);
+		if (is_targets_failure(l))
+			write_meanwhile(t, l->node, l->ms, l->end_ms, 0, out);
 		told = true;
 	}
-	if (!told && !below)
-		write_end_cause(bad, out);
+	if (told || below)
+		return;
+	write_end_cause(bad, out);
+	peer = find_peer(t, last_target(t, bad));
+	if (is_targets_failure(bad) && peer != NULL)
+		write_meanwhile(t, peer->node, bad->ms - SLACK_MS,
+		    bad->end_ms + SLACK_MS, 0, out);
 }
 
 size_t
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -119,6 +119,21 @@
 	    call->took);
 }
 
+/* Early refusals differ by nothing that a line of their own would tell. */
+static void
+write_end(struct call *call, const struct brf_trail_end *end)
+{
+	bool failed = call->end != BRF_TALLY_LEFT &&
+		      call->end != BRF_TALLY_LATE &&
+		      call->end != BRF_TALLY_SERVED;
+
+	if (end->reason != BRF_R_SHED_EARLY &&
+	    brf_trail_write(&call->trail, end))
+		return;
+	if (failed)
+		brf_digest_add(&call->callers->digest, end, &call->trail);
+}
+
 static void
 log_end(struct call *call, const char *event, int status,
     enum brf_reason reason, uint64_t retry_after_ms)
@@ -148,7 +163,7 @@
 	if (call->service != NULL)
 		call->trail.budget = brf_repeat_left(
 		    &call->service->repeats, now(call->callers));
-	brf_trail_write(&call->trail, &end);
+	write_end(call, &end);
 }
 
 /* The gate that the request is offered to, as it is known now. */
@@ -699,7 +714,9 @@
 	if (end == BRF_FLOW_GONE) {
 		release_hop(call, BRF_PLACE_NEUTRAL);
 		set_end(call, BRF_TALLY_LEFT, BRF_R_CANCELLED);
-		log_end(call, "request_left", 0, BRF_R_CANCELLED, 0);
+		/* a call is left when the request that makes it is */
+		if (!call->nested || brf_trail_is_sampled(rq->head.id))
+			log_end(call, "request_left", 0, BRF_R_CANCELLED, 0);
 	} else if (end == BRF_FLOW_CUT) {
 		set_end(call, BRF_TALLY_UNKNOWN, BRF_R_BROKEN_ANSWER);
 		log_end(call, "request_failed", 0, BRF_R_BROKEN_ANSWER, 0);
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -2,6 +2,7 @@
 #define BRF_MESH_CALL_H
 
 #include "flow/server.h"
+#include "mesh/digest.h"
 #include "mesh/services.h"
 #include "mesh/tables.h"
 
@@ -30,6 +31,7 @@
  *	callers have not been told to stay away
  * @open: calls that have not ended
  * @unrouted: of requests that no route takes
+ * @digest: of failures that have no line of their own
  */
 struct brf_mesh_callers {
 	struct brf_flow_handler handler;
@@ -45,6 +47,7 @@
 	uint64_t picky_from;
 	size_t open;
 	struct brf_tally unrouted;
+	struct brf_digest digest;
 };
 
 BRF_BEGIN_DECLS
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -513,7 +513,8 @@
 	(void)backend;
 	if (v == NULL)
 		return;
-	if (hop->state == BRF_HOP_OPEN)
+	if (hop->state == BRF_HOP_OPEN &&
+	    (!hop->request.nested || brf_trail_is_sampled(hop->request.id)))
 		log_visit(v, "hop_cancelled", BRF_R_CANCELLED, ran_us(v));
 	brf_lanes_withdraw(&v->ticket);
 	visit_free(v);
--- a/src/mesh/trail.c
+++ b/src/mesh/trail.c
@@ -47,26 +47,30 @@
 	    BRF_LU("service_ms", hop->told.service_ms));
 }
 
-void
+bool
 brf_trail_write(const struct brf_trail *trail, const struct brf_trail_end *end)
 {
 	const struct brf_route *r = end->route;
 	size_t i;
 
+	if (!brf_log_request(BRF_LOG_INFO, end->event,
+		BRF_LS("request", end->id),
+		BRF_LS("route", r != NULL ? r->name : ""),
+		BRF_LS("service", end->service), BRF_LU("table", end->revision),
+		BRF_LU("rank", end->rank), BRF_LU("nested", end->nested),
+		BRF_LU("parent", end->parent),
+		BRF_LU("parent_sure", end->parent_sure),
+		BRF_LU("allowed_ms", ms(end->allowed_us)),
+		BRF_LU("objective_ms", r != NULL ? ms(r->objective_us) : 0),
+		BRF_LD("share", trail->share),
+		BRF_LD("repeats_left", trail->budget),
+		BRF_LU("hops", trail->count),
+		BRF_LU("status", (uint64_t)end->status),
+		BRF_LS("reason", brf_reason_name(end->reason)),
+		BRF_LU("retry_after_ms", end->retry_after_ms),
+		BRF_LU("took_ms", ms(end->took_us))))
+		return (false);
 	for (i = 0; i < trail->count; i++)
 		write_hop(end, &trail->hops[i]);
-	brf_log_request(BRF_LOG_INFO, end->event, BRF_LS("request", end->id),
-	    BRF_LS("route", r != NULL ? r->name : ""),
-	    BRF_LS("service", end->service), BRF_LU("table", end->revision),
-	    BRF_LU("rank", end->rank), BRF_LU("nested", end->nested),
-	    BRF_LU("parent", end->parent),
-	    BRF_LU("parent_sure", end->parent_sure),
-	    BRF_LU("allowed_ms", ms(end->allowed_us)),
-	    BRF_LU("objective_ms", r != NULL ? ms(r->objective_us) : 0),
-	    BRF_LD("share", trail->share),
-	    BRF_LD("repeats_left", trail->budget), BRF_LU("hops", trail->count),
-	    BRF_LU("status", (uint64_t)end->status),
-	    BRF_LS("reason", brf_reason_name(end->reason)),
-	    BRF_LU("retry_after_ms", end->retry_after_ms),
-	    BRF_LU("took_ms", ms(end->took_us)));
+	return (true);
 }
--- a/src/mesh/trail.h
+++ b/src/mesh/trail.h
@@ -91,7 +91,12 @@
 /* Whether all steps of the request are written, however it ends. */
 bool brf_trail_is_sampled(const char *id);
 
-void brf_trail_write(
+/**
+ * brf_trail_write() - write the line of a request's end, then its hops.
+ *
+ * Return: false when nothing was written, to bound the log.
+ */
+bool brf_trail_write(
     const struct brf_trail *trail, const struct brf_trail_end *end);
 
 BRF_END_DECLS
--- a/test/e2e/test_operations.py
+++ b/test/e2e/test_operations.py
@@ -22,7 +22,7 @@
     found = set()
     for text in sources():
         found |= set(re.findall(
-            r'brf_log(?:_request)?\(\s*BRF_LOG_\w+,\s*"(\w+)"', text))
+            r'brf_log(?:_request|_each)?\(\s*BRF_LOG_\w+,\s*"(\w+)"', text))
         found |= set(re.findall(
             r'log_(?:end|visit|notice)\([^;{]*?"(\w+)"', text))
     return found
--- a/test/timeline_test.cc
+++ b/test/timeline_test.cc
@@ -97,6 +97,45 @@
 	EXPECT_EQ(j.write("other"), 0u);
 }
 
+TEST(timeline, a_request_is_found_among_many_on_a_line)
+{
+	struct joined j("{\"time\":\"2026-12-04T10:00:00.900Z\",\"node\":\"a\","
+			"\"event\":\"requests_failed\",\"status\":503,"
+			"\"reason\":\"shed_early\",\"share\":0.25,\"count\":3,"
+			"\"requests\":\"r1 r r2\"}\n");
+
+	EXPECT_EQ(j.write("r"), 1u);
+	EXPECT_NE(j.find("cause: r: requests_failed at a, reason shed_early"),
+	    std::string::npos)
+	    << j.out;
+	EXPECT_EQ(j.find("r2"), std::string::npos);
+}
+
+/* A target's failure whose calls can't be told apart from others'. */
+TEST(timeline, calls_that_failed_meanwhile_are_summed_up)
+{
+	struct joined j(
+	    "{\"time\":\"2026-12-04T10:00:00.900Z\",\"node\":\"a\","
+	    "\"event\":\"requests_failed\",\"status\":500,"
+	    "\"reason\":\"none\",\"target\":\"t-b\",\"requests\":\"r\"}\n"
+	    "{\"time\":\"2026-12-04T09:00:00.000Z\",\"node\":\"a\","
+	    "\"event\":\"target_known\",\"target\":\"t-b\",\"peer\":\"b\"}\n"
+	    "{\"time\":\"2026-12-04T10:00:00.500Z\",\"node\":\"b\","
+	    "\"event\":\"requests_failed\",\"status\":503,\"nested\":1,"
+	    "\"service\":\"s\",\"reason\":\"target_shed\","
+	    "\"requests\":\"c1 c2\"}\n"
+	    "{\"time\":\"2026-12-04T10:00:00.500Z\",\"node\":\"c\","
+	    "\"event\":\"request_failed\",\"status\":503,\"nested\":1,"
+	    "\"service\":\"s\",\"reason\":\"draining\",\"request\":\"c3\"}\n");
+
+	j.write("r");
+	EXPECT_NE(j.find("calls made at b that failed meanwhile: 2 to s, "
+			 "target_shed, such as c1\n"),
+	    std::string::npos)
+	    << j.out;
+	EXPECT_EQ(j.find("draining"), std::string::npos);
+}
+
 TEST(timeline, failed_requests_are_those_that_callers_sent)
 {
 	struct joined j(logs);
