--- a/src/ctl/timeline.c
+++ b/src/ctl/timeline.c
@@ -163,8 +163,9 @@
 static void
 add(struct brf_timeline *t, json_t *json, char *owned)
 {
-	struct line l = { .json = json, .owned = owned };
+	struct line l = { .json = json };
 
+	l.owned = owned;
 	l.node = text_of(&l, "node");
 	l.event = text_of(&l, "event");
 	l.request = owned != NULL ? owned : text_of(&l, "request");
