Let the pause between reads grow while changes go on

Cause: a pause of 1 s after the first change had a node that starts wait a second for the entries that follow the first one. Now 250 ms, doubled up to 2 s while changes go on; for the routing table 40 to 640 ms.

Test: follow.rests_for_longer_while_changes_go_on.

--- a/src/config/store.h
+++ b/src/config/store.h
@@ -124,7 +124,8 @@
  * @prefix: read during brf_store_watch_start() only
  * @from: first revision wanted
  * @pause_us: where the store has to be polled, time from an answer with
- *	changes to the next poll; changes in between come together
+ *	changes to the next poll; changes in between come together; @event may
+ *	set it
  * @event: may stop the watch
  * @ended: called once, not after brf_store_watch_stop(); BRF_E_STORE_COMPACTED
  *	when @from is no longer kept
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -5,7 +5,8 @@
 
 /* After changes: many nodes that start or stop are read of together.  A target
  * that has left refuses by itself meanwhile. */
-#define PAUSE_US BRF_US_PER_S
+#define PAUSE_FIRST_US (250 * BRF_US_PER_MS)
+#define PAUSE_MOST_US (2 * BRF_US_PER_S)
 
 struct brf_directory {
 	struct brf_timers *timers;
@@ -153,7 +154,8 @@
 		.timers = timers,
 		.random = random,
 		.prefix = BRF_ENTRY_PREFIX,
-		.pause_us = PAUSE_US,
+		.pause_first_us = PAUSE_FIRST_US,
+		.pause_most_us = PAUSE_MOST_US,
 		.set = on_set,
 		.gone = on_gone,
 		.synced = on_synced,
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -30,6 +30,7 @@
 	struct brf_list buckets[BUCKETS];
 	uint64_t revision;
 	uint64_t heard_at;
+	uint64_t changed_at;
 	bool synced;
 	bool lost;
 };
@@ -119,6 +120,23 @@
 	f->lost = true;
 }
 
+/* Changes that come alone are heard at once, the first of many soon. */
+static void
+set_pause(struct brf_follow *f)
+{
+	const struct brf_follow_config *c = &f->config;
+	uint64_t now = brf_now(brf_timers_clock(c->timers));
+	uint64_t pause = f->watch.pause_us;
+
+	if (pause == 0 || now - f->changed_at > 2 * c->pause_most_us)
+		pause = c->pause_first_us;
+	else
+		pause =
+		    2 * pause < c->pause_most_us ? 2 * pause : c->pause_most_us;
+	f->watch.pause_us = pause;
+	f->changed_at = now;
+}
+
 static void
 watch_event(struct brf_store_watch *watch, const struct brf_store_event *event)
 {
@@ -129,6 +147,8 @@
 	if (event->revision > f->revision)
 		f->revision = event->revision;
 	heard(f);
+	if (event->count != 0)
+		set_pause(f);
 	for (i = 0; i < event->count; i++)
 		take(f, &event->kvs[i]);
 }
@@ -141,7 +161,6 @@
 	(void)timer;
 	f->watch.prefix = f->config.prefix;
 	f->watch.from = f->revision + 1;
-	f->watch.pause_us = f->config.pause_us;
 	brf_store_watch_start(f->config.store, &f->watch);
 }
 
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -20,8 +20,10 @@
 /**
  * struct brf_follow_config - what brf_follow_new() needs; outlives it.
  * @prefix: literal
- * @pause_us: after changes, before the store is polled again, so that the
- *	calls of a node are bounded however many keys change
+ * @pause_first_us: after changes, before the store is polled again; doubled
+ *	while changes go on, so that the calls of a node are bounded however
+ *	many keys change
+ * @pause_most_us: up to this
  * @set: a key has a new value
  * @gone: a key was deleted, or has lapsed with its lease
  * @synced: all that the store had was told; called after each reading
@@ -31,7 +33,8 @@
 	struct brf_timers *timers;
 	struct brf_random *random;
 	const char *prefix;
-	uint64_t pause_us;
+	uint64_t pause_first_us;
+	uint64_t pause_most_us;
 	void (*set)(void *arg, const struct brf_store_kv *kv);
 	void (*gone)(void *arg, const char *key, uint64_t revision);
 	void (*synced)(void *arg);
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -10,7 +10,8 @@
 #define FLUSH_US (100 * BRF_US_PER_MS) /* longest that lines are held */
 #define FLUSH_BYTES 4096u	       /* from which they are written at once */
 /* After a routing table: tables in quick succession are taken as one. */
-#define TABLE_PAUSE_US (40 * BRF_US_PER_MS)
+#define TABLE_PAUSE_FIRST_US (40 * BRF_US_PER_MS)
+#define TABLE_PAUSE_MOST_US (640 * BRF_US_PER_MS)
 #define STOP_EVERY_US (50 * BRF_US_PER_MS) /* looks at what is left */
 /* Repeats at a service also come from repeats at those that call it; a request
  * passes so many levels with calls of their own. */
@@ -87,7 +88,8 @@
 		.timers = node->turn.timers,
 		.random = node->random,
 		.prefix = node->adapter->table_prefix,
-		.pause_us = TABLE_PAUSE_US,
+		.pause_first_us = TABLE_PAUSE_FIRST_US,
+		.pause_most_us = TABLE_PAUSE_MOST_US,
 		.set = table_set,
 		.gone = table_gone,
 		.synced = table_synced,
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -86,7 +86,7 @@
 follow(struct fleet_bench &b, struct copy &c)
 {
 	struct brf_follow_config config = { &b.store.store, b.timers,
-		&b.random.random, "p/", 0, copy::set, copy::gone,
+		&b.random.random, "p/", 250000, 2000000, copy::set, copy::gone,
 		copy::all_read, &c };
 
 	return (brf_follow_new(&config));
@@ -137,6 +137,31 @@
 	brf_follow_free(f);
 }
 
+/* Each watch that comes back is a call that is paid for: a fleet that starts
+ * changes a key each few milliseconds. */
+TEST(follow, rests_for_longer_while_changes_go_on)
+{
+	struct fleet_bench b;
+	struct copy c;
+	struct brf_follow *f = follow(b, c);
+	std::vector<uint64_t> pauses;
+
+	b.settle();
+	for (int i = 0; i < 6; i++) {
+		b.store.put("p/a", std::to_string(i));
+		b.store.tell();
+		pauses.push_back(b.store.watches.front().watch->pause_us);
+		b.advance(pauses.back());
+	}
+	EXPECT_EQ(pauses, (std::vector<uint64_t>{ 250000, 500000, 1000000,
+			      2000000, 2000000, 2000000 }));
+	b.advance(5000000);
+	b.store.put("p/a", "alone");
+	b.store.tell();
+	EXPECT_EQ(b.store.watches.front().watch->pause_us, 250000u);
+	brf_follow_free(f);
+}
+
 TEST(follow, what_is_known_stays_while_the_store_is_away)
 {
 	struct fleet_bench b;
