Let a gate that is asked for a target of the past tell which one it has

Cause: when all machines lose power, back ends come back under new names at once, while the store lists the old ones until their leases end. Ruled out: late announcements (they come within 2 ms of a start), the store (up).

A refusal for that reason now brings the gate's present target; the old entry is dropped and the new one taken up at once, as one that the store has yet to confirm.

--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -213,20 +213,27 @@
 }
 
 void
-brf_directory_tell(const struct brf_directory *d, struct brf_buf *out)
+brf_directory_tell_entry(const struct brf_entry *entry, struct brf_buf *out)
 {
-	const struct brf_directory_target *t;
 	char key[BRF_ENTRY_KEY_MAX];
+
+	brf_entry_key(entry->id, key);
+	brf_buf_puts(out, key);
+	brf_buf_puts(out, " ");
+	brf_entry_write(entry, out);
+	brf_buf_puts(out, "\n");
+}
+
+void
+brf_directory_tell(const struct brf_directory *d, struct brf_buf *out)
+{
 	struct brf_list *l;
 
-	brf_list_foreach (l, &d->targets) {
-		t = brf_list_entry(l, struct brf_directory_target, link);
-		brf_entry_key(t->entry.id, key);
-		brf_buf_puts(out, key);
-		brf_buf_puts(out, " ");
-		brf_entry_write(&t->entry, out);
-		brf_buf_puts(out, "\n");
-	}
+	brf_list_foreach (l, &d->targets)
+		brf_directory_tell_entry(
+		    &brf_list_entry(l, struct brf_directory_target, link)
+			 ->entry,
+		    out);
 }
 
 static void
@@ -279,3 +286,14 @@
 	if (t->lapsed)
 		drop(t, "its node does not know it");
 }
+
+void
+brf_directory_replace(
+    struct brf_directory_target *t, const char *text, size_t len)
+{
+	struct brf_directory *d = t->directory;
+
+	/* first the new one, which mostly needs the same link */
+	brf_directory_hear(d, text, len);
+	drop(t, "its node has another");
+}
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -91,6 +91,20 @@
  */
 void brf_directory_disprove(struct brf_directory_target *t);
 
+/**
+ * brf_directory_replace() - the target's own node has another one by now.
+ * @text: that one, see brf_directory_hear()
+ *
+ * The store tells of it too, later; until then requests would be lost on the
+ * old entry.
+ */
+void brf_directory_replace(
+    struct brf_directory_target *t, const char *text, size_t len);
+
+/* Append one target as brf_directory_tell() does. */
+void brf_directory_tell_entry(
+    const struct brf_entry *entry, struct brf_buf *out);
+
 BRF_END_DECLS
 
 #endif
--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -87,6 +87,8 @@
  * @inner: requests like it come from some services' VMs only
  * @has_load: @load is filled
  * @retry_after_ms: with BRF_HOP_REFUSED, when to come back; 0 for no word
+ * @instead: with BRF_R_NO_TARGET, the target that the gate has in place of the
+ *	one that was asked for, as brf_directory_hear() reads it; else empty
  * @down: body of the answer; its reader is @owner unless the sender sets
  *	another one when there is an answer
  * @impl: for the backend
@@ -103,6 +105,7 @@
 	bool has_load;
 	struct brf_gate_load load;
 	uint32_t retry_after_ms;
+	struct brf_buf instead;
 	struct brf_answer_head answer;
 	struct brf_pipe down;
 	struct brf_hop_backend *backend;
@@ -139,6 +142,7 @@
 		hop->backend->vt->cancel(hop->backend, hop);
 	hop->backend = NULL;
 	brf_answer_head_free(&hop->answer);
+	brf_buf_free(&hop->instead);
 	brf_pipe_free(&hop->down);
 }
 
--- a/src/link/codec.c
+++ b/src/link/codec.c
@@ -248,7 +248,7 @@
     struct brf_buf *out, uint32_t xid, const struct brf_link_reply *r)
 {
 	bool answered = r->state == BRF_HOP_ANSWERED;
-	size_t most = FIXED_MAX + r->fields.len + r->part.len;
+	size_t most = FIXED_MAX + r->fields.len + r->part.len + r->instead.len;
 	struct brf_rpc_writer w;
 
 	brf_rpc_begin_reply(&w, out, most, xid, BRF_RPC_SUCCESS);
@@ -261,6 +261,8 @@
 	if (!answered) {
 		put_u32(&w.xdr, (uint32_t)r->reason);
 		put_u32(&w.xdr, r->retry_after_ms);
+		if (r->reason == BRF_R_NO_TARGET)
+			put_text(&w.xdr, &r->instead);
 	} else {
 		if (r->body == BRF_BODY_LENGTH && !r->end)
 			put_u64(&w.xdr, r->length);
@@ -285,7 +287,7 @@
 }
 
 static bool
-get_refusal(XDR *xdr, struct brf_link_reply *r)
+get_refusal(XDR *xdr, const struct brf_record *record, struct brf_link_reply *r)
 {
 	uint32_t reason;
 
@@ -293,7 +295,8 @@
 	    !get_u32(xdr, &r->retry_after_ms))
 		return (false);
 	r->reason = (enum brf_reason)reason;
-	return (true);
+	return (r->reason != BRF_R_NO_TARGET ||
+		get_text(xdr, record, &r->instead, BRF_LINK_TEXT));
 }
 
 bool
@@ -316,7 +319,7 @@
 	if (r->state == BRF_HOP_OPEN)
 		return (bad(err, "reply: state"));
 	ok = r->state == BRF_HOP_ANSWERED ? get_answer(xdr, record, r)
-					  : get_refusal(xdr, r);
+					  : get_refusal(xdr, record, r);
 	if (!ok || !brf_rpc_at_end(xdr, record))
 		return (bad(err, "reply"));
 	return (true);
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -190,6 +190,7 @@
 	hop->inner = r.inner;
 	hop->retry_after_ms = r.retry_after_ms;
 	if (r.state != BRF_HOP_ANSWERED) {
+		brf_buf_add(&hop->instead, r.instead.data, r.instead.len);
 		end_hop(sh, r.state, r.reason);
 		return (true);
 	}
--- a/src/link/serve.c
+++ b/src/link/serve.c
@@ -54,6 +54,7 @@
 		.marked = hop->marked,
 		.inner = hop->inner,
 		.retry_after_ms = hop->retry_after_ms,
+		.instead = { hop->instead.data, hop->instead.len },
 		.load = hop->load,
 	};
 
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -452,6 +452,21 @@
 		brf_kinship_told(&call->kept->kinship, call->hop.inner);
 }
 
+/* The gate does not have the target that it was asked for. */
+static void
+forget_target(struct call *call, struct brf_mesh_peer *peer)
+{
+	const struct brf_buf *instead = &call->hop.instead;
+
+	if (peer->target == NULL)
+		return;
+	if (instead->len != 0)
+		brf_directory_replace(
+		    peer->target, instead->data, instead->len);
+	else
+		brf_directory_disprove(peer->target);
+}
+
 /* The request was not run there. */
 static void
 hop_refused(struct call *call)
@@ -467,9 +482,9 @@
 		call->arrivals++;
 	if (refusal_ends[hop->reason] == BRF_PLACE_FULL)
 		call->full++;
+	if (call->refusal == BRF_R_NO_TARGET)
+		forget_target(call, peer);
 	release_hop(call, refusal_ends[hop->reason]);
-	if (call->refusal == BRF_R_NO_TARGET && peer->target != NULL)
-		brf_directory_disprove(peer->target);
 	if (call->arrivals >= call->route->attempts || call->spent ||
 	    (call->arrivals > 0 &&
 		!brf_repeat_take(&call->service->repeats, call->nested, t)))
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -197,6 +197,17 @@
 	return (reason == BRF_R_OVERLOAD || reason == BRF_R_EXPIRED);
 }
 
+/* Who asks for a target of the past hears of the present one. */
+static void
+tell_instead(struct visit *v)
+{
+	struct brf_mesh_gate *gate = v->gate;
+
+	if (gate->refusing == BRF_R_NONE && gate->config.tell_target != NULL &&
+	    strcmp(v->hop->request.target, gate->notice.id) != 0)
+		gate->config.tell_target(gate->config.arg, &v->hop->instead);
+}
+
 static void
 refuse(struct visit *v, enum brf_reason reason, bool arrived)
 {
@@ -209,6 +220,8 @@
 	v->gate->counts.refused++;
 	hop->reason = reason;
 	hop->arrived = arrived;
+	if (reason == BRF_R_NO_TARGET)
+		tell_instead(v);
 	hop->retry_after_ms =
 	    (uint32_t)(brf_lanes_backlog_us(v->gate->lanes) / BRF_US_PER_MS);
 	report(v, BRF_HOP_REFUSED);
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -29,6 +29,8 @@
  * @tables: by which requests are told apart
  * @services: all services that there are, see policy/kinship.h
  * @target: address of this VM's target
+ * @tell_target: append the target as it is announced, see struct brf_hop;
+ *	NULL when nobody is told
  */
 struct brf_mesh_gate_config {
 	uv_loop_t *loop;
@@ -40,6 +42,8 @@
 	struct brf_mesh_tables *tables;
 	const struct brf_mesh_services *services;
 	struct sockaddr_in target;
+	void (*tell_target)(void *arg, struct brf_buf *out);
+	void *arg;
 };
 
 BRF_BEGIN_DECLS
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -120,6 +120,19 @@
 		e->state = BRF_TARGET_DRAINING;
 }
 
+static void
+tell_target(void *arg, struct brf_buf *out)
+{
+	struct brf_mesh_node *node = arg;
+	struct brf_entry entry;
+
+	if (!node->local.known)
+		return;
+	fill_entry(node, &entry);
+	if (entry.state == BRF_TARGET_READY)
+		brf_directory_tell_entry(&entry, out);
+}
+
 static void
 publish(struct brf_mesh_node *node)
 {
@@ -363,7 +376,9 @@
 		.names = node->adapter->names,
 		.tables = &node->tables,
 		.services = &node->services,
-		.target = node->settings.target };
+		.target = node->settings.target,
+		.tell_target = tell_target,
+		.arg = node };
 	struct brf_links_config links = { .loop = &node->loop,
 		.tasks = &node->turn.tasks,
 		.timers = node->turn.timers,
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -510,6 +510,7 @@
 	reply.marked = *rc::gen::arbitrary<bool>();
 	reply.inner = *rc::gen::arbitrary<bool>();
 	reply.retry_after_ms = *rc::gen::arbitrary<uint32_t>();
+	reply.instead = as_text(part);
 	reply.load = { 1, 2, 3, 65535 };
 	reply.status = 200;
 	reply.body = BRF_BODY_CHUNKED;
@@ -536,6 +537,8 @@
 	} else {
 		RC_ASSERT(read.reason == reply.reason);
 		RC_ASSERT(read.retry_after_ms == reply.retry_after_ms);
+		RC_ASSERT(text_of(read.instead) ==
+			  (reply.reason == BRF_R_NO_TARGET ? part : ""));
 	}
 	brf_buf_free(&out);
 }
