A soak of random faults on real processes, with an oracle of the promises

make soak SEED=n SECONDS=n NODES=n. Each check of the oracle has a planted fault (test_soak.Planted). To stand between nodes, a proxy needs BRF_PEERS_ADVERTISED: where others reach a node's links.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	@echo "make check    build and run all tests"
 	@echo "make bench    measure; SCENARIO=name for one scenario"
 	@echo "make fuzz     longer fuzzing; SEED=n SECONDS=n"
+	@echo "make soak     random faults on real processes; SEED=n SECONDS=n NODES=n"
 	@echo "make fuzz-smoke  bounded, seeded fuzzing as in CI"
 	@echo "make format   rewrite sources in house style"
 	@echo "make lint     formatter and linter, without changing anything"
@@ -126,6 +127,7 @@
 FUZZERS := $(patsubst %.c,build/fuzz/bin/%,$(notdir $(FUZZ_SRC)))
 SEED ?= 1
 SECONDS ?= 60
+NODES ?= 6
 
 fuzzers:
 	$(MAKE) -j$$(nproc) VARIANT=fuzz $(FUZZERS)
@@ -133,6 +135,9 @@
 fuzz-smoke: fuzzers
 	tools/fuzz smoke $(SEED)
 
+soak: $(call bins,bulrushford-node)
+	tools/soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES)
+
 fuzz: fuzzers $(BUILD)/bin/brf_test
 	tools/fuzz long $(SEED) $(SECONDS)
 
@@ -159,6 +164,6 @@
 clean:
 	rm -rf build
 
-.PHONY: all node help tests check fuzzers fuzz-smoke fuzz proto format lint demo \
+.PHONY: all soak node help tests check fuzzers fuzz-smoke fuzz proto format lint demo \
 	bench clean
 .DEFAULT_GOAL := all
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -111,7 +111,7 @@
 	brf_copy_name(e->region, sizeof(e->region), s->region);
 	brf_copy_name(e->version, sizeof(e->version), n->version);
 	brf_copy_name(e->node, sizeof(e->node), s->node);
-	e->gate = s->peers;
+	e->gate = s->advertised;
 	e->slots = n->slots;
 	e->born = n->born;
 	e->warmup_us = n->warmup_us;
@@ -411,7 +411,6 @@
 	struct brf_mesh_services_config config = {
 		.timers = node->turn.timers,
 		.links = node->links,
-		.self = s->peers,
 		.zone = s->zone,
 		.region = s->region,
 		.repeat_ratio = s->retry_ratio / REPEAT_LEVELS,
@@ -467,7 +466,9 @@
 		node->links, (const struct sockaddr *)&s->peers, &port, err))
 		return (false);
 	s->peers.sin_port = htons(port);
-	node->services.config.self = s->peers;
+	if (s->advertised.sin_port == 0)
+		s->advertised = s->peers;
+	node->services.config.self = s->advertised;
 	node->entry = brf_flow_server_new(
 	    &config, (const struct sockaddr *)&s->callers, &port, err);
 	if (node->entry == NULL)
--- a/src/mesh/settings.h
+++ b/src/mesh/settings.h
@@ -27,6 +27,7 @@
  * @ready: HTTP for the platform's question whether this node takes work
  * @admin: HTTP for the target's announcements, and metrics
  * @peers: links from other nodes
+ * @advertised: where they reach it; port 0 for @peers
  * @target: address of this VM's target
  * @store: the platform's store
  * @grace_us: from the signal to stop until the process is ended by force
@@ -45,6 +46,7 @@
 	struct sockaddr_in ready;
 	struct sockaddr_in admin;
 	struct sockaddr_in peers;
+	struct sockaddr_in advertised;
 	struct sockaddr_in target;
 	struct sockaddr_in store;
 	uint64_t grace_us;
--- /dev/null
+++ b/test/e2e/test_soak.py
@@ -0,0 +1,114 @@
+"""The soak's oracle catches each fault that is planted for it."""
+
+import sys
+import unittest
+
+sys.path.insert(0, "test/soak")
+import oracle  # noqa: E402
+
+Sent, Ran = oracle.Sent, oracle.Ran
+
+
+def sent(ident="r", at=10.0, service="s", once=False, **more):
+    fields = {"size": 5, "got": 5, "status": 200, "echo": ident,
+              "seal": f"seal-t-{ident}", "end": at + 0.1, "node": "n", **more}
+    return Sent(ident, at, service, once, fields.pop("size"),
+                fields.pop("node"), **fields)
+
+
+def ran(ident="r", at=10.05, service="s", target="t", did=True, end=10.1):
+    return Ran(ident, at, service, target, did, end)
+
+
+def judge(requests=(), runs=(), **more):
+    o = oracle.Oracle()
+    o.sent = {s.ident: s for s in requests}
+    o.ran = list(runs)
+    for name, value in more.items():
+        setattr(o, name, value)
+    return [f.split(":")[0] for f in o.findings()]
+
+
+class Planted(unittest.TestCase):
+    def test_nothing_is_found_where_nothing_is_wrong(self):
+        self.assertEqual(judge([sent()], [ran()]), [])
+
+    def test_answers_that_are_torn_or_anothers(self):
+        wrong = ["not its own whole answer"]
+        for bad in (sent(got=4), sent(echo="x"), sent(seal="seal-t-x"),
+                    sent(seal="")):
+            self.assertEqual(judge([bad], [ran()]), wrong)
+
+    def test_what_runs_twice_or_was_never_sent(self):
+        self.assertEqual(judge([sent(once=True)], [ran(), ran()]),
+                         ["ran twice"])
+        self.assertEqual(judge([sent()], [ran(), ran()]), [])
+        self.assertEqual(judge([], [ran()]), ["nobody sent what ran"])
+
+    def test_a_refusal_that_is_not_true(self):
+        for status in (503, 429, 421, 408):
+            self.assertEqual(
+                judge([sent(once=True, status=status)], [ran()]),
+                ["refused, and has run"])
+            self.assertEqual(
+                judge([sent(once=True, status=status)], [ran(did=False)]), [])
+
+    def test_work_for_a_target_that_has_left(self):
+        self.assertEqual(judge([sent()], [ran()], leaves=[("t", 8.0)]),
+                         ["left at 8.000"])
+        self.assertEqual(judge([sent()], [ran()], leaves=[("t", 8.1)]), [])
+
+    def test_a_planned_stop_that_cuts(self):
+        cut = sent(status=0)
+        stop = [("n", 9.9, 12.0)]
+        self.assertEqual(judge([cut], [ran()], planned=stop),
+                         ["cut off by a planned stop at 9.900"])
+        self.assertEqual(judge([cut], [], planned=stop), [])
+        # a back end that breaks off a long answer cuts it itself
+        self.assertEqual(
+            judge([sent(status=0, sound=False)], [ran()], planned=stop), [])
+        self.assertEqual(
+            judge([cut], [ran()], planned=stop, faults=[(9, 11, {"n"})]), [])
+
+    def test_a_configuration_that_is_late_or_goes_back(self):
+        missing = sent(route=2, status=404)
+        self.assertEqual(judge([missing], [ran()], configs=[(2, 7.0)]),
+                         ["version 2 of 7.000 not in force"])
+        self.assertEqual(judge([missing], [ran()], configs=[(2, 8.5)]), [])
+        shown = sent("a", at=9.0, route=2, echo="a", seal="s-a")
+        back = ["went back from version 2"]
+        self.assertEqual(judge([shown, missing], [], configs=[(2, 8.5)]), back)
+        again = sent(route=2, status=404, life=1)
+        self.assertEqual(judge([shown, again], [], configs=[(2, 8.5)]), [])
+
+    def test_too_many_repeats(self):
+        firsts = [sent(str(i), at=10 + i / 100, echo=str(i), seal=f"-{i}")
+                  for i in range(100)]
+        runs = [ran(str(i), at=10 + i / 100) for i in range(100)]
+        again = [ran(str(i), at=11 + i / 100) for i in range(100)]
+        found = judge(firsts, runs + again)
+        self.assertEqual(len(found), 1)
+        self.assertIn("repeats at s", found[0])
+        self.assertEqual(judge(firsts, runs + again[:50]), [])
+
+    def test_work_for_callers_that_have_left(self):
+        left = [sent(str(i), status=0, left=True) for i in range(4)]
+        late = [ran(str(i), end=11.5) for i in range(4)]
+        self.assertEqual(len(judge(left, late)), 1)
+        self.assertEqual(judge(left[:3], late[:3]), [])
+        self.assertEqual(judge(left, [ran(str(i)) for i in range(4)]), [])
+
+    def test_no_recovery(self):
+        down = [sent(str(i), at=30.0, status=503) for i in range(20)]
+        fault = [(10.0, 14.0, None)]
+        self.assertEqual(judge(down, faults=fault),
+                         ["0 of 20 served after recovery"])
+        self.assertEqual(judge(down, faults=[(10.0, 16.0, None)]), [])
+
+    def test_processes_that_end_or_grow(self):
+        self.assertEqual(judge(deaths=["n ended by itself"]),
+                         ["n ended by itself"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/test/soak/oracle.py
@@ -0,0 +1,173 @@
+"""Whether what callers and back ends saw keeps the promises.
+
+Knows nothing of the system: it is fed with records and answers with findings,
+so that each of its checks can be tried with a planted fault.  Times are seconds
+of one steady clock.
+"""
+
+import collections
+import dataclasses
+
+RECOVER_S = 15.0       # after the last fault
+RECOVER_SHARE = 0.9    # of requests that are served then
+CONFIG_S = 2.0         # after an acknowledged configuration
+DOWNGRADE_S = 0.25     # after a version was seen
+DRAIN_S = 2.0          # after an acknowledged leave
+LEFT_S = 0.5           # after a caller has left
+LEFT_FEW = 3           # late cancellations that are no finding
+REPEAT_WINDOW_S = 10.0
+REPEAT_RATIO = 0.2
+REPEAT_EXTRA = 48
+
+
+@dataclasses.dataclass
+class Sent:
+    """A request as its caller sent and saw it."""
+    ident: str
+    at: float
+    service: str
+    once: bool           # it must not run twice
+    size: int            # of the whole answer
+    node: str
+    sound: bool = True   # the back end was not told to fail it
+    life: int = 0        # of the node's process
+    route: int = 0       # version of the configuration that brought its route
+    end: float = 0.0
+    status: int = 0      # 0: no answer
+    seal: str = ""
+    echo: str = ""       # id in the answer
+    got: int = 0         # bytes of its body
+    left: bool = False   # the caller closed its connection first
+
+
+@dataclasses.dataclass
+class Ran:
+    """A request as a back end saw it."""
+    ident: str
+    at: float
+    service: str
+    target: str
+    ran: bool            # False: it said that it did not
+    end: float = 0.0
+
+
+class Oracle:
+    def __init__(self):
+        self.sent = {}
+        self.ran = []
+        self.leaves = []    # (target, time of the acknowledgement)
+        self.configs = []   # (version, time of the acknowledgement)
+        self.faults = []    # (begin, end, nodes or None for all)
+        self.planned = []   # (node, time of the signal, time of its end)
+        self.deaths = []    # what ended or grew by itself
+
+    def calm(self, node, begin, end, margin=3.0):
+        """No fault touches the node between `begin` - margin and `end`."""
+        return not any(b <= end and e >= begin - margin
+                       and (nodes is None or node in nodes)
+                       for b, e, nodes in self.faults)
+
+    def findings(self):
+        checks = (self.whole_and_own, self.once, self.true_refusals,
+                  self.drained, self.planned_stops, self.configured,
+                  self.repeats, self.cancelled, self.recovered)
+        return self.deaths + [f for check in checks for f in check()]
+
+    def whole_and_own(self):
+        for s in self.sent.values():
+            if 200 <= s.status < 300 and (
+                    s.got != s.size or s.echo != s.ident
+                    or not s.seal.endswith("-" + s.ident)):
+                yield f"not its own whole answer: {s}"
+
+    def runs(self):
+        runs = collections.defaultdict(list)
+        for r in self.ran:
+            if r.ran:
+                runs[r.ident].append(r)
+        return runs
+
+    def once(self):
+        for ident, runs in self.runs().items():
+            if ident not in self.sent:
+                yield f"nobody sent what ran: {runs[0]}"
+            elif self.sent[ident].once and len(runs) > 1:
+                yield f"ran twice: {runs}"
+
+    def true_refusals(self):
+        runs = self.runs()
+        for s in self.sent.values():
+            if s.status in (408, 421, 429, 503) and s.once and s.ident in runs:
+                yield f"refused, and has run: {s}, {runs[s.ident]}"
+
+    def drained(self):
+        for target, at in self.leaves:
+            for r in self.ran:
+                if r.target == target and r.at > at + DRAIN_S:
+                    yield f"left at {at:.3f}: {r}"
+
+    def planned_stops(self):
+        runs = self.runs()
+        for node, at, end in self.planned:
+            for s in self.sent.values():
+                if (s.node == node and s.status == 0 and not s.left
+                        and s.sound and at - 3 <= s.at <= end and s.ident in runs
+                        and self.calm(node, s.at, s.end)):
+                    yield f"cut off by a planned stop at {at:.3f}: {s}"
+
+    def configured(self):
+        seen = {}   # a process: the newest version that it has shown, and when
+        acked = dict(self.configs)
+        for s in sorted(self.sent.values(), key=lambda s: s.at):
+            if s.status == 0 or s.route == 0:
+                continue
+            version, since = seen.get((s.node, s.life), (0, 0.0))
+            if s.status == 404:
+                at = acked.get(s.route)
+                if (at is not None and s.at > at + CONFIG_S
+                        and self.calm(s.node, s.at, s.end)):
+                    yield f"version {s.route} of {at:.3f} not in force: {s}"
+                if version >= s.route and s.at > since + DOWNGRADE_S:
+                    yield f"went back from version {version}: {s}"
+            elif s.status != 503 and s.route > version:
+                seen[s.node, s.life] = s.route, s.end
+
+    def repeats(self):
+        firsts = collections.defaultdict(list)
+        again = collections.defaultdict(list)
+        known = set()
+        for s in self.sent.values():
+            firsts[s.service].append(s.at)
+        for r in sorted(self.ran, key=lambda r: r.at):
+            if (r.ident, r.service) in known:
+                again[r.service].append(r.at)
+            known.add((r.ident, r.service))
+        for service, times in again.items():
+            for i, begin in enumerate(times):
+                n = sum(1 for t in times[i:] if t < begin + REPEAT_WINDOW_S)
+                base = sum(1 for t in firsts[service]
+                           if begin - REPEAT_WINDOW_S <= t
+                           < begin + REPEAT_WINDOW_S) / 2
+                if n > REPEAT_RATIO * base + REPEAT_EXTRA:
+                    yield (f"{n} repeats at {service} in the window from "
+                           f"{begin:.3f}, for {base:.0f} requests")
+                    break
+
+    def cancelled(self):
+        late = []
+        for r in self.ran:
+            s = self.sent.get(r.ident)
+            if (s is not None and s.left and not s.once
+                    and r.end > s.end + LEFT_S
+                    and self.calm(s.node, s.at, r.end)):
+                late.append((s, r))
+        if len(late) > LEFT_FEW:
+            yield f"{len(late)} ran on after their callers left: {late[0]}"
+
+    def recovered(self):
+        last = max((e for _, e, _ in self.faults), default=0.0)
+        after = [s for s in self.sent.values()
+                 if s.at > last + RECOVER_S and s.sound and not s.left]
+        served = sum(1 for s in after if s.status == 200)
+        if len(after) >= 20 and served < RECOVER_SHARE * len(after):
+            yield f"{served} of {len(after)} served after recovery"
