--- a/test/e2e/test_soak.py
+++ b/test/e2e/test_soak.py
@@ -96,6 +96,9 @@
         late = [ran(str(i), end=11.5) for i in range(4)]
         self.assertEqual(len(judge(left, late)), 1)
         self.assertEqual(judge(left[:3], late[:3]), [])
+        self.assertEqual(len(judge(left, late, lags=[(10.2, 0.2)])), 1)
+        self.assertEqual(judge(left, late, lags=[(10.2, 0.3)]), [])
+        self.assertEqual(len(judge(left, late, lags=[(5.0, 9.0)])), 1)
         self.assertEqual(judge(left, [ran(str(i)) for i in range(4)]), [])
 
     def test_no_recovery(self):
