Drop datagrams that are sent while the gossip socket closes

Members may have news between the close and the end of the loop's turn; libuv then binds a new socket for the handle that it is closing, and finds it when it finishes the close. A send after that used freed memory.

Sends on a closing socket count as unsent; the socket's memory stays until the members are gone.

--- a/src/member/udp.c
+++ b/src/member/udp.c
@@ -27,8 +27,10 @@
 	struct brf_udp *u = brf_container_of(d, struct brf_udp, datagrams);
 	uv_buf_t buf = uv_buf_init((char *)data, (unsigned)len);
 
-	if (uv_udp_try_send(&u->handle, &buf, 1, (const struct sockaddr *)to) <
-	    0) {
+	/* libuv opens a socket anew for a handle that it is closing */
+	if (uv_is_closing((uv_handle_t *)&u->handle) ||
+	    uv_udp_try_send(&u->handle, &buf, 1, (const struct sockaddr *)to) <
+		0) {
 		u->dropped->value++;
 		return;
 	}
@@ -80,11 +82,21 @@
 {
 	struct brf_udp *u = handle->data;
 
-	if (u->closed != NULL)
-		u->closed(u->closed_arg);
+	u->closed(u->closed_arg);
+}
+
+void
+brf_udp_free(struct brf_udp *u)
+{
 	free(u);
 }
 
+static void
+free_unbound(void *arg)
+{
+	brf_udp_free(arg);
+}
+
 void
 brf_udp_close(struct brf_udp *u, void (*closed)(void *arg), void *arg)
 {
@@ -123,7 +135,7 @@
 	u->handle.data = u;
 	rc = bind_socket(u, addr, bound);
 	if (rc != 0) {
-		brf_udp_close(u, NULL, NULL);
+		brf_udp_close(u, free_unbound, u);
 		brf_error_set(err, BRF_E_BIND, rc, "gossip port %u",
 		    ntohs(addr->sin_port));
 		return (NULL);
--- a/src/member/udp.h
+++ b/src/member/udp.h
@@ -32,10 +32,11 @@
     struct brf_udp *u, struct brf_members *members, struct brf_error *err);
 
 /**
- * brf_udp_close() - close the socket and free @u; @closed is called from the
- * loop when this is done, and may be NULL.
+ * brf_udp_close() - close the socket; what is sent from now on is dropped.
+ * @closed: called from the loop when this is done; brf_udp_free() follows
  */
 void brf_udp_close(struct brf_udp *u, void (*closed)(void *arg), void *arg);
+void brf_udp_free(struct brf_udp *u);
 
 BRF_END_DECLS
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -485,6 +485,7 @@
 	brf_burn_free(node->caller.burn);
 	brf_router_free(node->router);
 	brf_members_free(node->members);
+	brf_udp_free(node->udp);
 	brf_gate_free(node->gate);
 	brf_http_loop_free(node->http);
 	uv_close((uv_handle_t *)&node->tick, NULL);
