--- a/src/ctl/timeline.c
+++ b/src/ctl/timeline.c
@@ -352,6 +352,36 @@
 	    number_of(h, "limit"), number_of(h, "waiting"));
 }
 
+/* Gates write no line of most answers; their word on their load came along. */
+static void
+write_sent_cause(const struct line *l, struct brf_buf *out)
+{
+	brf_buf_printf(out,
+	    "cause: %s: %s to %s from %s, %s after %.0f ms (%.0f ms "
+	    "estimated); "
+	    "its gate told %.0f of %.0f slots taken, %.0f waiting, %.0f ms a "
+	    "run\n",
+	    l->request, l->event, text_of(l, "target"), l->node,
+	    text_of(l, "outcome"), number_of(l, "took_ms"),
+	    number_of(l, "estimate_ms"), number_of(l, "running"),
+	    number_of(l, "limit"), number_of(l, "waiting"),
+	    number_of(l, "service_ms"));
+}
+
+static void
+write_sent_causes(
+    const struct brf_timeline *t, const struct line *bad, struct brf_buf *out)
+{
+	size_t i;
+
+	for (i = 0; i < t->count; i++) {
+		if (t->lines[i].chosen &&
+		    strcmp(t->lines[i].event, "request_sent") == 0 &&
+		    strcmp(t->lines[i].request, bad->request) == 0)
+			write_sent_cause(&t->lines[i], out);
+	}
+}
+
 static void
 write_end_cause(const struct line *l, struct brf_buf *out)
 {
@@ -492,6 +522,7 @@
 	if (told || below)
 		return;
 	write_end_cause(bad, out);
+	write_sent_causes(t, bad, out);
 	peer = find_peer(t, last_target(t, bad));
 	if (is_targets_failure(bad) && peer != NULL)
 		write_meanwhile(t, peer->node, bad->ms - SLACK_MS,
--- a/test/timeline_test.cc
+++ b/test/timeline_test.cc
@@ -97,6 +97,24 @@
 	EXPECT_EQ(j.write("other"), 0u);
 }
 
+TEST(timeline, a_late_answer_is_led_to_the_hop_that_took_long)
+{
+	struct joined j(
+	    "{\"time\":\"2026-12-04T10:00:00.900Z\",\"node\":\"a\","
+	    "\"event\":\"request_late\",\"request\":\"r\",\"status\":200,"
+	    "\"reason\":\"none\",\"hops\":1,\"took_ms\":775}\n"
+	    "{\"time\":\"2026-12-04T10:00:00.900Z\",\"node\":\"a\","
+	    "\"event\":\"request_sent\",\"request\":\"r\",\"target\":\"t-b\","
+	    "\"outcome\":\"answered\",\"took_ms\":770,\"estimate_ms\":120,"
+	    "\"running\":37,\"limit\":37,\"waiting\":5,\"service_ms\":300}\n");
+
+	j.write("r");
+	EXPECT_NE(j.find("cause: r: request_sent to t-b from a, answered after "
+			 "770 ms (120 ms estimated); its gate told 37 of 37"),
+	    std::string::npos)
+	    << j.out;
+}
+
 TEST(timeline, a_request_is_found_among_many_on_a_line)
 {
 	struct joined j("{\"time\":\"2026-12-04T10:00:00.900Z\",\"node\":\"a\","
