--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -25,7 +25,6 @@
         self.lock = threading.Lock()
         self.listener = socket.create_server((HOST, 0), backlog=256)
         self.listen_port = self.listener.getsockname()[1]
-        self.closed = False
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
@@ -86,6 +85,5 @@
             self.end(pair)
 
     def close(self):
-        self.closed = True
         self.listener.close()
         self.reset()
