Begin a new epoch when the store comes back from an older copy

Cause: after a restore, revisions and lease ids are given out again. The mirror ignored a key whose revision was not above the one it knew, and kept keys above the revision of the read; the registration renewed a lease that may be another node's, and wrote on conditions of the lost data. So a node could keep a target's old address or a lost routing table, and take up a target that had left.

Ruled out: an order of tables by the store's revision (tables carry the operator's own, so none goes back); telling a restore from a revision that decreases (it may have risen past the old one by the next read).

Entries carry the epoch in which they were written; those of an earlier one add no target that left and take none back. An entry that differs from the last own write is now written again also when it was seen during a store call.

--- a/src/config/store.h
+++ b/src/config/store.h
@@ -11,6 +11,25 @@
  * embed a brf_store_call or brf_store_watch in their own struct.  The store
  * never retries a call: only the caller knows whether a second execution is
  * safe, see config/edit.h.
+ *
+ * A store may come back from an older copy of its data: what was written since
+ * is lost, all leases are gone, and revisions and lease ids are given out
+ * again.  Each such restore begins a new epoch.  Revisions and leases may only
+ * be compared or used within the epoch in which they were received; the rule
+ * for each part of the process is:
+ *
+ * - the client of the store ends all watches with BRF_E_STORE_RESTORED, ignores
+ *   what is still received from an earlier epoch, and refuses calls that carry
+ *   a revision or lease of one;
+ * - a mirror of keys (fleet/follow.h) forgets all revisions, keeps the keys,
+ *   and reads everything again;
+ * - a registration (fleet/register.h) drops its lease and its revisions, and
+ *   writes its entries again under a new lease;
+ * - the directory (fleet/directory.h) trusts only entries written in the
+ *   current epoch: an entry of an earlier one adds no target that is known to
+ *   have left, and does not replace a newer entry;
+ * - routing tables are ordered by the operator's revision inside their text,
+ *   so the table in force stays until a newer one arrives.
  */
 
 /**
@@ -64,6 +83,8 @@
  *	outcome is BRF_STORE_CONFLICT and the response holds the current key
  * @expect: required current revision of the key; 0 if it must not exist
  * @lease: id of the lease to attach, keep alive or revoke; 0 for none
+ * @epoch: epoch of @expect and @lease; the call is refused with
+ *	BRF_E_STORE_RESTORED once a later one is known; 0 for any
  * @ttl_s: time to live of a lease to grant, seconds
  */
 struct brf_store_request {
@@ -77,6 +98,7 @@
 	bool compare;
 	uint64_t expect;
 	uint64_t lease;
+	uint64_t epoch;
 	uint32_t ttl_s;
 };
 
@@ -137,7 +159,8 @@
  * @event: called for each event; may stop the watch
  * @ended: called once when the store or the connection ends the watch, not
  *	after brf_store_watch_stop(); @err is BRF_E_STORE_COMPACTED when the
- *	store no longer keeps @from
+ *	store no longer keeps @from, and BRF_E_STORE_RESTORED when a new epoch
+ *	has begun
  * @impl: private to the store implementation
  */
 struct brf_store_watch {
@@ -166,10 +189,48 @@
 	    struct brf_store *store, struct brf_store_watch *watch);
 };
 
+/**
+ * struct brf_store_observer - is told when the store was restored.
+ * @restored: called after the store's epoch has risen; may start and cancel
+ *	calls and watches, but not add or remove observers
+ */
+struct brf_store_observer {
+	struct brf_list link;
+	void (*restored)(struct brf_store_observer *observer);
+};
+
+/**
+ * struct brf_store - base of a store implementation; initialise with
+ * brf_store_init().
+ * @observers: list of struct brf_store_observer
+ * @epoch: latest epoch that is known; 0 when the store reports none
+ */
 struct brf_store {
 	const struct brf_store_vt *vt;
+	struct brf_list observers;
+	uint64_t epoch;
 };
 
+static inline void
+brf_store_init(struct brf_store *store, const struct brf_store_vt *vt)
+{
+	store->vt = vt;
+	brf_list_init(&store->observers);
+	store->epoch = 0;
+}
+
+static inline void
+brf_store_observe(struct brf_store *store, struct brf_store_observer *observer)
+{
+	brf_list_append(&store->observers, &observer->link);
+}
+
+static inline void
+brf_store_unobserve(struct brf_store_observer *observer)
+{
+	brf_list_remove(&observer->link);
+}
+
 static inline void
 brf_store_start(struct brf_store *store, struct brf_store_call *call)
 {
@@ -201,6 +262,14 @@
 /* Return: "done", "conflict", "refused" or "unknown". */
 const char *brf_store_outcome_name(enum brf_store_outcome outcome);
 
+/**
+ * brf_store_learn_epoch() - record an epoch that the store or a peer reports.
+ *
+ * Calls the observers when it is later than a known one.  The first epoch that
+ * is learned is no restore.
+ */
+void brf_store_learn_epoch(struct brf_store *store, uint64_t epoch);
+
 BRF_END_DECLS
 
 #endif
--- a/src/config/store_client.c
+++ b/src/config/store_client.c
@@ -352,7 +352,7 @@
 {
 	struct client *c = brf_calloc(1, sizeof(*c));
 
-	c->store.vt = &client_vt;
+	brf_store_init(&c->store, &client_vt);
 	c->config = *config;
 	c->tokens = config->burst;
 	c->refilled_at = brf_now(brf_timers_clock(config->timers));
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -11,12 +11,32 @@
 #define PAUSE_MIN_US (250 * BRF_US_PER_MS)
 #define PAUSE_MAX_US (2 * BRF_US_PER_S)
 
+/**
+ * struct departed - a target that was removed.
+ * @born: of its last known entry
+ * @since: clock time of the removal
+ */
+struct departed {
+	struct brf_list link;
+	char id[BRF_ENTRY_ID_MAX + 1];
+	uint64_t born;
+	uint64_t since;
+};
+
+/**
+ * struct brf_directory - see directory.h.
+ * @targets: list of struct brf_directory_target, @count of them
+ * @departed: list of struct departed, oldest first, @departed_count of them
+ */
 struct brf_directory {
+	struct brf_store *store;
 	struct brf_timers *timers;
 	struct brf_directory_watcher *watcher;
 	struct brf_store_mirror *follow;
 	struct brf_list targets;
 	size_t count;
+	struct brf_list departed;
+	size_t departed_count;
 };
 
 static uint64_t
@@ -39,6 +59,58 @@
 	return (NULL);
 }
 
+static void
+forget_departed(struct brf_directory *d, struct departed *gone)
+{
+	brf_list_remove(&gone->link);
+	d->departed_count--;
+	free(gone);
+}
+
+static void
+expire_departed(struct brf_directory *d)
+{
+	struct departed *gone;
+	struct brf_list *l, *next;
+
+	brf_list_foreach_safe (l, next, &d->departed) {
+		gone = brf_list_entry(l, struct departed, link);
+		if (d->departed_count <= BRF_DIRECTORY_DEPARTED_MAX &&
+		    gone->since + BRF_DIRECTORY_KEEP_DEPARTED_US >= now(d))
+			return;
+		forget_departed(d, gone);
+	}
+}
+
+static void
+remember_departed(struct brf_directory *d, const struct brf_entry *entry)
+{
+	struct departed *gone = brf_calloc(1, sizeof(*gone));
+
+	brf_copy_name(gone->id, sizeof(gone->id), entry->id);
+	gone->born = entry->born;
+	gone->since = now(d);
+	brf_list_append(&d->departed, &gone->link);
+	d->departed_count++;
+	expire_departed(d);
+}
+
+/* Whether this incarnation of the target was removed before. */
+static bool
+has_departed(const struct brf_directory *d, const struct brf_entry *entry)
+{
+	const struct departed *gone;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &d->departed) {
+		gone = brf_list_entry(l, struct departed, link);
+		if (strcmp(gone->id, entry->id) == 0 &&
+		    gone->born >= entry->born)
+			return (true);
+	}
+	return (false);
+}
+
 static void
 remove_target(struct brf_directory_target *t, const char *reason)
 {
@@ -47,6 +119,7 @@
 	brf_log(BRF_LOG_INFO, "target_gone", BRF_LS("target", t->entry.id),
 	    BRF_LS("service", t->entry.service), BRF_LS("why", reason),
 	    BRF_LU("revision", t->revision));
+	remember_departed(d, &t->entry);
 	brf_list_remove(&t->link);
 	brf_timer_stop(d->timers, &t->lapse_timer);
 	d->count--;
@@ -84,6 +157,66 @@
 	    BRF_LU("slots", t->entry.slots), BRF_LU("revision", t->revision));
 }
 
+static void
+set_lapsed(struct brf_directory_target *t)
+{
+	t->lapsed = true;
+	brf_timer_start(t->directory->timers, &t->lapse_timer,
+	    BRF_DIRECTORY_KEEP_LAPSED_US);
+}
+
+/* Whether the entry was written before the store was restored, so that it may
+ * be older than what is known.  A node that does not write epochs is believed.
+ */
+static bool
+is_of_earlier_epoch(
+    const struct brf_directory *d, const struct brf_entry *entry)
+{
+	return (entry->epoch != 0 && entry->epoch < d->store->epoch);
+}
+
+/* Whether @entry, of an earlier epoch, is newer than that of its target. */
+static bool
+is_newer(const struct brf_entry *entry, const struct brf_entry *known)
+{
+	if (entry->born != known->born)
+		return (entry->born > known->born);
+	return (entry->state > known->state);
+}
+
+/* Take over an entry that its node has not written again since the store was
+ * restored. */
+static void
+set_unconfirmed(
+    struct brf_directory *d, const struct brf_entry *entry, uint64_t revision)
+{
+	struct brf_directory_target *t = find_target(d, entry->id);
+	bool is_new = t == NULL;
+
+	if (is_new &&
+	    (entry->state == BRF_TARGET_LEFT || has_departed(d, entry))) {
+		brf_log(BRF_LOG_INFO, "target_stays_gone",
+		    BRF_LS("target", entry->id), BRF_LU("epoch", entry->epoch),
+		    BRF_LU("revision", revision));
+		return;
+	}
+	if (is_new)
+		t = add_target(d);
+	if (is_new || is_newer(entry, &t->entry)) {
+		t->entry = *entry;
+		t->received_at = now(d);
+	}
+	if (t->entry.state == BRF_TARGET_LEFT) {
+		remove_target(t, "left");
+		return;
+	}
+	t->revision = revision;
+	if (!t->lapsed)
+		set_lapsed(t);
+	log_change(t);
+	d->watcher->changed(d->watcher, t, is_new);
+}
+
 static void
 on_set(void *arg, const struct brf_store_kv *kv)
 {
@@ -98,11 +231,17 @@
 		    BRF_LU("revision", kv->revision));
 		return;
 	}
+	if (is_of_earlier_epoch(d, &entry)) {
+		set_unconfirmed(d, &entry, kv->revision);
+		return;
+	}
 	t = find_target(d, entry.id);
 	is_new = t == NULL;
 	if (entry.state == BRF_TARGET_LEFT) {
 		if (t != NULL)
 			remove_target(t, "left");
+		else if (!has_departed(d, &entry))
+			remember_departed(d, &entry);
 		return;
 	}
 	if (is_new)
@@ -116,14 +255,6 @@
 	d->watcher->changed(d->watcher, t, is_new);
 }
 
-static void
-set_lapsed(struct brf_directory_target *t)
-{
-	t->lapsed = true;
-	brf_timer_start(t->directory->timers, &t->lapse_timer,
-	    BRF_DIRECTORY_KEEP_LAPSED_US);
-}
-
 static void
 on_deleted(void *arg, const char *key, uint64_t revision)
 {
@@ -133,7 +264,8 @@
 
 	if (t == NULL)
 		return;
-	set_lapsed(t);
+	if (!t->lapsed)
+		set_lapsed(t);
 	t->revision = revision;
 	brf_log(BRF_LOG_INFO, "target_lapsed", BRF_LS("target", t->entry.id),
 	    BRF_LS("service", t->entry.service), BRF_LU("revision", revision));
@@ -164,9 +296,11 @@
 		.synced = on_synced,
 		.arg = d };
 
+	d->store = store;
 	d->timers = timers;
 	d->watcher = watcher;
 	brf_list_init(&d->targets);
+	brf_list_init(&d->departed);
 	d->follow = brf_store_mirror_new(&config);
 	return (d);
 }
@@ -183,6 +317,8 @@
 		remove_target(
 		    brf_list_entry(l, struct brf_directory_target, link),
 		    "stopping");
+	while ((l = brf_list_pop(&d->departed)) != NULL)
+		forget_departed(d, brf_list_entry(l, struct departed, link));
 	free(d);
 }
 
@@ -258,7 +394,8 @@
 		brf_log(BRF_LOG_WARN, "entry_unreadable", BRF_LE(&err));
 		return;
 	}
-	if (entry.state == BRF_TARGET_LEFT || find_target(d, entry.id) != NULL)
+	if (entry.state == BRF_TARGET_LEFT ||
+	    find_target(d, entry.id) != NULL || has_departed(d, &entry))
 		return;
 	t = add_target(d);
 	t->entry = entry;
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -15,9 +15,18 @@
  * lapsed, so that a store that loses leases removes no target.  Nodes that
  * send requests there find out whether the target still exists.  A node that
  * starts while the store is unreachable receives the targets from its peers.
+ *
+ * A store that was restored from an older copy lists targets that have left
+ * since, and old entries of others, until their nodes write them again.  Such
+ * an entry, of an earlier epoch, counts as lapsed; it adds no target that is
+ * known to have left, and takes no known target back to an earlier state.
  */
 
 #define BRF_DIRECTORY_KEEP_LAPSED_US (20 * BRF_US_PER_S)
+/* How long, and for how many targets, the directory remembers that they have
+ * left; a copy of the store is only some seconds old. */
+#define BRF_DIRECTORY_KEEP_DEPARTED_US (120 * BRF_US_PER_S)
+#define BRF_DIRECTORY_DEPARTED_MAX 1024u
 
 /**
  * struct brf_directory_target - a target; owned by the directory.
@@ -25,7 +34,8 @@
  * @revision: of the store, at which the entry was written or deleted; 0 when
  *	received from a peer
  * @received_at: clock time of the entry's arrival
- * @lapsed: the store does not have the entry, or has not confirmed it yet
+ * @lapsed: the store does not have the entry, or has not confirmed it yet in
+ *	the current epoch
  * @lapse_timer: removes the target when @lapsed for too long
  * @data: for the watcher
  */
--- a/src/fleet/entry.c
+++ b/src/fleet/entry.c
@@ -50,6 +50,9 @@
 	    "version", e->version, "node", e->node, "gate", gate, "slots",
 	    (int)e->slots, "born", (json_int_t)e->born, "warmup_us",
 	    (json_int_t)e->warmup_us, "state", state_names[e->state]);
+	if (e->epoch != 0)
+		json_object_set_new(
+		    root, "epoch", json_integer((json_int_t)e->epoch));
 	text = json_dumps(root, JSON_COMPACT);
 	brf_buf_puts(out, text != NULL ? text : "{}");
 	free(text);
@@ -95,6 +98,9 @@
 {
 	uint64_t slots;
 
+	if (json_object_get(root, "epoch") != NULL &&
+	    !brf_json_count(root, "epoch", INT64_MAX, &e->epoch))
+		return (false);
 	if (!read_name(root, "service", e->service) ||
 	    !read_name(root, "zone", e->zone) ||
 	    !read_name(root, "region", e->region) ||
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -40,6 +40,7 @@
  * @slots: requests that the target runs at once
  * @born: start time of the target, milliseconds since 1970 by its own clock;
  *	orders incarnations with the same id; 0 when not known
+ * @epoch: of the store when the entry was written; 0 when not known
  * @warmup_us: rest of the warm-up, during which the target is slow, when the
  *	entry was written; microseconds
  */
@@ -53,6 +54,7 @@
 	struct sockaddr_in gate;
 	uint32_t slots;
 	uint64_t born;
+	uint64_t epoch;
 	uint64_t warmup_us;
 	enum brf_target_state state;
 };
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -12,7 +12,7 @@
 
 /**
  * struct known_key - a key that the store has.
- * @revision: at which it was last changed
+ * @revision: at which it was last changed; 0 when that was in an earlier epoch
  * @read: the full read in progress has returned it
  */
 struct known_key {
@@ -32,6 +32,7 @@
  */
 struct brf_store_mirror {
 	struct brf_store_mirror_config config;
+	struct brf_store_observer observer;
 	struct brf_store_call call;
 	struct brf_store_watch watch;
 	struct brf_timer timer;
@@ -253,6 +254,25 @@
 	brf_store_start(m->config.store, &m->call);
 }
 
+static void
+on_restored(struct brf_store_observer *observer)
+{
+	struct brf_store_mirror *m =
+	    brf_container_of(observer, struct brf_store_mirror, observer);
+	struct brf_list *l;
+	size_t i;
+
+	brf_store_cancel(m->config.store, &m->call);
+	brf_store_watch_stop(m->config.store, &m->watch);
+	for (i = 0; i < BUCKETS; i++) {
+		brf_list_foreach (l, &m->buckets[i])
+			brf_list_entry(l, struct known_key, link)->revision = 0;
+	}
+	m->revision = 0;
+	m->backoff.failures = 0;
+	retry_later(m, read_all);
+}
+
 static void
 watch_ended(struct brf_store_watch *watch, const struct brf_error *err)
 {
@@ -277,6 +297,8 @@
 	m->timer.arg = m;
 	m->watch.event = watch_event;
 	m->watch.ended = watch_ended;
+	m->observer.restored = on_restored;
+	brf_store_observe(config->store, &m->observer);
 	read_all(&m->timer, m);
 	return (m);
 }
@@ -289,6 +311,7 @@
 
 	if (m == NULL)
 		return;
+	brf_store_unobserve(&m->observer);
 	brf_store_cancel(m->config.store, &m->call);
 	brf_store_watch_stop(m->config.store, &m->watch);
 	brf_timer_stop(m->config.timers, &m->timer);
--- a/src/fleet/follow.h
+++ b/src/fleet/follow.h
@@ -13,6 +13,10 @@
  * history may accept a watch from a revision that it no longer has, and never
  * report the changes in between.  Keys that the read does not return count as
  * deleted.  Known keys are kept while the store can't be reached.
+ *
+ * When the store was restored from an older copy, all keys are read again, and
+ * each is reported whatever its revision; keys that the copy does not have
+ * count as deleted.
  */
 
 struct brf_store_mirror;
--- a/src/fleet/register.c
+++ b/src/fleet/register.c
@@ -12,24 +12,28 @@
 
 /**
  * struct record - the entry of one target.
- * @text: the value to write
+ * @entry: to be written
  * @revision: last known revision of the entry in the store; 0 when absent
- * @written: the store has @text under the current lease
+ * @seen: revision at which a mirror last saw it changed or deleted
+ * @seen_missing: it was deleted at @seen
+ * @written: the store has @entry under the current lease
  * @uncertain: a write has an unknown outcome, so the revision has to be read
  */
 struct record {
 	struct brf_list link;
-	char id[BRF_ENTRY_ID_MAX + 1];
-	struct brf_buf text;
+	struct brf_entry entry;
 	uint64_t revision;
+	uint64_t seen;
+	bool seen_missing;
 	bool written;
 	bool uncertain;
 };
 
 /**
  * struct brf_registration - see register.h.
- * @current: record of the call in progress
+ * @current: record that the call in progress reads or writes; NULL for none
  * @sent: value that it writes
+ * @sent_is_last: @current was not set again since it was sent
  * @key: key that it reads or writes
  * @lease: 0 for none
  * @renewed: clock time at which the lease was granted or last renewed
@@ -37,6 +41,7 @@
  */
 struct brf_registration {
 	struct brf_store *store;
+	struct brf_store_observer observer;
 	struct brf_timers *timers;
 	struct brf_random *random;
 	struct brf_list records;
@@ -45,6 +50,7 @@
 	struct brf_backoff backoff;
 	struct record *current;
 	struct brf_buf sent;
+	bool sent_is_last;
 	char key[BRF_ENTRY_KEY_MAX];
 	uint64_t lease;
 	uint64_t renewed;
@@ -68,7 +74,7 @@
 
 	brf_list_foreach (l, &r->records) {
 		rec = brf_list_entry(l, struct record, link);
-		if (strcmp(rec->id, id) == 0)
+		if (strcmp(rec->entry.id, id) == 0)
 			return (rec);
 	}
 	return (NULL);
@@ -118,11 +124,13 @@
 }
 
 static void
-start_call(
-    struct brf_registration *r, void (*done)(struct brf_store_call *call,
-				    const struct brf_store_response *answer))
+start_call(struct brf_registration *r, struct record *rec,
+    void (*done)(
+	struct brf_store_call *call, const struct brf_store_response *answer))
 {
 	r->busy = true;
+	r->current = rec;
+	r->call.request.epoch = r->store->epoch;
 	r->call.done = done;
 	brf_store_start(r->store, &r->call);
 }
@@ -202,6 +210,17 @@
 	start_next_call(r);
 }
 
+/* Whether a mirror has seen a later change of the entry than the last write. */
+static void
+check_seen(struct record *rec)
+{
+	if (rec->seen <= rec->revision)
+		return;
+	rec->revision = rec->seen_missing ? 0 : rec->seen;
+	rec->seen = 0;
+	rec->written = false;
+}
+
 static void
 write_refused(
     struct brf_registration *r, const struct brf_store_response *answer)
@@ -224,12 +243,12 @@
 	case BRF_STORE_DONE:
 		reset_backoff(r);
 		rec->revision = answer->revision;
-		rec->written =
-		    rec->text.len == r->sent.len &&
-		    memcmp(rec->text.data, r->sent.data, r->sent.len) == 0;
+		rec->written = r->sent_is_last;
+		check_seen(rec);
 		brf_log(BRF_LOG_INFO, "entry_written",
-		    BRF_LS("target", rec->id),
-		    BRF_LU("revision", rec->revision));
+		    BRF_LS("target", rec->entry.id),
+		    BRF_LU("revision", rec->revision),
+		    BRF_LU("epoch", rec->entry.epoch));
 		start_next_call(r);
 		return;
 	case BRF_STORE_CONFLICT:
@@ -250,17 +269,18 @@
 static void
 write_record(struct brf_registration *r, struct record *rec)
 {
-	r->current = rec;
-	brf_entry_key(rec->id, r->key);
+	brf_entry_key(rec->entry.id, r->key);
 	if (rec->uncertain) {
 		r->call.request =
 		    (struct brf_store_request){ .op = BRF_STORE_GET,
 			    .key = r->key };
-		start_call(r, read_back);
+		start_call(r, rec, read_back);
 		return;
 	}
 	brf_buf_clear(&r->sent);
-	brf_buf_add(&r->sent, rec->text.data, rec->text.len);
+	rec->entry.epoch = r->store->epoch;
+	brf_entry_write(&rec->entry, &r->sent);
+	r->sent_is_last = true;
 	r->call.request = (struct brf_store_request){ .op = BRF_STORE_PUT,
 		.key = r->key,
 		.value = r->sent.data,
@@ -268,7 +288,7 @@
 		.compare = true,
 		.expect = rec->revision,
 		.lease = r->lease };
-	start_call(r, write_done);
+	start_call(r, rec, write_done);
 }
 
 static struct record *
@@ -298,19 +318,44 @@
 		r->call.request =
 		    (struct brf_store_request){ .op = BRF_STORE_LEASE_GRANT,
 			    .ttl_s = BRF_REGISTRATION_TTL_S };
-		start_call(r, lease_granted);
+		start_call(r, NULL, lease_granted);
 	} else if (rec != NULL) {
 		write_record(r, rec);
 	} else if (r->lease != 0 && now_us >= r->renewed + RENEW_US) {
 		r->call.request =
 		    (struct brf_store_request){ .op = BRF_STORE_LEASE_KEEPALIVE,
 			    .lease = r->lease };
-		start_call(r, renewed);
+		start_call(r, NULL, renewed);
 	} else if (r->lease != 0) {
 		start_timer(r, r->renewed + RENEW_US - now_us);
 	}
 }
 
+/* What was written is lost, or has lost its lease. */
+static void
+on_restored(struct brf_store_observer *observer)
+{
+	struct brf_registration *r =
+	    brf_container_of(observer, struct brf_registration, observer);
+	struct record *rec;
+	struct brf_list *l;
+
+	if (r->ending)
+		return;
+	if (r->busy)
+		brf_store_cancel(r->store, &r->call);
+	r->busy = false;
+	lose_lease(r);
+	brf_list_foreach (l, &r->records) {
+		rec = brf_list_entry(l, struct record, link);
+		rec->revision = 0;
+		rec->seen = 0;
+		rec->uncertain = false;
+	}
+	r->backoff.failures = 0;
+	start_next_call(r);
+}
+
 struct brf_registration *
 brf_registration_new(struct brf_store *store, struct brf_timers *timers,
     struct brf_random *random)
@@ -325,6 +370,8 @@
 		.max_us = BACKOFF_MOST_US };
 	r->timer.fire = on_timer;
 	r->timer.arg = r;
+	r->observer.restored = on_restored;
+	brf_store_observe(store, &r->observer);
 	return (r);
 }
 
@@ -336,11 +383,11 @@
 
 	if (r == NULL)
 		return;
+	brf_store_unobserve(&r->observer);
 	brf_store_cancel(r->store, &r->call);
 	brf_timer_stop(r->timers, &r->timer);
 	while ((l = brf_list_pop(&r->records)) != NULL) {
 		rec = brf_list_entry(l, struct record, link);
-		brf_buf_free(&rec->text);
 		free(rec);
 	}
 	brf_buf_free(&r->sent);
@@ -354,24 +401,29 @@
 
 	if (rec == NULL) {
 		rec = brf_calloc(1, sizeof(*rec));
-		brf_copy_name(rec->id, sizeof(rec->id), entry->id);
 		brf_list_append(&r->records, &rec->link);
 	}
-	brf_buf_clear(&rec->text);
-	brf_entry_write(entry, &rec->text);
+	rec->entry = *entry;
 	rec->written = false;
+	if (rec == r->current)
+		r->sent_is_last = false;
 	start_next_call(r);
 }
 
 void
-brf_registration_entry_missing(struct brf_registration *r, const char *id)
+brf_registration_entry_seen(
+    struct brf_registration *r, const char *id, uint64_t revision, bool missing)
 {
 	struct record *rec = find_record(r, id);
 
-	if (rec == NULL || r->busy)
+	if (rec == NULL || revision <= rec->seen)
 		return;
-	rec->revision = 0;
-	rec->written = false;
+	rec->seen = revision;
+	rec->seen_missing = missing;
+	/* what was seen may be the write in progress */
+	if (r->busy && r->current == rec)
+		return;
+	check_seen(rec);
 	start_next_call(r);
 }
 
@@ -396,5 +448,5 @@
 	r->call.request =
 	    (struct brf_store_request){ .op = BRF_STORE_LEASE_REVOKE,
 		    .lease = r->lease };
-	start_call(r, revoked);
+	start_call(r, NULL, revoked);
 }
--- a/src/fleet/register.h
+++ b/src/fleet/register.h
@@ -12,8 +12,9 @@
  * Keeps the entries in the store equal to those last set, under one lease of
  * this process.  Each write is conditional on the revision that it replaces: a
  * write whose answer was lost and that takes effect seconds later can't undo a
- * newer one.  When the lease has lapsed, a new one is granted and all entries
- * are written again.
+ * newer one.  When the lease has lapsed, or the store was restored from an
+ * older copy, a new lease is granted and all entries are written again, each
+ * with the epoch in which it was written.
  */
 
 #define BRF_REGISTRATION_TTL_S \
@@ -37,10 +38,14 @@
     struct brf_registration *r, const struct brf_entry *entry);
 
 /**
- * brf_registration_entry_missing() - write the entry of @id again, as the
- * store was seen without it.  Ignored while a store call is in progress.
+ * brf_registration_entry_seen() - compare the entry of @id that a mirror has
+ * read from the store with the one that was written last, and write it again if
+ * it was changed since.
+ * @revision: at which the entry was changed or deleted
+ * @missing: the store does not have the entry
  */
-void brf_registration_entry_missing(struct brf_registration *r, const char *id);
+void brf_registration_entry_seen(struct brf_registration *r, const char *id,
+    uint64_t revision, bool missing);
 
 /**
  * brf_registration_end() - revoke the lease, and so delete the entries, before
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -409,11 +409,12 @@
 }
 
 static void
-own_target_lapsed(void *arg, const char *id)
+own_target_seen(void *arg, const struct brf_directory_target *t)
 {
 	struct brf_mesh_node *node = arg;
 
-	brf_registration_entry_missing(node->registration, id);
+	brf_registration_entry_seen(
+	    node->registration, t->entry.id, t->revision, t->lapsed);
 }
 
 static void
@@ -434,7 +435,7 @@
 	node->store = node->adapter->vt->store_new(
 	    node->http, node->scheduler.timers, node->metrics, &s->store);
 	brf_mesh_services_init(&node->services, &config);
-	node->services.own_target_lapsed = own_target_lapsed;
+	node->services.own_target_seen = own_target_seen;
 	node->services.arg = node;
 	node->registration = brf_registration_new(
 	    node->store, node->scheduler.timers, node->random);
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -166,8 +166,8 @@
 	peer = t->data;
 	update_peer(peer, t);
 	update_bits(s);
-	if (t->lapsed && peer->balancer.locality == BRF_LOCALITY_SELF)
-		s->own_target_lapsed(s->arg, peer->id);
+	if (peer->balancer.locality == BRF_LOCALITY_SELF)
+		s->own_target_seen(s->arg, t);
 }
 
 static void
--- a/src/mesh/services.h
+++ b/src/mesh/services.h
@@ -79,8 +79,8 @@
  * @list: the services; none is removed before brf_mesh_services_finish()
  * @bits: bits of the services that have targets, see policy/nesting.h
  * @count: number of services in @list
- * @own_target_lapsed: called with @arg when the store's entry of this VM's
- *	target has lapsed; @id names the target
+ * @own_target_seen: called with @arg when the directory has read the entry of
+ *	this VM's target from the store
  */
 struct brf_mesh_services {
 	struct brf_directory_watcher watcher;
@@ -88,7 +88,8 @@
 	struct brf_list list;
 	uint64_t bits;
 	uint32_t count;
-	void (*own_target_lapsed)(void *arg, const char *id);
+	void (*own_target_seen)(
+	    void *arg, const struct brf_directory_target *t);
 	void *arg;
 };
 
