Watch the store by way of two relays in each zone

Cause: each node watched the store itself, so that a change cost as many polls as there are nodes.

Ruled out: gossip of the directory (every node would still have to check with the store that it missed nothing); a relay that passes on what another relay told it (two could wait for each other, so a node passes on only what the store itself told it); cheap stale reads in place of watches (seconds old, and still one a node); a settling time before the first relay is asked (each node polled three times until then).

Change: policy/relay chooses two nodes of the zone by rendezvous hashing; mesh/relay puts reads and watches of a prefix on a link to one of them, as a store on top of the store's client. A relay replies at once with changes and within 500 ms without; without a reply for 1.5 s, or when the relay does not hear from the store, all keys are read again, from the other relay or the store. Replies carry the epoch. Calls are counted by kind, in metrics and log.

--- a/fuzz/link_message.c
+++ b/fuzz/link_message.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "config/store_codec.h"
 #include "link/codec.h"
 
 /* libFuzzer's name. NOLINTNEXTLINE(readability-identifier-naming) */
@@ -23,6 +24,7 @@
 	struct brf_link_send send;
 	struct brf_link_data part;
 	struct brf_link_window_update room;
+	struct brf_link_watch_call watch;
 	uint64_t revision;
 
 	switch (procedure) {
@@ -45,6 +47,10 @@
 	case BRF_LINK_WINDOW_UPDATE:
 		brf_link_window_update_get(xdr, record, &room, &err);
 		break;
+	case BRF_LINK_WATCH:
+		if (brf_link_watch_call_get(xdr, record, &watch, &err))
+			check_text(record, &watch.prefix);
+		break;
 	case BRF_LINK_REVISION:
 	case BRF_LINK_TABLE:
 		brf_link_revision_get(xdr, record, &revision, &err);
@@ -60,6 +66,7 @@
 {
 	struct brf_error err;
 	struct brf_link_reply reply;
+	struct brf_link_watch_reply watch_reply;
 	struct brf_link_text text;
 	uint64_t revision;
 
@@ -74,6 +81,9 @@
 		check_text(record, &reply.fields);
 		check_text(record, &reply.part);
 	}
+	if (to == BRF_LINK_WATCH &&
+	    brf_link_watch_reply_get(xdr, record, &watch_reply, &err))
+		brf_store_event_free(&watch_reply.event);
 }
 
 /* The first byte tells what replies are to. */
@@ -81,7 +91,7 @@
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static const enum brf_link_procedure asked[] = { BRF_LINK_SEND,
-		BRF_LINK_TABLE, BRF_LINK_TARGETS };
+		BRF_LINK_TABLE, BRF_LINK_TARGETS, BRF_LINK_WATCH };
 	struct brf_record_reader r = { .max_len = 65536 };
 	struct brf_rpc_header header;
 	struct brf_record record;
@@ -97,7 +107,7 @@
 		if (header.is_call)
 			read_call(header.procedure, &xdr, &record);
 		else if (header.status == BRF_RPC_SUCCESS)
-			read_reply(asked[data[0] % 3], &xdr, &record);
+			read_reply(asked[data[0] % 4], &xdr, &record);
 	}
 	brf_record_reader_free(&r);
 	return (0);
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -42,6 +42,7 @@
 	X(BRF_E_STORE_COMPACTED, "store_compacted")     \
 	X(BRF_E_STORE_BEHIND, "store_gone_back")        \
 	X(BRF_E_STORE_RESTORED, "store_restored")       \
+	X(BRF_E_RELAY_LOST, "relay_lost")               \
 	X(BRF_E_WRITE_UNKNOWN, "write_outcome_unknown") \
 	X(BRF_E_LIMIT, "limit_reached")
 
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -200,29 +200,44 @@
 };
 
 /**
- * struct brf_store - base of a store implementation; initialise with
- * brf_store_init().
+ * struct brf_store_state - what is known of the store itself; shared by all
+ * implementations that lead to the same store.
  * @observers: list of struct brf_store_observer
  * @epoch: latest epoch that is known; 0 when the store reports none
+ * @answered_at: clock time of the last response to this process; 0 before the
+ *	first
  */
-struct brf_store {
-	const struct brf_store_vt *vt;
+struct brf_store_state {
 	struct brf_list observers;
 	uint64_t epoch;
+	uint64_t answered_at;
+};
+
+/* Base of a store implementation. */
+struct brf_store {
+	const struct brf_store_vt *vt;
+	struct brf_store_state *state;
 };
 
 static inline void
-brf_store_init(struct brf_store *store, const struct brf_store_vt *vt)
+brf_store_init(struct brf_store *store, const struct brf_store_vt *vt,
+    struct brf_store_state *state)
 {
 	store->vt = vt;
-	brf_list_init(&store->observers);
-	store->epoch = 0;
+	store->state = state;
+	brf_list_init(&state->observers);
+}
+
+static inline uint64_t
+brf_store_epoch(const struct brf_store *store)
+{
+	return (store->state->epoch);
 }
 
 static inline void
 brf_store_observe(struct brf_store *store, struct brf_store_observer *observer)
 {
-	brf_list_append(&store->observers, &observer->link);
+	brf_list_append(&store->state->observers, &observer->link);
 }
 
 static inline void
--- a/src/config/store_client.c
+++ b/src/config/store_client.c
@@ -51,6 +51,7 @@
  */
 struct client {
 	struct brf_store store;
+	struct brf_store_state state;
 	struct brf_store_client_config config;
 	struct brf_list waiting;
 	struct brf_list refused;
@@ -352,7 +353,7 @@
 {
 	struct client *c = brf_calloc(1, sizeof(*c));
 
-	brf_store_init(&c->store, &client_vt);
+	brf_store_init(&c->store, &client_vt, &c->state);
 	c->config = *config;
 	c->tokens = config->burst;
 	c->refilled_at = brf_now(brf_timers_clock(config->timers));
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -172,7 +172,7 @@
 is_of_earlier_epoch(
     const struct brf_directory *d, const struct brf_entry *entry)
 {
-	return (entry->epoch != 0 && entry->epoch < d->store->epoch);
+	return (entry->epoch != 0 && entry->epoch < brf_store_epoch(d->store));
 }
 
 /* Whether @entry, of an earlier epoch, is newer than that of its target. */
@@ -334,6 +334,17 @@
 	return (d->follow);
 }
 
+void
+brf_directory_visit(const struct brf_directory *d,
+    void (*visit)(void *arg, const struct brf_directory_target *t), void *arg)
+{
+	struct brf_list *l;
+
+	brf_list_foreach (l, &d->targets)
+		visit(
+		    arg, brf_list_entry(l, struct brf_directory_target, link));
+}
+
 void
 brf_directory_count(
     const struct brf_directory *d, double *listed, double *lapsed)
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -82,6 +82,10 @@
 const struct brf_store_mirror *brf_directory_mirror(
     const struct brf_directory *d);
 
+/* Call @visit with @arg for each target. */
+void brf_directory_visit(const struct brf_directory *d,
+    void (*visit)(void *arg, const struct brf_directory_target *t), void *arg);
+
 /* Count the targets that the store has, and those that have lapsed. */
 void brf_directory_count(
     const struct brf_directory *d, double *listed, double *lapsed);
--- a/src/fleet/follow.c
+++ b/src/fleet/follow.c
@@ -273,13 +273,27 @@
 	retry_later(m, read_all);
 }
 
+/* Whether the watch ended because the store can't be reached. */
+static bool
+is_outage(const struct brf_error *err)
+{
+	return (err->code != BRF_E_STORE_COMPACTED &&
+		err->code != BRF_E_STORE_RESTORED &&
+		err->code != BRF_E_RELAY_LOST);
+}
+
 static void
 watch_ended(struct brf_store_watch *watch, const struct brf_error *err)
 {
 	struct brf_store_mirror *m =
 	    brf_container_of(watch, struct brf_store_mirror, watch);
 
-	mark_unreachable(m, err);
+	if (is_outage(err))
+		mark_unreachable(m, err);
+	else
+		brf_log(BRF_LOG_INFO, "watch_ended",
+		    BRF_LS("prefix", m->config.prefix),
+		    BRF_LU("revision", m->revision), BRF_LE(err));
 	retry_later(m, read_all);
 }
 
--- a/src/fleet/register.c
+++ b/src/fleet/register.c
@@ -5,8 +5,8 @@
 #include "base/log.h"
 #include "fleet/register.h"
 
-/* A lease is renewed four times within its time to live. */
-#define RENEW_US (BRF_REGISTRATION_TTL_S * BRF_US_PER_S / 4)
+/* A lease is renewed three times within its time to live. */
+#define RENEW_US (BRF_REGISTRATION_TTL_S * BRF_US_PER_S / 3)
 #define BACKOFF_FIRST_US (50 * BRF_US_PER_MS)
 #define BACKOFF_MOST_US (800 * BRF_US_PER_MS)
 
@@ -130,7 +130,7 @@
 {
 	r->busy = true;
 	r->current = rec;
-	r->call.request.epoch = r->store->epoch;
+	r->call.request.epoch = brf_store_epoch(r->store);
 	r->call.done = done;
 	brf_store_start(r->store, &r->call);
 }
@@ -278,7 +278,7 @@
 		return;
 	}
 	brf_buf_clear(&r->sent);
-	rec->entry.epoch = r->store->epoch;
+	rec->entry.epoch = brf_store_epoch(r->store);
 	brf_entry_write(&rec->entry, &r->sent);
 	r->sent_is_last = true;
 	r->call.request = (struct brf_store_request){ .op = BRF_STORE_PUT,
--- a/src/fleet/register.h
+++ b/src/fleet/register.h
@@ -18,7 +18,7 @@
  */
 
 #define BRF_REGISTRATION_TTL_S \
-	8u /* time to live of an entry whose node failed */
+	9u /* time to live of an entry whose node failed */
 
 struct brf_registration;
 
--- a/src/link/codec.c
+++ b/src/link/codec.c
@@ -1,4 +1,5 @@
 #include "bulrushford.h"
+#include "config/store_codec.h"
 #include "link/codec.h"
 
 #define XDR_UNIT 4u    /* bytes; XDR pads to a multiple of it */
@@ -473,3 +474,119 @@
 		return (malformed(err, "targets"));
 	return (true);
 }
+
+void
+brf_link_watch_call_put(
+    struct brf_buf *out, uint32_t xid, const struct brf_link_watch_call *call)
+{
+	struct brf_rpc_writer w;
+
+	begin_call(&w, out, call->prefix.len, xid, BRF_LINK_WATCH);
+	put_text(&w.xdr, &call->prefix);
+	put_u64(&w.xdr, call->epoch);
+	put_u64(&w.xdr, call->after);
+	brf_rpc_end(&w, true);
+}
+
+bool
+brf_link_watch_call_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_watch_call *call, struct brf_error *err)
+{
+	if (!get_text(xdr, record, &call->prefix, BRF_LINK_PREFIX_MAX) ||
+	    !get_u64(xdr, &call->epoch) || !get_u64(xdr, &call->after) ||
+	    !brf_rpc_at_end(xdr, record))
+		return (malformed(err, "watch"));
+	return (true);
+}
+
+static size_t
+changes_size(const struct brf_store_event *event)
+{
+	size_t i, size = 0;
+
+	for (i = 0; i < event->count; i++)
+		size +=
+		    FIXED_MAX + strlen(event->kvs[i].key) + event->kvs[i].len;
+	return (size);
+}
+
+static void
+put_change(XDR *xdr, const struct brf_store_kv *kv)
+{
+	struct brf_link_text key = { kv->key, strlen(kv->key) };
+	struct brf_link_text value = { kv->len != 0 ? kv->value : "", kv->len };
+
+	put_text(xdr, &key);
+	put_text(xdr, &value);
+	put_u64(xdr, kv->revision);
+	put_u32(xdr, kv->deleted);
+}
+
+void
+brf_link_watch_reply_put(
+    struct brf_buf *out, uint32_t xid, const struct brf_link_watch_reply *reply)
+{
+	const struct brf_store_event *event = &reply->event;
+	struct brf_rpc_writer w;
+	size_t i;
+
+	brf_rpc_begin_reply(
+	    &w, out, FIXED_MAX + changes_size(event), xid, BRF_RPC_SUCCESS);
+	put_u32(&w.xdr, reply->status);
+	put_u64(&w.xdr, reply->epoch);
+	put_u64(&w.xdr, event->revision);
+	put_u32(&w.xdr, (uint32_t)event->count);
+	for (i = 0; i < event->count; i++)
+		put_change(&w.xdr, &event->kvs[i]);
+	brf_rpc_end(&w, true);
+}
+
+static bool
+get_change(XDR *xdr, const struct brf_record *record, struct brf_store_kv *kv)
+{
+	struct brf_link_text key, value;
+	uint32_t deleted;
+
+	if (!get_text(xdr, record, &key, BRF_LINK_TEXT_MAX) ||
+	    memchr(key.data, '\0', key.len) != NULL ||
+	    !get_text(xdr, record, &value, BRF_BODY_MAX) ||
+	    !get_u64(xdr, &kv->revision) || !get_u32(xdr, &deleted))
+		return (false);
+	kv->key = brf_strdup(key.data, key.len);
+	kv->value = brf_strdup(value.data, value.len);
+	kv->len = value.len;
+	kv->deleted = deleted != 0;
+	return (true);
+}
+
+static bool
+get_changes(XDR *xdr, const struct brf_record *record, uint32_t count,
+    struct brf_store_event *event)
+{
+	event->kvs = brf_calloc(count, sizeof(*event->kvs));
+	while (event->count < count) {
+		if (!get_change(xdr, record, &event->kvs[event->count]))
+			return (false);
+		event->count++;
+	}
+	return (brf_rpc_at_end(xdr, record));
+}
+
+bool
+brf_link_watch_reply_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_watch_reply *reply, struct brf_error *err)
+{
+	uint32_t status, count;
+
+	memset(reply, 0, sizeof(*reply));
+	if (!get_u32(xdr, &status) || status >= BRF_LINK_WATCH_STATUS_COUNT ||
+	    !get_u64(xdr, &reply->epoch) ||
+	    !get_u64(xdr, &reply->event.revision) || !get_u32(xdr, &count) ||
+	    count > BRF_LINK_CHANGES_MAX)
+		return (malformed(err, "watch reply"));
+	reply->status = (enum brf_link_watch_status)status;
+	if (get_changes(xdr, record, count, &reply->event))
+		return (true);
+	brf_store_event_free(&reply->event);
+	return (malformed(err, "watch reply"));
+}
--- a/src/link/codec.h
+++ b/src/link/codec.h
@@ -1,6 +1,7 @@
 #ifndef BRF_LINK_CODEC_H
 #define BRF_LINK_CODEC_H
 
+#include "config/store.h"
 #include "flow/hop.h"
 #include "wire/rpc.h"
 
@@ -26,6 +27,8 @@
  *			of a newer table, or 0 and nothing
  *	TARGETS		no arguments; the reply is opaque: the targets that
  *			the callee knows
+ *	WATCH		struct brf_link_watch_call; the reply, which may be
+ *			delayed, is struct brf_link_watch_reply
  */
 
 #define BRF_LINK_PROGRAM 0x20b1d002u
@@ -39,11 +42,14 @@
 	BRF_LINK_CANCEL,
 	BRF_LINK_REVISION,
 	BRF_LINK_TABLE,
-	BRF_LINK_TARGETS
+	BRF_LINK_TARGETS,
+	BRF_LINK_WATCH
 };
 
-#define BRF_LINK_PART_MAX 16384u  /* bytes of a body in one message */
-#define BRF_LINK_TEXT_MAX 524288u /* bytes of any other text of a hop */
+#define BRF_LINK_PART_MAX 16384u   /* bytes of a body in one message */
+#define BRF_LINK_TEXT_MAX 524288u  /* bytes of any other text of a hop */
+#define BRF_LINK_PREFIX_MAX 127u   /* bytes of a watched prefix */
+#define BRF_LINK_CHANGES_MAX 4096u /* changes in one reply to WATCH */
 
 /**
  * struct brf_link_text - bytes that it does not own, without a NUL at
@@ -145,6 +151,43 @@
 	uint32_t bytes;
 };
 
+/**
+ * struct brf_link_watch_call - asks a node that watches the store for changes.
+ * @prefix: of the keys
+ * @epoch: epoch of the store in which @after is valid
+ * @after: only changes of later revisions are wanted; 0 for all current keys
+ */
+struct brf_link_watch_call {
+	struct brf_link_text prefix;
+	uint64_t epoch;
+	uint64_t after;
+};
+
+/**
+ * enum brf_link_watch_status - result of a WATCH.
+ * @BRF_LINK_WATCH_OK: the reply has all changes up to its revision, or all keys
+ * @BRF_LINK_WATCH_COMPACTED: the node does not have the changes from there on
+ * @BRF_LINK_WATCH_UNAVAILABLE: the node does not watch the store itself, or
+ *	does not reach it
+ */
+enum brf_link_watch_status {
+	BRF_LINK_WATCH_OK,
+	BRF_LINK_WATCH_COMPACTED,
+	BRF_LINK_WATCH_UNAVAILABLE,
+	BRF_LINK_WATCH_STATUS_COUNT
+};
+
+/**
+ * struct brf_link_watch_reply - result of a WATCH.
+ * @epoch: of the store, as the node knows it
+ * @event: empty unless the status is BRF_LINK_WATCH_OK
+ */
+struct brf_link_watch_reply {
+	enum brf_link_watch_status status;
+	uint64_t epoch;
+	struct brf_store_event event;
+};
+
 BRF_BEGIN_DECLS
 
 /*
@@ -201,6 +244,18 @@
 bool brf_link_targets_get(XDR *xdr, const struct brf_record *record,
     struct brf_link_text *text, struct brf_error *err);
 
+void brf_link_watch_call_put(
+    struct brf_buf *out, uint32_t xid, const struct brf_link_watch_call *call);
+bool brf_link_watch_call_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_watch_call *call, struct brf_error *err);
+
+void brf_link_watch_reply_put(struct brf_buf *out, uint32_t xid,
+    const struct brf_link_watch_reply *reply);
+
+/* After success give @reply->event to brf_store_event_free(). */
+bool brf_link_watch_reply_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_watch_reply *reply, struct brf_error *err);
+
 BRF_END_DECLS
 
 #endif
--- a/src/link/conn.c
+++ b/src/link/conn.c
@@ -15,6 +15,7 @@
 
 	for (i = 0; i < BRF_LINK_BUCKETS; i++)
 		brf_list_init(&lc->streams[i]);
+	brf_list_init(&lc->watchers);
 	lc->received_at = brf_links_now(links);
 	brf_conn_init(&lc->conn, vt, &links->set);
 }
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -272,6 +272,11 @@
 		return (false);
 	if (handled || header.xid == XID_PING)
 		return (true);
+	if (!brf_link_watch_handle_reply(
+		lc, &header, &xdr, record, &handled, err))
+		return (false);
+	if (handled)
+		return (true);
 	s = brf_link_find_stream(lc, header.xid);
 	if (s == NULL)
 		return (true); /* the hop was cancelled */
@@ -351,6 +356,9 @@
 		    BRF_LE(err), BRF_LU("failures", link->failures));
 	}
 	end_queue(link);
+	link->refs++; /* the callbacks may release the last reference */
+	brf_link_watches_lost(link);
+	link->refs--;
 	brf_link_free_if_unused(link);
 }
 
@@ -435,6 +443,8 @@
 	lc->received_at = brf_links_now(brf_links_of(lc));
 	brf_conn_start(&lc->conn);
 	brf_link_conn_send_hello(lc, 0, false);
+	if (lc->link != NULL)
+		brf_link_watches_send(lc->link);
 }
 
 static void
@@ -457,6 +467,19 @@
 		close_conn(lc, uv_strerror(rc));
 }
 
+bool
+brf_link_dial(struct brf_link *link)
+{
+	struct brf_links *links = link->links;
+
+	if (link->lc == NULL &&
+	    (brf_links_now(links) < link->down_until || links->closing))
+		return (false);
+	if (link->lc == NULL)
+		dial(link);
+	return (link->lc != NULL);
+}
+
 static void
 link_send(struct brf_hop_backend *backend, struct brf_hop *hop)
 {
@@ -479,13 +502,10 @@
 	if (hop->request_body != NULL)
 		hop->request_body->reader = &sh->s.work;
 	brf_list_append(&link->queue, &sh->s.link);
-	if (link->lc == NULL &&
-	    (brf_links_now(links) < link->down_until || links->closing)) {
+	if (!brf_link_dial(link)) {
 		end_queue(link);
 		return;
 	}
-	if (link->lc == NULL)
-		dial(link);
 	if (link->lc != NULL && link->lc->connected)
 		brf_conn_schedule_write(&link->lc->conn);
 }
--- a/src/link/impl.h
+++ b/src/link/impl.h
@@ -9,8 +9,9 @@
  * DOC: Declarations that the files of this directory share.
  *
  * links.c manages the links, conn.c handles the messages that either end of a
- * connection may send, dial.c sends hops, serve.c receives them, and body.c
- * transfers bodies within their flow control windows.
+ * connection may send, dial.c sends hops, serve.c receives them, body.c
+ * transfers bodies within their flow control windows, and watch.c carries
+ * watches of the store.
  */
 
 #define BRF_LINK_WINDOW 65536u	   /* bytes of a body not yet read, at most */
@@ -45,6 +46,7 @@
  * @link: the link it was dialed for; NULL when accepted or lost
  * @timer: on a dialed connection, the connect timeout, then the check for
  * silence while streams are open
+ * @watchers: on an accepted connection, list of struct brf_link_watcher
  * @streams: hash table of the open streams, by xid
  * @open_streams: their number
  * @received_at: on a dialed connection, clock time of the last message from
@@ -60,6 +62,7 @@
 	struct brf_link *link;
 	uv_connect_t connect;
 	struct brf_timer timer;
+	struct brf_list watchers;
 	struct brf_list streams[BRF_LINK_BUCKETS];
 	size_t open_streams;
 	uint32_t next_xid;
@@ -119,6 +122,7 @@
  * @name: address and port, for the log
  * @lc: the dialed connection; NULL for none
  * @queue: streams whose request is not written yet
+ * @watches: list of struct brf_link_watch
  * @hops: number of hops that were sent and not yet released by their senders
  * @down_until: clock time before which no connection is attempted
  * @failures: number of consecutive failed connections
@@ -133,6 +137,8 @@
 	char name[INET_ADDRSTRLEN + 8];
 	struct brf_link_conn *lc;
 	struct brf_list queue;
+	struct brf_list watches;
+	uint32_t next_watch_xid;
 	size_t hops;
 	uint64_t down_until;
 	unsigned failures;
@@ -221,7 +227,33 @@
     const struct brf_link_text *part, bool end, bool broken,
     struct brf_error *err);
 
+/* watch.c */
+/* Send the watches of a connected link that were not sent yet. */
+void brf_link_watches_send(struct brf_link *link);
+
+/* End all watches of a link whose connection is lost. */
+void brf_link_watches_lost(struct brf_link *link);
+
+/**
+ * brf_link_watch_handle_reply() - handle the reply to a watch.
+ * @handled: set to whether the message was one
+ *
+ * Return: false with @err set when the connection must be closed.
+ */
+bool brf_link_watch_handle_reply(struct brf_link_conn *lc,
+    const struct brf_rpc_header *header, XDR *xdr,
+    const struct brf_record *record, bool *handled, struct brf_error *err);
+
+/* Handle a watch of another node. */
+bool brf_link_watch_serve(struct brf_link_conn *lc, uint32_t xid, XDR *xdr,
+    const struct brf_record *record, struct brf_error *err);
+
+/* Free the watchers of an accepted connection that is lost. */
+void brf_link_watchers_lost(struct brf_link_conn *lc);
+
 /* dial.c */
+/* Open a connection if there is none. Return: false while backing off. */
+bool brf_link_dial(struct brf_link *link);
 extern const struct brf_hop_backend_vt brf_link_backend_vt;
 extern const struct brf_conn_vt brf_link_dialed_vt;
 
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -7,7 +7,9 @@
 
 #include "base/metrics.h"
 #include "base/timer.h"
+#include "config/store.h"
 #include "flow/hop.h"
+#include "link/codec.h"
 
 /**
  * DOC: Links carry hops to the gates of other nodes, as ONC RPC over TCP.
@@ -27,7 +29,8 @@
  * Each side sends the revision of its routing table when a connection opens
  * and whenever the table changes, and sends the text of the table on request.
  * A node that has not read the store yet requests the known targets from its
- * peers.
+ * peers.  A node may also watch the store by way of a peer: it sends a watch,
+ * and the peer replies when it has received a change.
  *
  * The process must ignore SIGPIPE.
  */
@@ -54,9 +57,11 @@
 };
 
 struct brf_link;
+struct brf_link_conn;
 struct brf_links;
 struct brf_link_table_handler;
 struct brf_link_targets_handler;
+struct brf_link_watch_handler;
 
 /**
  * struct brf_link_table_handler_vt - access of links to the routing table.
@@ -98,12 +103,68 @@
 	const struct brf_link_targets_handler_vt *vt;
 };
 
+/**
+ * struct brf_link_watch - a watch sent to the node of a link; owned by the
+ * caller.
+ * @call: read during brf_link_watch_start()
+ * @done: called once with the reply, which is valid during the call, or with
+ * NULL when the connection was lost or the node does not know watches; not
+ * after brf_link_watch_cancel()
+ *
+ * The other members are private to the links.
+ */
+struct brf_link_watch {
+	struct brf_link_watch_call call;
+	void (*done)(struct brf_link_watch *watch,
+	    const struct brf_link_watch_reply *reply);
+	struct brf_list link;
+	uint32_t xid;
+	bool sent;
+};
+
+/**
+ * struct brf_link_watcher - a watch received from another node, without a reply
+ * yet; owned by the links.
+ * @link: for the handler
+ * @prefix: of the keys that are watched
+ * @epoch: see struct brf_link_watch_call, also for @after
+ * @data: for the handler, zero at first
+ */
+struct brf_link_watcher {
+	struct brf_list link;
+	char prefix[BRF_LINK_PREFIX_MAX + 1];
+	uint64_t epoch;
+	uint64_t after;
+	uint64_t data;
+	struct brf_list conn_link;
+	struct brf_link_conn *lc;
+	uint32_t xid;
+};
+
+/**
+ * struct brf_link_watch_handler_vt - serves watches of other nodes.
+ * @start: called with each watch, to be replied to by brf_link_watcher_reply()
+ * at any later time, also before this returns
+ * @gone: @watcher is not replied to and is freed after the call
+ */
+struct brf_link_watch_handler_vt {
+	void (*start)(struct brf_link_watch_handler *handler,
+	    struct brf_link_watcher *watcher);
+	void (*gone)(struct brf_link_watch_handler *handler,
+	    struct brf_link_watcher *watcher);
+};
+
+struct brf_link_watch_handler {
+	const struct brf_link_watch_handler_vt *vt;
+};
+
 /**
  * struct brf_links_config - arguments of brf_links_new(); whatever they point
  * to must outlive the links.
  * @gate: runs the hops that other nodes send
  * @news: access to the routing table; NULL for none
  * @hints: exchange of targets; NULL for none
+ * @watches: serves watches of other nodes; NULL for none
  * @node: name of this node, sent to its peers
  * @service: service of this VM's target, sent to peers; read again for each
  * brf_links_announce_service()
@@ -116,6 +177,7 @@
 	struct brf_hop_backend *gate;
 	struct brf_link_table_handler *news;
 	struct brf_link_targets_handler *hints;
+	struct brf_link_watch_handler *watches;
 	const char *node;
 	const char *service;
 };
@@ -164,6 +226,21 @@
  */
 void brf_link_release(struct brf_link *link);
 
+/**
+ * brf_link_watch_start() - send @watch to the link's node; opens a connection
+ * when there is none.
+ *
+ * Return: false when no connection is possible now; @watch is not started.
+ */
+bool brf_link_watch_start(struct brf_link *link, struct brf_link_watch *watch);
+
+/* Forget @watch; does nothing when it is not started. */
+void brf_link_watch_cancel(struct brf_link_watch *watch);
+
+/* Reply to @watcher and free it. */
+void brf_link_watcher_reply(
+    struct brf_link_watcher *watcher, const struct brf_link_watch_reply *reply);
+
 /* Send the revision of the table in force to all connected peers. */
 void brf_links_announce_table(struct brf_links *links);
 
--- a/src/link/serve.c
+++ b/src/link/serve.c
@@ -228,6 +228,9 @@
 		if (s != NULL)
 			served_free(served_of(s));
 		return (true);
+	case BRF_LINK_WATCH:
+		return (
+		    brf_link_watch_serve(lc, header->xid, xdr, record, err));
 	default:
 		brf_rpc_write_status(
 		    &lc->conn.out, header->xid, BRF_RPC_PROC_UNAVAIL);
@@ -282,6 +285,7 @@
 	if (lc->open_streams != 0)
 		brf_log(BRF_LOG_INFO, "caller_link_lost", BRF_LE(err),
 		    BRF_LU("open", lc->open_streams));
+	brf_link_watchers_lost(lc);
 	for (i = 0; i < BRF_LINK_BUCKETS; i++) {
 		while ((l = brf_list_pop(&lc->streams[i])) != NULL)
 			served_free(served_of(
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -90,7 +90,8 @@
 static void
 follow_table(struct brf_mesh_node *node)
 {
-	struct brf_store_mirror_config config = { .store = node->store,
+	struct brf_store_mirror_config config = { .store = brf_mesh_relay_store(
+						      node->relay),
 		.timers = node->scheduler.timers,
 		.random = node->random,
 		.prefix = node->adapter->table_prefix,
@@ -377,6 +378,24 @@
 	node->log_load.arg = node;
 }
 
+static void
+make_store(struct brf_mesh_node *node)
+{
+	struct brf_mesh_relay_config relay = {
+		.timers = node->scheduler.timers,
+		.metrics = node->metrics,
+		.node = node->settings.node,
+		.zone = node->settings.zone,
+	};
+
+	node->http = brf_http_loop_new(
+	    &node->loop, node->scheduler.timers, node->metrics);
+	node->store = node->adapter->vt->store_new(node->http,
+	    node->scheduler.timers, node->metrics, &node->settings.store);
+	relay.origin = node->store;
+	node->relay = brf_mesh_relay_new(&relay);
+}
+
 static void
 make_gate(struct brf_mesh_node *node)
 {
@@ -397,6 +416,7 @@
 		.metrics = node->metrics,
 		.news = &node->tables.news,
 		.hints = &node->hints.hints,
+		.watches = brf_mesh_relay_handler(node->relay),
 		.node = node->settings.node,
 		.service = node->settings.service };
 
@@ -430,18 +450,15 @@
 		.retry_budget_window_us = s->retry_window_us,
 	};
 
-	node->http = brf_http_loop_new(
-	    &node->loop, node->scheduler.timers, node->metrics);
-	node->store = node->adapter->vt->store_new(
-	    node->http, node->scheduler.timers, node->metrics, &s->store);
 	brf_mesh_services_init(&node->services, &config);
 	node->services.own_target_seen = own_target_seen;
 	node->services.arg = node;
 	node->registration = brf_registration_new(
 	    node->store, node->scheduler.timers, node->random);
-	node->directory = brf_directory_new(node->store, node->scheduler.timers,
-	    node->random, &node->services.watcher);
+	node->directory = brf_directory_new(brf_mesh_relay_store(node->relay),
+	    node->scheduler.timers, node->random, &node->services.watcher);
 	node->hints.directory = node->directory;
+	brf_mesh_relay_connect(node->relay, node->links, node->directory);
 	follow_table(node);
 }
 
@@ -518,6 +535,7 @@
 	    STDOUT_FILENO, node->settings.log_level, node->settings.node);
 	brf_log_hold();
 	make_loop(node);
+	make_store(node);
 	make_gate(node);
 	make_fleet(node);
 	make_callers(node);
@@ -565,9 +583,11 @@
 	brf_http_server_free(node->admin);
 	brf_store_mirror_free(node->table_follow);
 	node->hints.directory = NULL;
+	brf_mesh_relay_connect(node->relay, node->links, NULL);
 	brf_directory_free(node->directory);
 	brf_registration_free(node->registration);
 	brf_mesh_services_finish(&node->services);
+	brf_mesh_relay_free(node->relay);
 	node->adapter->vt->store_free(node->store);
 	brf_links_free(node->links);
 	brf_mesh_gate_free(node->gate);
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -10,6 +10,7 @@
 #include "mesh/gate.h"
 #include "mesh/gauges.h"
 #include "mesh/hints.h"
+#include "mesh/relay.h"
 #include "mesh/settings.h"
 #include "policy/stop.h"
 #include "fleet/register.h"
@@ -38,6 +39,7 @@
  *	nanoseconds; 0 when it could not be read
  * @signals: handles for SIGTERM, SIGINT and SIGHUP
  * @gate: admission to this VM's target
+ * @relay: watches of @store, possibly by way of another node
  * @directory: targets of the whole fleet
  * @registration: the entry of this VM's target in the store
  * @table_follow: watch of the routing table in the store
@@ -69,6 +71,7 @@
 	struct brf_mesh_tables tables;
 	struct brf_http_loop *http;
 	struct brf_store *store;
+	struct brf_mesh_relay *relay;
 	struct brf_mesh_gate *gate;
 	struct brf_links *links;
 	struct brf_mesh_hints hints;
--- /dev/null
+++ b/src/mesh/relay_impl.h
@@ -0,0 +1,189 @@
+#ifndef BRF_MESH_RELAY_IMPL_H
+#define BRF_MESH_RELAY_IMPL_H
+
+#include "fleet/watch_log.h"
+#include "mesh/relay.h"
+#include "policy/relay.h"
+
+/**
+ * DOC: Declarations that the files of relays share.
+ *
+ * relay_query.c chooses a relay and asks it, relay_read.c reads keys, relay.c
+ * keeps the watches of this node, and relay_serve.c replies to other nodes.
+ */
+
+/**
+ * enum brf_query_result - how a query ended.
+ * @BRF_QUERY_OK: with an event
+ * @BRF_QUERY_COMPACTED: the relay does not have what was asked for
+ * @BRF_QUERY_FAILED: the relay is lost, or does not watch the store; it is
+ *	avoided for a while
+ */
+enum brf_query_result {
+	BRF_QUERY_OK,
+	BRF_QUERY_COMPACTED,
+	BRF_QUERY_FAILED
+};
+
+/**
+ * struct brf_query - asks a relay; initialise with brf_query_init().
+ * @via: the watch sent to the relay
+ * @link: to the relay; NULL while none is chosen
+ * @relay: name of the relay; empty while none is chosen
+ * @silence: ends a query without a reply
+ * @done: called at the end of each query; @event is NULL unless the result is
+ *	BRF_QUERY_OK
+ */
+struct brf_query {
+	struct brf_mesh_relay *owner;
+	struct brf_link_watch via;
+	struct brf_link *link;
+	char relay[BRF_NAME_MAX + 1];
+	struct brf_timer silence;
+	void (*done)(struct brf_query *query, enum brf_query_result result,
+	    const struct brf_store_event *event);
+};
+
+/**
+ * struct brf_feed - an open watch of this node.
+ * @outer: the watch of the feed's owner
+ * @inner: on the store, while @direct
+ * @query: to a relay, unless @direct
+ * @first_poll: delays the first poll of the store
+ * @log: what was received directly from the store
+ * @revision: up to which changes were delivered
+ * @asked_at: clock time at which another node last asked for its changes; 0
+ *	for never
+ * @direct: the source is the store
+ * @polling: @inner is started
+ * @relayed: a relay has replied, so that changes may be missing in @log
+ * @in_event: the owner's event callback is running
+ * @stopped: the callback stopped the watch, which is freed after it
+ */
+struct brf_feed {
+	struct brf_list member;
+	struct brf_mesh_relay *owner;
+	struct brf_store_watch *outer;
+	struct brf_store_watch inner;
+	struct brf_query query;
+	struct brf_timer first_poll;
+	struct brf_watch_log log;
+	uint64_t revision;
+	uint64_t asked_at;
+	bool direct;
+	bool polling;
+	bool relayed;
+	bool in_event;
+	bool stopped;
+};
+
+/**
+ * struct brf_relay_avoided - a relay that failed.
+ * @until: clock time until which it is not asked
+ */
+struct brf_relay_avoided {
+	char name[BRF_NAME_MAX + 1];
+	uint64_t until;
+};
+
+/**
+ * struct brf_mesh_relay - see relay.h.
+ * @store: the store whose reads and watches may go to a relay
+ * @feeds: list of struct brf_feed
+ * @reads: list of open reads
+ * @read_logs: list of what was read directly and is not watched yet
+ * @watchers: list of struct brf_link_watcher without a reply
+ * @tick: reviews @feeds and @watchers every BRF_RELAY_PROGRESS_US
+ * @members: hash of the set of the zone's nodes
+ * @members_since: clock time since which it is the same
+ */
+struct brf_mesh_relay {
+	struct brf_store store;
+	struct brf_link_watch_handler handler;
+	struct brf_store_observer observer;
+	struct brf_mesh_relay_config config;
+	struct brf_links *links;
+	const struct brf_directory *directory;
+	struct brf_list feeds;
+	struct brf_list reads;
+	struct brf_list read_logs;
+	struct brf_list watchers;
+	struct brf_timer tick;
+	struct brf_relay_avoided avoided[BRF_RELAYS_PER_ZONE];
+	uint64_t members;
+	uint64_t members_since;
+	struct brf_metric *direct;
+	struct brf_metric *relayed;
+	struct brf_metric *served;
+};
+
+/**
+ * enum brf_relay_choice - where to get changes from next.
+ * @BRF_RELAY_SAME: from where they come now
+ * @BRF_RELAY_STORE: from the store itself
+ * @BRF_RELAY_OTHER: from another relay
+ */
+enum brf_relay_choice {
+	BRF_RELAY_SAME,
+	BRF_RELAY_STORE,
+	BRF_RELAY_OTHER
+};
+
+static inline uint64_t
+brf_mesh_relay_now(const struct brf_mesh_relay *r)
+{
+	return (brf_now(brf_timers_clock(r->config.timers)));
+}
+
+/* relay_query.c */
+void brf_query_init(struct brf_query *query, struct brf_mesh_relay *owner,
+    void (*done)(struct brf_query *query, enum brf_query_result result,
+	const struct brf_store_event *event));
+
+/**
+ * brf_relay_choose() - choose the source of changes.
+ * @current: name of the relay that is asked now; empty for the store
+ * @entry: set to that of the relay when BRF_RELAY_OTHER is returned
+ */
+enum brf_relay_choice brf_relay_choose(struct brf_mesh_relay *r,
+    const char *current, const struct brf_entry **entry);
+
+/* Connect to the node of @entry. Return: false when it can't be reached now. */
+bool brf_query_open(struct brf_query *query, const struct brf_entry *entry);
+
+/* Ask the relay for the changes after @after; @prefix outlives the query. */
+void brf_query_ask(struct brf_query *query, const char *prefix, uint64_t after);
+
+/* Forget the relay and an open query. */
+void brf_query_close(struct brf_query *query);
+
+/* relay_read.c */
+/* Return: false when the call is no read of a prefix. */
+bool brf_relay_read_start(
+    struct brf_mesh_relay *r, struct brf_store_call *call);
+bool brf_relay_read_cancel(
+    struct brf_mesh_relay *r, struct brf_store_call *call);
+
+/* End all reads, as the store was restored. */
+void brf_relay_reads_restored(struct brf_mesh_relay *r);
+
+/**
+ * brf_relay_take_read() - take what was read directly from the store.
+ * @log: set to it when it is of @revision; empty otherwise
+ */
+void brf_relay_take_read(struct brf_mesh_relay *r, const char *prefix,
+    uint64_t revision, struct brf_watch_log *log);
+void brf_relay_reads_free(struct brf_mesh_relay *r);
+
+/* relay_serve.c */
+extern const struct brf_link_watch_handler_vt brf_relay_handler_vt;
+
+/* Reply to watchers that have waited long enough, or that can be told news. */
+void brf_relay_serve(struct brf_mesh_relay *r);
+
+/* relay.c */
+/* Return: NULL when this node does not watch @prefix. */
+struct brf_feed *brf_relay_find_feed(
+    const struct brf_mesh_relay *r, const char *prefix);
+
+#endif
--- /dev/null
+++ b/src/mesh/relay_query.c
@@ -0,0 +1,199 @@
+#include "base/log.h"
+#include "mesh/relay_impl.h"
+
+static bool
+is_avoided(const struct brf_mesh_relay *r, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < BRF_RELAYS_PER_ZONE; i++) {
+		if (strcmp(r->avoided[i].name, name) == 0 &&
+		    brf_mesh_relay_now(r) < r->avoided[i].until)
+			return (true);
+	}
+	return (false);
+}
+
+/* Replaces the entry of the same relay, or else the oldest one. */
+static void
+avoid(struct brf_mesh_relay *r, const char *name)
+{
+	struct brf_relay_avoided *a = &r->avoided[0];
+	size_t i;
+
+	for (i = 0; i < BRF_RELAYS_PER_ZONE; i++) {
+		if (strcmp(r->avoided[i].name, name) == 0) {
+			a = &r->avoided[i];
+			break;
+		}
+		if (r->avoided[i].until < a->until)
+			a = &r->avoided[i];
+	}
+	brf_copy_name(a->name, sizeof(a->name), name);
+	a->until = brf_mesh_relay_now(r) + BRF_RELAY_AVOID_US;
+}
+
+/**
+ * struct visit - the nodes of the zone, gathered from the directory.
+ * @current: name of the relay that is asked now
+ * @current_listed: the directory still has it
+ */
+struct visit {
+	struct brf_mesh_relay *r;
+	struct brf_relay_ranking ranking;
+	const char *current;
+	bool current_listed;
+};
+
+static void
+rank_target(void *arg, const struct brf_directory_target *t)
+{
+	struct visit *v = arg;
+
+	if (t->lapsed || t->entry.state != BRF_TARGET_READY ||
+	    strcmp(t->entry.zone, v->r->config.zone) != 0)
+		return;
+	brf_relay_rank(&v->ranking, t->entry.node, &t->entry);
+	if (strcmp(t->entry.node, v->current) == 0)
+		v->current_listed = true;
+}
+
+static bool
+is_usable(void *arg, const void *data)
+{
+	const struct brf_entry *entry = data;
+
+	return (!is_avoided(arg, entry->node));
+}
+
+static bool
+is_settled(struct brf_mesh_relay *r, const struct brf_relay_ranking *ranking)
+{
+	if (ranking->members != r->members) {
+		r->members = ranking->members;
+		r->members_since = brf_mesh_relay_now(r);
+	}
+	return (
+	    brf_mesh_relay_now(r) >= r->members_since + BRF_RELAY_SETTLE_US);
+}
+
+enum brf_relay_choice
+brf_relay_choose(struct brf_mesh_relay *r, const char *current,
+    const struct brf_entry **entry)
+{
+	struct visit v = { .r = r, .current = current };
+	bool settled;
+
+	if (r->directory == NULL)
+		return (BRF_RELAY_STORE);
+	brf_directory_visit(r->directory, rank_target, &v);
+	settled = is_settled(r, &v.ranking);
+	if (v.current_listed && !settled)
+		return (BRF_RELAY_SAME);
+	*entry = brf_relay_pick(&v.ranking, r->config.node, is_usable, r);
+	if (*entry == NULL)
+		return (BRF_RELAY_STORE);
+	if (strcmp((*entry)->node, current) == 0)
+		return (BRF_RELAY_SAME);
+	return (BRF_RELAY_OTHER);
+}
+
+static void
+end_query(struct brf_query *q, enum brf_query_result result, const char *why)
+{
+	brf_timer_stop(q->owner->config.timers, &q->silence);
+	brf_link_watch_cancel(&q->via);
+	if (result == BRF_QUERY_FAILED) {
+		brf_log(BRF_LOG_INFO, "relay_lost", BRF_LS("relay", q->relay),
+		    BRF_LS("why", why));
+		avoid(q->owner, q->relay);
+	}
+	q->done(q, result, NULL);
+}
+
+static void
+on_silence(struct brf_timer *timer, void *arg)
+{
+	(void)timer;
+	end_query(arg, BRF_QUERY_FAILED, "silent");
+}
+
+static void
+on_reply(struct brf_link_watch *via, const struct brf_link_watch_reply *reply)
+{
+	struct brf_query *q = brf_container_of(via, struct brf_query, via);
+	struct brf_mesh_relay *r = q->owner;
+	uint64_t epoch = brf_store_epoch(&r->store);
+
+	brf_timer_stop(r->config.timers, &q->silence);
+	if (reply == NULL) {
+		end_query(q, BRF_QUERY_FAILED, "connection lost");
+	} else if (reply->epoch > epoch && epoch != 0) {
+		brf_store_learn_epoch(&r->store, reply->epoch); /* ends @q */
+	} else if (reply->epoch < epoch) {
+		end_query(q, BRF_QUERY_FAILED, "earlier epoch");
+	} else if (reply->status == BRF_LINK_WATCH_UNAVAILABLE) {
+		end_query(q, BRF_QUERY_FAILED, "not watching the store");
+	} else if (reply->status == BRF_LINK_WATCH_COMPACTED) {
+		end_query(q, BRF_QUERY_COMPACTED, "");
+	} else {
+		brf_store_learn_epoch(&r->store, reply->epoch);
+		q->done(q, BRF_QUERY_OK, &reply->event);
+	}
+}
+
+void
+brf_query_init(struct brf_query *q, struct brf_mesh_relay *owner,
+    void (*done)(struct brf_query *query, enum brf_query_result result,
+	const struct brf_store_event *event))
+{
+	memset(q, 0, sizeof(*q));
+	q->owner = owner;
+	q->done = done;
+	q->via.done = on_reply;
+	brf_list_init(&q->via.link);
+	q->silence = (struct brf_timer){ .fire = on_silence, .arg = q };
+}
+
+bool
+brf_query_open(struct brf_query *q, const struct brf_entry *entry)
+{
+	struct brf_link *link = brf_links_get(q->owner->links, &entry->gate);
+
+	if (brf_link_health(link) == BRF_LINK_DOWN) {
+		avoid(q->owner, entry->node);
+		brf_link_release(link);
+		return (false);
+	}
+	brf_query_close(q);
+	brf_copy_name(q->relay, sizeof(q->relay), entry->node);
+	q->link = link;
+	return (true);
+}
+
+void
+brf_query_ask(struct brf_query *q, const char *prefix, uint64_t after)
+{
+	struct brf_mesh_relay *r = q->owner;
+
+	q->via.call.prefix.data = prefix;
+	q->via.call.prefix.len = strlen(prefix);
+	q->via.call.epoch = brf_store_epoch(&r->store);
+	q->via.call.after = after;
+	brf_timer_start(r->config.timers, &q->silence, BRF_RELAY_SILENT_US);
+	if (!brf_link_watch_start(q->link, &q->via))
+		end_query(q, BRF_QUERY_FAILED, "no connection");
+}
+
+void
+brf_query_close(struct brf_query *q)
+{
+	struct brf_link *link = q->link;
+
+	brf_timer_stop(q->owner->config.timers, &q->silence);
+	brf_link_watch_cancel(&q->via);
+	q->link = NULL;
+	q->relay[0] = '\0';
+	if (link != NULL)
+		brf_link_release(link);
+}
--- a/test/e2e/test_operations.py
+++ b/test/e2e/test_operations.py
@@ -7,6 +7,7 @@
 # What bulrushford-node is built from.
 FOLDERS = ("src/mesh", "src/fleet", "src/link", "src/flow", "src/http",
            "platform")
+FILES = (pathlib.Path("src/config/store.c"),)
 PAGE = pathlib.Path("docs/OPERATIONS.md")
 METRIC = re.compile(r"brf_[a-z]+(?:_[a-z]+)+")
 
@@ -15,6 +16,8 @@
     for folder in FOLDERS:
         for path in sorted(pathlib.Path(folder).glob("*.c")):
             yield path.read_text()
+    for path in FILES:
+        yield path.read_text()
 
 
 def events_in_code():
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -65,9 +65,9 @@
 	{
 		auto *c = static_cast<struct mirror_copy *>(arg);
 
-		if (c->store->epoch != c->epoch)
+		if (brf_store_epoch(c->store) != c->epoch)
 			c->revisions.clear();
-		c->epoch = c->store->epoch;
+		c->epoch = brf_store_epoch(c->store);
 		if (kv->revision <= c->revisions[kv->key])
 			c->revision_decreased = true;
 		c->revisions[kv->key] = kv->revision;
--- a/test/link_fake.h
+++ b/test/link_fake.h
@@ -197,7 +197,8 @@
 	}
 
 	linked_node(struct flow_bench &bench, const char *name,
-	    const char *service_name)
+	    const char *service_name,
+	    struct brf_link_watch_handler *watches = nullptr)
 	    : gate(&bench.scheduler.tasks)
 	{
 		static const struct brf_link_table_handler_vt vt = { revision,
@@ -220,6 +221,7 @@
 		config.gate = &gate.backend;
 		config.news = &news.news;
 		config.hints = &hints.hints;
+		config.watches = watches;
 		config.node = name;
 		config.service = service;
 		links = brf_links_new(&config);
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "config/store_codec.h"
 #include "link/codec.h"
 #include "link_fake.h"
 
@@ -584,3 +585,82 @@
 	}
 	brf_buf_free(&out);
 }
+
+RC_GTEST_PROP(link_codec, a_watch_reply_is_decoded_as_it_was_encoded, ())
+{
+	auto keys = *rc::gen::container<std::vector<std::string>>(
+	    rc::gen::nonEmpty(rc::gen::string<std::string>()));
+	std::vector<struct brf_store_kv> kvs;
+	struct brf_record_reader reader = {};
+	struct brf_link_watch_reply sent = {}, received;
+	struct brf_rpc_header header;
+	struct brf_record record;
+	struct brf_buf out = {};
+	struct brf_error err;
+	XDR xdr;
+
+	for (std::string &key : keys) {
+		key.erase(std::remove(key.begin(), key.end(), '\0'), key.end());
+		struct brf_store_kv kv = {};
+		kv.key = &key[0];
+		kv.value = &key[0];
+		kv.len = key.size();
+		kv.revision = *rc::gen::arbitrary<uint64_t>();
+		kv.deleted = *rc::gen::arbitrary<bool>();
+		kvs.push_back(kv);
+	}
+	sent.status = BRF_LINK_WATCH_OK;
+	sent.epoch = *rc::gen::arbitrary<uint64_t>();
+	sent.event = { *rc::gen::arbitrary<uint64_t>(), kvs.data(),
+		kvs.size() };
+	brf_link_watch_reply_put(&out, 7, &sent);
+	brf_record_feed(&reader, out.data, out.len);
+	RC_ASSERT(
+	    brf_record_next(&reader, &record, &err) == BRF_RECORD_COMPLETE);
+	RC_ASSERT(brf_rpc_read(&xdr, &record, &header, &err));
+	RC_ASSERT(header.xid == 7);
+	RC_ASSERT(brf_link_watch_reply_get(&xdr, &record, &received, &err));
+	RC_ASSERT(received.epoch == sent.epoch);
+	RC_ASSERT(received.event.revision == sent.event.revision);
+	RC_ASSERT(received.event.count == kvs.size());
+	for (size_t i = 0; i < kvs.size(); i++) {
+		const struct brf_store_kv &kv = received.event.kvs[i];
+
+		RC_ASSERT(std::string(kv.key) == kvs[i].key);
+		RC_ASSERT(std::string(kv.value, kv.len) ==
+			  std::string(kvs[i].value, kvs[i].len));
+		RC_ASSERT(kv.revision == kvs[i].revision);
+		RC_ASSERT(kv.deleted == kvs[i].deleted);
+	}
+	brf_store_event_free(&received.event);
+	brf_buf_free(&out);
+	brf_record_reader_free(&reader);
+}
+
+/* A node of an older version does not know watches. */
+TEST_F(two_nodes, a_watch_that_the_node_does_not_know_ends)
+{
+	struct ended_watch {
+		struct brf_link_watch watch;
+		bool ended = false;
+		bool has_reply = false;
+
+		static void
+		done(struct brf_link_watch *w,
+		    const struct brf_link_watch_reply *reply)
+		{
+			auto *e = (struct ended_watch *)(void *)w;
+
+			e->ended = true;
+			e->has_reply = reply != nullptr;
+		}
+	} w;
+
+	w.watch = {};
+	w.watch.call.prefix = { "p/", 2 };
+	w.watch.done = ended_watch::done;
+	ASSERT_TRUE(brf_link_watch_start(link_to_b(), &w.watch));
+	EXPECT_TRUE(bench.until([&] { return (w.ended); }));
+	EXPECT_FALSE(w.has_reply);
+	close();
+}
--- a/test/store_fake.h
+++ b/test/store_fake.h
@@ -44,6 +44,7 @@
 	};
 
 	struct brf_store store;
+	struct brf_store_state state = {};
 	uint64_t epoch = 0; /* reported by the next response or event */
 	uint64_t revision = 1;
 	uint64_t compacted = 0;
@@ -63,7 +64,7 @@
 		static const struct brf_store_vt vt = { start, cancel,
 			watch_start, watch_stop };
 
-		brf_store_init(&store, &vt);
+		brf_store_init(&store, &vt, &state);
 	}
 
 	static fake_store *
@@ -77,7 +78,7 @@
 	{
 		const struct brf_store_request &r = call->request;
 		job j = { call, r, r.key != nullptr ? r.key : "", "",
-			store->epoch };
+			brf_store_epoch(store) };
 
 		if (r.value != nullptr)
 			j.value.assign(r.value, r.len);
@@ -191,7 +192,7 @@
 	void
 	learn_epoch()
 	{
-		if (epoch <= store.epoch)
+		if (epoch <= state.epoch)
 			return;
 		brf_store_learn_epoch(&store, epoch);
 		silent = false;
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -19,6 +19,17 @@
 HOST = "127.0.0.1"
 
 
+def read_metrics(port):
+    """All samples as {'name{labels}': value}."""
+    text = request(port, "GET", "/metrics")[2].decode()
+    samples = {}
+    for line in text.splitlines():
+        if line and not line.startswith("#"):
+            name, value = line.rsplit(" ", 1)
+            samples[name] = float(value)
+    return samples
+
+
 def until(condition, seconds, what):
     """Wait for condition() to be true; its value is returned."""
     end = time.monotonic() + seconds
@@ -121,14 +132,7 @@
         return get_json(self.ports["admin"], "/brf/v1/status")
 
     def metrics(self):
-        """All samples as {'name{labels}': value}."""
-        text = request(self.ports["admin"], "GET", "/metrics")[2].decode()
-        samples = {}
-        for line in text.splitlines():
-            if line and not line.startswith("#"):
-                name, value = line.rsplit(" ", 1)
-                samples[name] = float(value)
-        return samples
+        return read_metrics(self.ports["admin"])
 
 
 class Fleet:
