bulrushfordd refuses SIGHUP in its log instead of ending

Cause: SIGHUP had no handler, and its default action ended the daemon (code 129). Its settings come from flags and the environment, which do not change while it runs, so there is nothing to reload.

test_sighup_is_refused_and_ends_nothing failed with the old program (no line in the log; the process had ended) and passes now.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -62,6 +62,16 @@
 	brf_node_drain(signal->data);
 }
 
+/* Settings come from flags and the environment, which do not change while the
+ * process runs. */
+static void
+refuse_reload(uv_signal_t *signal, int number)
+{
+	(void)signal;
+	brf_log(BRF_LOG_WARN, "reload_refused", BRF_LU("signal", number),
+	    BRF_LS("why", "settings are read at the start only"));
+}
+
 static struct sockaddr_in
 endpoint(struct in_addr address, uint16_t port)
 {
@@ -79,11 +89,13 @@
 	uv_timer_init(&node->loop, &node->tick);
 	uv_signal_init(&node->loop, &node->sigterm);
 	uv_signal_init(&node->loop, &node->sigint);
+	uv_signal_init(&node->loop, &node->sighup);
 	node->tick.data = node;
 	node->sigterm.data = node;
 	node->sigint.data = node;
 	uv_signal_start(&node->sigterm, signalled, SIGTERM);
 	uv_signal_start(&node->sigint, signalled, SIGINT);
+	uv_signal_start(&node->sighup, refuse_reload, SIGHUP);
 	node->timers = brf_timers_new(brf_clock_system());
 	brf_timers_on_change(node->timers, timers_changed, node);
 	node->random = brf_random_system();
@@ -496,6 +508,7 @@
 	uv_close((uv_handle_t *)&node->tick, NULL);
 	uv_close((uv_handle_t *)&node->sigterm, NULL);
 	uv_close((uv_handle_t *)&node->sigint, NULL);
+	uv_close((uv_handle_t *)&node->sighup, NULL);
 	uv_run(&node->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&node->loop);
 	brf_docs_unwatch(&node->docs_watcher);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -53,6 +53,7 @@
 	uv_timer_t tick;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
+	uv_signal_t sighup;
 	struct brf_timers *timers;
 	struct brf_random *random;
 	struct brf_metrics *metrics;
--- a/test/e2e/test_stop.py
+++ b/test/e2e/test_stop.py
@@ -35,6 +35,20 @@
             report = fleet.finish_load(running)["streams"][0]
             self.assertEqual(report["good"], report["offered"], report)
 
+    def test_sighup_is_refused_and_ends_nothing(self):
+        with fleet.Fleet() as f:
+            nodes = self.start(f, 2)
+            running = start_load(nodes[:1], seconds=1)
+            for n in nodes:
+                n.signal(signal.SIGHUP)
+                fleet.until(lambda: b'"reload_refused"' in
+                            n.log.read_bytes(), 10, "a line in the log")
+            report = fleet.finish_load(running)["streams"][0]
+            self.assertEqual(report["good"], report["offered"], report)
+            for n in nodes:
+                self.assertTrue(n.alive())
+                self.assertEqual(n.stop(), 0)
+
     def test_entry_node_finishes_its_callers_requests(self):
         with fleet.Fleet() as f:
             nodes = self.start(f, 2)
