--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -27,6 +27,11 @@
 #define FULL 0.95
 #define FULL_US 100e3
 
+/* Share of the hops that test a target without a recent report, and the age of
+ * a report that is not recent. */
+#define EXPLORE_SHARE 0.05
+#define EXPLORE_AGE_US (2 * BRF_US_PER_S)
+
 /* Penalty for a silent or broken link, microseconds. */
 #define LINK_DOUBT_US 1e6
 
@@ -182,6 +187,37 @@
 	return (best);
 }
 
+static bool
+is_unexplored(const struct brf_balancer_target *t, uint64_t now)
+{
+	return (t->locality != BRF_LOCALITY_FAR && t->in_flight == 0 &&
+		!t->silent && !t->down && t->consecutive_failures == 0 &&
+		t->warmup_end <= now &&
+		(t->load_at == 0 || now - t->load_at > EXPLORE_AGE_US));
+}
+
+/* One of the targets that have not reported for a while, for a small share of
+ * the requests. */
+static size_t
+explore(struct brf_balancer_target *const *targets, size_t count,
+    const struct brf_balancer_request *request, struct brf_random *random,
+    uint64_t now)
+{
+	size_t i, found = 0, chosen = BRF_BALANCER_NONE;
+
+	if (brf_random_unit(random) >= EXPLORE_SHARE)
+		return (BRF_BALANCER_NONE);
+	for (i = 0; i < count; i++) {
+		if (request->tried[i] || !accepts_work(targets[i], now) ||
+		    !is_unexplored(targets[i], now))
+			continue;
+		/* each of those found is chosen with the same probability */
+		if (brf_random_unit(random) * (double)++found < 1)
+			chosen = i;
+	}
+	return (chosen);
+}
+
 /*
  * Whether the request has tried a target in this region that accepts work and
  * is not ejected, so that the region is only short of capacity.
@@ -210,7 +246,7 @@
 {
 	bool may_go_far = !tried_in_region(targets, count, request, now) ||
 			  (!request->nested && request->rank == 0);
-	size_t chosen = BRF_BALANCER_NONE;
+	size_t chosen = explore(targets, count, request, random, now);
 	int last_resort;
 
 	set_assumed_ms(targets, count);
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -17,6 +17,11 @@
  * the other region is narrow and billed.  The other region is used by requests
  * for which no target in this region exists or accepts work, and by the most
  * important root requests when those targets have no free slots.
+ *
+ * A target is known only by the answers of its hops: one that has just joined,
+ * or was slow when it was last used, would get none while a faster one has free
+ * slots.  So a small share of the hops goes to a target of this region that has
+ * not reported for a while.
  */
 
 /**
--- a/test/balancer_test.cc
+++ b/test/balancer_test.cc
@@ -279,3 +279,67 @@
 }
 
 } // namespace
+
+/* The load: all targets have free slots, so that no request is driven to one
+ * that is not known. */
+TEST_F(balancer, a_target_that_joins_gets_work_though_others_are_free)
+{
+	add(BRF_LOCALITY_ZONE, 100);
+	size_t slow = add(BRF_LOCALITY_ZONE, 100);
+	size_t joined = BRF_BALANCER_NONE;
+	std::vector<int> hops(3);
+
+	report(0, 5, 100);
+	report(slow, 5, 400);
+	for (int i = 0; i < 2000; i++) {
+		now += 5000;
+		if (i == 1000)
+			joined = add(BRF_LOCALITY_ZONE, 100);
+		size_t chosen = choose();
+		hops[chosen]++;
+		report(chosen, 5,
+		    chosen == joined ? 50
+		    : chosen == slow ? 400
+				     : 100);
+	}
+	EXPECT_GT(hops[joined], 700) << "it is the fastest of them";
+	EXPECT_GT(hops[slow], 0);
+	EXPECT_LT(hops[slow], 20) << "few requests pay for the knowledge";
+}
+
+TEST_F(balancer, a_target_that_was_slow_is_used_again_when_it_has_recovered)
+{
+	add(BRF_LOCALITY_ZONE, 100);
+	size_t recovered = add(BRF_LOCALITY_ZONE, 100);
+	int hops = 0;
+
+	report(0, 5, 200);
+	report(recovered, 5, 3000);
+	for (int i = 0; i < 2000; i++) {
+		now += 5000;
+		size_t chosen = choose();
+		hops += chosen == recovered;
+		report(chosen, 5, chosen == recovered ? 100 : 200);
+	}
+	EXPECT_GT(hops, 1000);
+}
+
+TEST_F(balancer, nothing_is_tested_that_warms_up_leaves_or_is_not_reached)
+{
+	add(BRF_LOCALITY_ZONE, 100);
+	size_t cold = add(BRF_LOCALITY_ZONE), draining = add(BRF_LOCALITY_ZONE),
+	       silent = add(BRF_LOCALITY_ZONE), far = add(BRF_LOCALITY_FAR);
+
+	targets[cold].warmup_end = UINT64_MAX;
+	targets[draining].draining = true;
+	targets[silent].silent = true;
+	for (int i = 0; i < 500; i++) {
+		now += 5000;
+		size_t chosen = choose();
+		ASSERT_NE(chosen, cold);
+		ASSERT_NE(chosen, draining);
+		ASSERT_NE(chosen, silent);
+		ASSERT_NE(chosen, far);
+		report(chosen, 5, 20);
+	}
+}
