--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -187,13 +187,16 @@
 	return (best);
 }
 
+/* Traffic between zones is billed, so a target of another zone is tested only
+ * when it has never reported. */
 static bool
 is_unexplored(const struct brf_balancer_target *t, uint64_t now)
 {
-	return (t->locality != BRF_LOCALITY_FAR && t->in_flight == 0 &&
-		!t->silent && !t->down && t->consecutive_failures == 0 &&
-		t->warmup_end <= now &&
-		(t->load_at == 0 || now - t->load_at > EXPLORE_AGE_US));
+	if (t->locality == BRF_LOCALITY_FAR || t->in_flight != 0 || t->silent ||
+	    t->down || t->consecutive_failures != 0 || t->warmup_end > now)
+		return (false);
+	return (t->load_at == 0 || (t->locality != BRF_LOCALITY_REGION &&
+				       now - t->load_at > EXPLORE_AGE_US));
 }
 
 /* One of the targets that have not reported for a while, for a small share of
--- a/test/balancer_test.cc
+++ b/test/balancer_test.cc
@@ -324,6 +324,22 @@
 	EXPECT_GT(hops, 1000);
 }
 
+TEST_F(balancer, a_target_of_another_zone_is_tested_once)
+{
+	add(BRF_LOCALITY_ZONE, 100);
+	size_t region = add(BRF_LOCALITY_REGION, 100);
+	int hops = 0;
+
+	report(0, 5, 100);
+	for (int i = 0; i < 2000; i++) {
+		now += 5000;
+		size_t chosen = choose();
+		hops += chosen == region;
+		report(chosen, 5, 100);
+	}
+	EXPECT_EQ(hops, 1);
+}
+
 TEST_F(balancer, nothing_is_tested_that_warms_up_leaves_or_is_not_reached)
 {
 	add(BRF_LOCALITY_ZONE, 100);
