Test targets without a recent report in their own zone only

Cause: a target was chosen by estimated time alone, and one that had never reported was taken for the mean of the others; while one with a better report had free slots, it got nothing.

--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -27,9 +27,10 @@
 #define FULL 0.95
 #define FULL_US 100e3
 
-/* Share of the hops that test a target without a recent report, and the age of
- * a report that is not recent. */
-#define EXPLORE_SHARE 0.05
+/* Shares of the hops that test a target that has never reported, and one
+ * without a recent report; the age of a report that is not recent. */
+#define EXPLORE_NEW_SHARE 0.25
+#define EXPLORE_OLD_SHARE 0.05
 #define EXPLORE_AGE_US (2 * BRF_US_PER_S)
 
 /* Penalty for a silent or broken link, microseconds. */
@@ -187,16 +188,17 @@
 	return (best);
 }
 
-/* Traffic between zones is billed, so a target of another zone is tested only
- * when it has never reported. */
-static bool
-is_unexplored(const struct brf_balancer_target *t, uint64_t now)
+/* The share of the hops that test @t.  Traffic between zones is billed, and the
+ * nodes of its own zone test each target. */
+static double
+explore_share(const struct brf_balancer_target *t, uint64_t now)
 {
-	if (t->locality == BRF_LOCALITY_FAR || t->in_flight != 0 || t->silent ||
+	if (t->locality > BRF_LOCALITY_ZONE || t->in_flight != 0 || t->silent ||
 	    t->down || t->consecutive_failures != 0 || t->warmup_end > now)
-		return (false);
-	return (t->load_at == 0 || (t->locality != BRF_LOCALITY_REGION &&
-				       now - t->load_at > EXPLORE_AGE_US));
+		return (0);
+	if (t->load_at == 0)
+		return (EXPLORE_NEW_SHARE);
+	return (now - t->load_at > EXPLORE_AGE_US ? EXPLORE_OLD_SHARE : 0);
 }
 
 /* One of the targets that have not reported for a while, for a small share of
@@ -207,12 +209,11 @@
     uint64_t now)
 {
 	size_t i, found = 0, chosen = BRF_BALANCER_NONE;
+	double share = brf_random_unit(random);
 
-	if (brf_random_unit(random) >= EXPLORE_SHARE)
-		return (BRF_BALANCER_NONE);
 	for (i = 0; i < count; i++) {
 		if (request->tried[i] || !accepts_work(targets[i], now) ||
-		    !is_unexplored(targets[i], now))
+		    share >= explore_share(targets[i], now))
 			continue;
 		/* each of those found is chosen with the same probability */
 		if (brf_random_unit(random) * (double)++found < 1)
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -21,7 +21,7 @@
  * A target is known only by the answers of its hops: one that has just joined,
  * or was slow when it was last used, would get none while a faster one has free
  * slots.  So a small share of the hops goes to a target of this zone that has
- * not reported for a while, or to one of this region that has never reported.
+ * not reported for a while.
  */
 
 /**
