--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -198,6 +198,26 @@
 	brf_store_mirror_free(f);
 }
 
+/* Planted: a store that does not tell its epoch. */
+TEST(store_mirror, a_restore_that_is_not_told_would_be_noticed)
+{
+	struct fleet_fixture b;
+	struct mirror_copy c;
+
+	b.store.put("p/a", "old");
+	uint64_t copy = b.store.revision;
+	b.store.put("p/a", "lost");
+	struct brf_store_mirror *f = store_mirror(b, c);
+
+	b.settle();
+	b.store.restore(copy);
+	b.store.break_watches(BRF_E_CLOSED);
+	b.settle();
+	EXPECT_EQ(c.values["p/a"], "lost");
+	EXPECT_EQ(b.store.value("p/a"), "old");
+	brf_store_mirror_free(f);
+}
+
 TEST(store_mirror, keeps_known_keys_while_the_store_is_unreachable)
 {
 	struct fleet_fixture b;
@@ -546,6 +566,8 @@
 	struct brf_directory_watcher w;
 	std::map<std::string, bool> lapsed;
 	std::map<std::string, enum brf_target_state> states = {};
+	/* of the targets, as their own node has both */
+	struct brf_registration *registration = nullptr;
 
 	static void
 	changed(struct brf_directory_watcher *w, struct brf_directory_target *t,
@@ -556,6 +578,9 @@
 
 		r->lapsed[t->entry.id] = t->lapsed;
 		r->states[t->entry.id] = t->entry.state;
+		if (r->registration != nullptr)
+			brf_registration_entry_seen(r->registration,
+			    t->entry.id, t->revision, t->lapsed);
 	}
 
 	static void
@@ -643,6 +668,78 @@
 	brf_directory_free(d);
 }
 
+/*
+ * Model: the last state that the target's node has set.  The node registers it
+ * in a store that loses calls, delays them and is restored, and reads it back
+ * through its directory.
+ */
+RC_GTEST_PROP(directory, a_target_known_to_have_left_never_returns, ())
+{
+	struct fleet_fixture b;
+	struct recorder s = { { recorder::changed, recorder::gone }, {} };
+	struct brf_directory *d =
+	    brf_directory_new(&b.store.store, b.timers, &b.random.random, &s.w);
+	struct brf_registration *r =
+	    brf_registration_new(&b.store.store, b.timers, &b.random.random);
+	struct brf_entry last = entry("t-1");
+	auto steps =
+	    *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10));
+	uint64_t copy = b.store.revision;
+	bool was_known = false, has_left = false;
+
+	b.store.epoch = 1;
+	s.registration = r;
+	brf_registration_set(r, &last);
+	for (int step : steps) {
+		switch (step) {
+		case 0:
+			if (last.state != BRF_TARGET_LEFT)
+				last.state =
+				    (enum brf_target_state)(last.state + 1);
+			brf_registration_set(r, &last);
+			break;
+		case 1:
+		case 2:
+		case 3:
+			b.store.process_next_call(*rc::gen::element(DELIVER,
+			    DELIVER, LOSE_REQUEST, LOSE_RESPONSE, DELAY));
+			break;
+		case 4:
+			b.store.run_late();
+			break;
+		case 5:
+			copy = b.store.revision;
+			break;
+		case 6:
+			b.store.restore(std::min(copy, b.store.revision));
+			break;
+		case 7:
+		case 8:
+			b.store.deliver_watch_events();
+			break;
+		default:
+			b.advance(300000);
+		}
+		was_known = was_known || s.lapsed.count("t-1") != 0;
+		if (was_known && last.state == BRF_TARGET_LEFT &&
+		    s.lapsed.count("t-1") == 0)
+			has_left = true;
+		if (has_left)
+			RC_ASSERT(s.lapsed.count("t-1") == 0u);
+	}
+	b.settle();
+	b.store.run_late();
+	b.settle();
+	if (last.state == BRF_TARGET_LEFT) {
+		RC_ASSERT(s.lapsed.count("t-1") == 0u);
+	} else {
+		RC_ASSERT(s.lapsed.at("t-1") == false);
+		RC_ASSERT(s.states.at("t-1") == last.state);
+	}
+	brf_registration_free(r);
+	brf_directory_free(d);
+}
+
 TEST(directory, imported_targets_stay_until_the_store_fails_to_confirm_them)
 {
 	struct fleet_fixture b, peer;
