Test only targets that have never reported

Change: only a target that has never reported is tested. A target that was slow when it was last used, and is not needed, is still not used again: open.

--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -27,11 +27,8 @@
 #define FULL 0.95
 #define FULL_US 100e3
 
-/* Shares of the hops that test a target that has never reported, and one
- * without a recent report; the age of a report that is not recent. */
-#define EXPLORE_NEW_SHARE 0.25
-#define EXPLORE_OLD_SHARE 0.05
-#define EXPLORE_AGE_US (2 * BRF_US_PER_S)
+/* Share of the hops that test a target that has never reported. */
+#define EXPLORE_SHARE 0.25
 
 /* Penalty for a silent or broken link, microseconds. */
 #define LINK_DOUBT_US 1e6
@@ -188,32 +185,29 @@
 	return (best);
 }
 
-/* The share of the hops that test @t.  Traffic between zones is billed, and the
- * nodes of its own zone test each target. */
-static double
-explore_share(const struct brf_balancer_target *t, uint64_t now)
+/* Traffic between zones is billed, and the nodes of its own zone test each
+ * target. */
+static bool
+is_unexplored(const struct brf_balancer_target *t, uint64_t now)
 {
-	if (t->locality > BRF_LOCALITY_ZONE || t->in_flight != 0 || t->silent ||
-	    t->down || t->consecutive_failures != 0 || t->warmup_end > now)
-		return (0);
-	if (t->load_at == 0)
-		return (EXPLORE_NEW_SHARE);
-	return (now - t->load_at > EXPLORE_AGE_US ? EXPLORE_OLD_SHARE : 0);
+	return (t->locality <= BRF_LOCALITY_ZONE && t->load_at == 0 &&
+		t->in_flight == 0 && t->warmup_end <= now && !t->silent &&
+		!t->down && t->consecutive_failures == 0);
 }
 
-/* One of the targets that have not reported for a while, for a small share of
- * the requests. */
+/* One of the targets that have never reported, for a share of the requests. */
 static size_t
 explore(struct brf_balancer_target *const *targets, size_t count,
     const struct brf_balancer_request *request, struct brf_random *random,
     uint64_t now)
 {
 	size_t i, found = 0, chosen = BRF_BALANCER_NONE;
-	double share = brf_random_unit(random);
 
+	if (brf_random_unit(random) >= EXPLORE_SHARE)
+		return (BRF_BALANCER_NONE);
 	for (i = 0; i < count; i++) {
 		if (request->tried[i] || !accepts_work(targets[i], now) ||
-		    share >= explore_share(targets[i], now))
+		    !is_unexplored(targets[i], now))
 			continue;
 		/* each of those found is chosen with the same probability */
 		if (brf_random_unit(random) * (double)++found < 1)
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -18,10 +18,9 @@
  * for which no target in this region exists or accepts work, and by the most
  * important root requests when those targets have no free slots.
  *
- * A target is known only by the answers of its hops: one that has just joined,
- * or was slow when it was last used, would get none while a faster one has free
- * slots.  So a small share of the hops goes to a target of this zone that has
- * not reported for a while.
+ * A target is known only by the answers of its hops: one that has just joined
+ * would get none while a faster one has free slots.  So a share of the hops
+ * goes to a target of this zone that has never reported.
  */
 
 /**
