A relay's replies without changes count as news of the store

The age that brf_store_heard_age_seconds tells grew without end on nodes that ask a relay, since only replies with changes reached the mirror.

--- a/src/mesh/relay.c
+++ b/src/mesh/relay.c
@@ -246,7 +246,7 @@
 		if (!f->relayed)
 			brf_watch_log_finish(&f->log);
 		f->relayed = true;
-		if (event->count == 0 || deliver(f, event))
+		if (deliver(f, event))
 			review(f);
 	} else if (result == BRF_QUERY_FAILED && !f->relayed) {
 		start_direct(f, f->outer->pause_us);
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -445,6 +445,11 @@
 	std::map<std::string, uint64_t> reads;
 	for (const auto &n : nodes)
 		reads[n->name] = n->origin.reads;
+	for (const auto &n : nodes)
+		EXPECT_LE(clock.now - brf_store_mirror_last_answer_at(
+					  brf_directory_mirror(n->directory)),
+		    BRF_RELAY_SILENT_US)
+		    << n->name << " hears that nothing has changed";
 	put_far("t-far");
 	advance(3000);
 	EXPECT_TRUE(all_know("t-far"));
