relay_test: texts of an event outlive it

The sanitizers' run found the test of the watch log reading temporaries that had gone (stack-use-after-scope); the product is not concerned.

--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -67,14 +67,15 @@
 	return (values);
 }
 
+/* The texts outlive the event. */
 struct brf_store_event
-event_of(struct brf_store_kv *kv, const std::string &key,
-    const std::string &value, uint64_t revision, bool deleted = false)
+event_of(struct brf_store_kv *kv, const char *key, const char *value,
+    uint64_t revision, bool deleted = false)
 {
 	*kv = {};
-	kv->key = const_cast<char *>(key.c_str());
-	kv->value = const_cast<char *>(value.data());
-	kv->len = value.size();
+	kv->key = const_cast<char *>(key);
+	kv->value = const_cast<char *>(value);
+	kv->len = strlen(value);
 	kv->revision = revision;
 	kv->deleted = deleted;
 	return (brf_store_event{ revision, kv, 1 });
@@ -183,7 +184,7 @@
 
 	brf_watch_log_init(&log, 1);
 	for (uint64_t revision = 2; revision < 12; revision++) {
-		event = event_of(&kv, "a", value, revision);
+		event = event_of(&kv, "a", value.c_str(), revision);
 		brf_watch_log_add(&log, &event);
 		EXPECT_LE(log.bytes, BRF_WATCH_LOG_BYTES_MAX);
 	}
