--- a/src/mesh/relay.c
+++ b/src/mesh/relay.c
@@ -39,7 +39,7 @@
 }
 
 static void
-stop_source(struct brf_feed *f)
+stop_polling(struct brf_feed *f)
 {
 	struct brf_mesh_relay *r = f->owner;
 
@@ -48,6 +48,12 @@
 	f->polling = false;
 	f->direct = false;
 	brf_timer_stop(r->config.timers, &f->first_poll);
+}
+
+static void
+stop_source(struct brf_feed *f)
+{
+	stop_polling(f);
 	brf_query_close(&f->query);
 }
 
@@ -192,12 +198,7 @@
 			read_again(f, "no relay");
 		return;
 	}
-	/* the query is open: only the source in the store is to stop */
-	if (f->polling)
-		brf_store_watch_stop(f->owner->config.origin, &f->inner);
-	f->polling = false;
-	f->direct = false;
-	brf_timer_stop(f->owner->config.timers, &f->first_poll);
+	stop_polling(f);
 	brf_log(BRF_LOG_INFO, "relay_chosen", BRF_LS("relay", entry->node),
 	    BRF_LS("prefix", f->outer->prefix),
 	    BRF_LU("revision", f->revision));
