flow/server: the end of a request tells why its connection was closed

Callers saw a connection that was closed without an answer. The log had one line for three causes: request_failed with the reason broken_answer for an answer that broke off, for a request behind it on the connection, and for one that was passed on behind the connection's last answer.

Each has a reason of its own now: broken_answer, earlier_broken, behind_close, and aborted for a connection that the server closes otherwise. Lines of requests carry the number of the caller's connection, so that bulrushctl trace names the request whose answer broke off; brf_http_unanswered_total counts them by cause. The new reasons stand at the end of the list, whose order is part of the protocol of links.

a_truncated_answer_does_not_look_complete expected the one value that all three shared; it now expects the one for its own cause.

--- a/src/base/outcome.h
+++ b/src/base/outcome.h
@@ -48,7 +48,10 @@
 	X(BRF_R_TOKEN_INVALID, "token_invalid", 409)         \
 	X(BRF_R_TOKEN_EXPIRED, "token_expired", 409)         \
 	X(BRF_R_DUPLICATE, "duplicate", 409)                 \
-	X(BRF_R_GATE_RESTARTED, "gate_restarted", 409)
+	X(BRF_R_GATE_RESTARTED, "gate_restarted", 409)       \
+	X(BRF_R_EARLIER_BROKEN, "earlier_broken", 502)       \
+	X(BRF_R_BEHIND_CLOSE, "behind_close", 502)           \
+	X(BRF_R_ABORTED, "aborted", 502)
 
 enum brf_reason {
 #define X(code, name, status) code,
--- a/src/ctl/timeline.c
+++ b/src/ctl/timeline.c
@@ -508,6 +508,43 @@
 		    t, peer->node, from, to, depth + 1, out);
 }
 
+/* The request on the connection of @failed whose answer broke off; NULL when
+ * its line is missing. */
+static const struct log_line *
+find_broken_answer(const struct brf_timeline *t, const struct log_line *failed)
+{
+	const struct log_line *l;
+	size_t i;
+
+	for (i = 0; i < t->count; i++) {
+		l = &t->lines[i];
+		if (strcmp(l->event, "request_failed") == 0 &&
+		    strcmp(l->node, failed->node) == 0 &&
+		    strcmp(get_text(l, "reason"), "broken_answer") == 0 &&
+		    get_number(l, "status") == 0 &&
+		    l->end_ms > failed->end_ms - TIME_TOLERANCE_MS &&
+		    l->end_ms < failed->end_ms + TIME_TOLERANCE_MS &&
+		    get_number(l, "connection") ==
+			get_number(failed, "connection"))
+			return (l);
+	}
+	return (NULL);
+}
+
+static void
+write_connection_cause(const struct brf_timeline *t,
+    const struct log_line *failed, struct brf_buf *out)
+{
+	const struct log_line *broken = find_broken_answer(t, failed);
+
+	brf_buf_printf(out,
+	    "cause: %s: the answer to %s, earlier on connection %.0f of %s, "
+	    "broke off\n",
+	    failed->request,
+	    broken != NULL ? broken->request : "another request",
+	    get_number(failed, "connection"), failed->node);
+}
+
 /* Write why a request failed.  If a call that it made failed, nothing is
  * written here, since that call gets a cause of its own. */
 static void
@@ -519,6 +556,10 @@
 	const struct log_line *l;
 	size_t i;
 
+	if (strcmp(get_text(failed, "reason"), "earlier_broken") == 0) {
+		write_connection_cause(t, failed, out);
+		return;
+	}
 	for (i = 0; i < t->count; i++) {
 		l = &t->lines[i];
 		if (!l->selected || !is_hop(l) ||
--- a/src/flow/server.c
+++ b/src/flow/server.c
@@ -6,11 +6,28 @@
 
 #define LISTEN_BACKLOG 1024
 
+static const char *const end_names[BRF_FLOW_END_COUNT] = {
+	[BRF_FLOW_SENT] = "sent",
+	[BRF_FLOW_DISCONNECTED] = "disconnected",
+	[BRF_FLOW_REFUSED] = "refused",
+	[BRF_FLOW_BROKEN] = "broken",
+	[BRF_FLOW_EARLIER_BROKEN] = "earlier_broken",
+	[BRF_FLOW_BEHIND_CLOSE] = "behind_close",
+	[BRF_FLOW_ABORTED] = "aborted",
+};
+
+const char *
+brf_flow_end_name(enum brf_flow_end end)
+{
+	return (end_names[end]);
+}
+
 static void
 make_metrics(struct brf_flow_server *server)
 {
 	struct brf_metrics *m = server->config.metrics;
 	char labels[64];
+	int end;
 
 	snprintf(labels, sizeof(labels), "server=\"%s\"", server->config.name);
 	server->requests = brf_metrics_counter(m, "brf_http_requests_total",
@@ -19,6 +36,15 @@
 	    "Requests refused for their form or size.", labels);
 	server->connections = brf_metrics_gauge(
 	    m, "brf_http_connections", "Open connections of callers.", labels);
+	for (end = BRF_FLOW_BROKEN; end < BRF_FLOW_END_COUNT; end++) {
+		snprintf(labels, sizeof(labels), "server=\"%s\",why=\"%s\"",
+		    server->config.name, end_names[end]);
+		server->unanswered[end] = brf_metrics_counter(m,
+		    "brf_http_unanswered_total",
+		    "Requests taken by a handler whose connection was closed "
+		    "without a complete answer.",
+		    labels);
+	}
 }
 
 static void
--- a/src/flow/server.h
+++ b/src/flow/server.h
@@ -45,17 +45,26 @@
  * enum brf_flow_end - how a request ended.
  * @BRF_FLOW_SENT: the whole answer was passed to the writer
  * @BRF_FLOW_DISCONNECTED: the client disconnected before
- * @BRF_FLOW_ABORTED: the server closed the connection before the answer was
- *	complete
  * @BRF_FLOW_REFUSED: the body was malformed, too large or too slow, and the
  *	server has answered
+ * @BRF_FLOW_BROKEN: the body of the answer broke off
+ * @BRF_FLOW_EARLIER_BROKEN: the body of an earlier answer on the connection
+ *	broke off
+ * @BRF_FLOW_BEHIND_CLOSE: an earlier answer was the connection's last
+ * @BRF_FLOW_ABORTED: the server closed the connection for another reason
+ *
+ * From BRF_FLOW_BROKEN on, the connection was closed without a complete answer.
  */
 enum brf_flow_end {
 	BRF_FLOW_SENT,
 	BRF_FLOW_DISCONNECTED,
-	BRF_FLOW_ABORTED,
-	BRF_FLOW_REFUSED
+	BRF_FLOW_REFUSED,
+	BRF_FLOW_BROKEN,
+	BRF_FLOW_EARLIER_BROKEN,
+	BRF_FLOW_BEHIND_CLOSE,
+	BRF_FLOW_ABORTED
 };
+#define BRF_FLOW_END_COUNT (BRF_FLOW_ABORTED + 1)
 
 struct brf_flow_conn;
 
@@ -64,6 +73,7 @@
  * @head: parsed head
  * @body: filled while the body is received; the handler sets its reader
  * @arrived: clock time when the head was complete, microseconds
+ * @connection: number of the connection, counted from 1 for each server
  * @data: for the handler
  *
  * The other members are private to the server.
@@ -72,6 +82,7 @@
 	struct brf_request_head head;
 	struct brf_pipe body;
 	uint64_t arrived;
+	uint64_t connection;
 	void *data;
 	struct brf_flow_conn *conn;
 	struct brf_list link;
@@ -160,6 +171,9 @@
  */
 void brf_flow_drain(struct brf_flow_server *server);
 
+/* Return: name in logs and metrics; stable. */
+const char *brf_flow_end_name(enum brf_flow_end end);
+
 /* Number of requests whose answers are not complete. */
 size_t brf_flow_open_requests(const struct brf_flow_server *server);
 
--- a/src/flow/server_answer.c
+++ b/src/flow/server_answer.c
@@ -143,14 +143,14 @@
 	while (!brf_list_empty(&c->requests))
 		brf_flow_request_end(brf_list_entry(c->requests.prev,
 					 struct brf_flow_request, link),
-		    BRF_FLOW_ABORTED);
+		    BRF_FLOW_BEHIND_CLOSE);
 	uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown);
 }
 
 /* With HTTP/1.0 the end of the connection may end the body: reset it, so that
  * the truncated answer doesn't look complete. */
 static void
-abort_answer(struct brf_flow_conn *c, const struct brf_flow_request *r)
+abort_answer(struct brf_flow_conn *c, struct brf_flow_request *r)
 {
 	uv_os_fd_t fd;
 	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
@@ -158,7 +158,8 @@
 	brf_writer_flush(&c->writer);
 	if (r->head.http_1_0 && uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-	brf_flow_conn_close(c, BRF_FLOW_ABORTED);
+	brf_flow_request_end(r, BRF_FLOW_BROKEN);
+	brf_flow_conn_close(c, BRF_FLOW_EARLIER_BROKEN);
 }
 
 /* Return: false when the connection was closed. */
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -43,6 +43,8 @@
 	brf_list_remove(&r->link);
 	c->count--;
 	c->server->open--;
+	if (r->dispatched && end >= BRF_FLOW_BROKEN)
+		c->server->unanswered[end]->value++;
 	if (r->dispatched)
 		handler->vt->ended(handler, r, end);
 	brf_request_head_free(&r->head);
@@ -107,6 +109,7 @@
 	struct brf_flow_request *r = brf_calloc(1, sizeof(*r));
 
 	r->conn = c;
+	r->connection = c->number;
 	r->arrived = now(c);
 	brf_pipe_init(&r->body, c->server->config.tasks);
 	r->body.writer = &c->work;
@@ -447,6 +450,7 @@
 	struct brf_flow_conn *c = brf_calloc(1, sizeof(*c));
 
 	c->server = server;
+	c->number = ++server->conn_number;
 	brf_list_init(&c->requests);
 	brf_task_init(&c->work, work);
 	c->timer.fire = timed_out;
--- a/src/flow/server_impl.h
+++ b/src/flow/server_impl.h
@@ -25,6 +25,7 @@
 
 /**
  * struct brf_flow_conn - one connection of a client.
+ * @number: counted from 1 for each server
  * @requests: in order of arrival; removed once completely answered
  * @count: length of @requests
  * @input: bytes received but not yet used
@@ -45,6 +46,7 @@
 	struct brf_timer timer;
 	struct brf_list link;
 	struct brf_list requests;
+	uint64_t number;
 	size_t count;
 	struct brf_buf input;
 	size_t last_len;
@@ -63,6 +65,7 @@
 	uv_tcp_t listener;
 	struct brf_list conns;
 	size_t conn_count;
+	uint64_t conn_number;
 	size_t open;
 	bool listening;
 	bool listener_closed;
@@ -73,6 +76,7 @@
 	struct brf_metric *connections;
 	struct brf_metric *requests;
 	struct brf_metric *refused;
+	struct brf_metric *unanswered[BRF_FLOW_END_COUNT];
 };
 
 /* server.c */
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -159,6 +159,7 @@
 	struct brf_trace_end end = {
 		.event = event,
 		.id = call->rq->head.id,
+		.connection = call->rq->connection,
 		.route = call->route,
 		.service = call->service != NULL ? call->service->name : "",
 		.revision =
@@ -768,6 +769,13 @@
 	return (route == NULL || route->repeatable);
 }
 
+static const enum brf_reason unanswered_reasons[BRF_FLOW_END_COUNT] = {
+	[BRF_FLOW_BROKEN] = BRF_R_BROKEN_ANSWER,
+	[BRF_FLOW_EARLIER_BROKEN] = BRF_R_EARLIER_BROKEN,
+	[BRF_FLOW_BEHIND_CLOSE] = BRF_R_BEHIND_CLOSE,
+	[BRF_FLOW_ABORTED] = BRF_R_ABORTED,
+};
+
 static void
 on_ended(struct brf_flow_handler *handler, struct brf_flow_request *rq,
     enum brf_flow_end end)
@@ -781,12 +789,13 @@
 		/* a nested call is cancelled whenever its parent is */
 		if (!call->nested || brf_trace_is_sampled(rq->head.id))
 			log_end(call, "request_left", 0, BRF_R_CANCELLED, 0);
-	} else if (end == BRF_FLOW_ABORTED) {
-		set_end(call, BRF_REQUEST_UNKNOWN, BRF_R_BROKEN_ANSWER);
-		log_end(call, "request_failed", 0, BRF_R_BROKEN_ANSWER, 0);
 	} else if (end == BRF_FLOW_REFUSED) {
 		set_end(call, BRF_REQUEST_REJECTED, BRF_R_MALFORMED);
 		log_end(call, "request_failed", 0, BRF_R_MALFORMED, 0);
+	} else if (end != BRF_FLOW_SENT) {
+		release_hop(call, BRF_FEEDBACK_NONE);
+		set_end(call, BRF_REQUEST_UNKNOWN, unanswered_reasons[end]);
+		log_end(call, "request_failed", 0, unanswered_reasons[end], 0);
 	}
 	call_free(call);
 }
--- a/src/mesh/trace.c
+++ b/src/mesh/trace.c
@@ -57,6 +57,7 @@
 
 	if (!brf_log_request(BRF_LOG_INFO, end->event,
 		BRF_LS("request", end->id),
+		BRF_LU("connection", end->connection),
 		BRF_LS("route", r != NULL ? r->name : ""),
 		BRF_LS("service", end->service), BRF_LU("table", end->revision),
 		BRF_LU("rank", end->rank), BRF_LU("nested", end->nested),
--- a/src/mesh/trace.h
+++ b/src/mesh/trace.h
@@ -68,6 +68,7 @@
  * @event: string literal: "request_ended", "request_failed", "request_late" or
  *	"request_left" (the client disconnected)
  * @id: id of the request; "" for none
+ * @connection: number of the client's connection
  * @route: NULL for none
  * @service: "" for none
  * @revision: of the routing table in use for the request; 0 for none
@@ -83,6 +84,7 @@
 struct brf_trace_end {
 	const char *event;
 	const char *id;
+	uint64_t connection;
 	const struct brf_route *route;
 	const char *service;
 	uint64_t revision;
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -355,7 +355,31 @@
 	EXPECT_TRUE(p.ended);
 	EXPECT_EQ(count(p.got, "0\r\n\r\n"), 0u);
 	EXPECT_EQ(manual_handler.ends,
-	    std::vector<enum brf_flow_end>{ BRF_FLOW_ABORTED });
+	    std::vector<enum brf_flow_end>{ BRF_FLOW_BROKEN });
+}
+
+TEST_F(flow_server, the_end_of_a_request_tells_which_answer_broke_off)
+{
+	raw_peer p;
+	auto *pipe = new struct brf_pipe;
+
+	p.connect_to(port);
+	talk(p, get("/1") + get("/2"),
+	    [&] { return (manual_handler.open.size() == 2); });
+	ASSERT_EQ(manual_handler.open.size(), 2u);
+	EXPECT_EQ(manual_handler.open[0]->connection,
+	    manual_handler.open[1]->connection);
+	brf_pipe_init(pipe, &bench.scheduler.tasks);
+	manual_handler.open[0]->data = pipe;
+	brf_flow_answer(
+	    manual_handler.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	brf_pipe_write(pipe, "part", 4);
+	talk(p, "", [&] { return (count(p.got, "part") == 1); });
+	brf_pipe_break(pipe);
+	talk(p, "", [&] { return (false); });
+	EXPECT_EQ(manual_handler.ends,
+	    (std::vector<enum brf_flow_end>{
+		BRF_FLOW_BROKEN, BRF_FLOW_EARLIER_BROKEN }));
 }
 
 TEST_F(flow_server, an_answer_before_the_body_was_read_closes_the_connection)
--- a/test/timeline_test.cc
+++ b/test/timeline_test.cc
@@ -118,6 +118,27 @@
 	    << trace.out;
 }
 
+TEST(timeline, a_request_cut_by_an_earlier_answer_names_that_answer)
+{
+	struct request_trace trace(
+	    "{\"time\":\"2026-12-04T10:00:00.900Z\",\"node\":\"a\","
+	    "\"event\":\"request_failed\",\"request\":\"first\","
+	    "\"connection\":7,\"status\":0,\"reason\":\"broken_answer\"}\n"
+	    "{\"time\":\"2026-12-04T10:00:00.900Z\",\"node\":\"a\","
+	    "\"event\":\"request_failed\",\"request\":\"second\","
+	    "\"connection\":7,\"status\":0,\"reason\":\"earlier_broken\"}\n"
+	    /* same connection number, from an earlier incarnation of a */
+	    "{\"time\":\"2026-12-04T09:00:00.000Z\",\"node\":\"a\","
+	    "\"event\":\"request_failed\",\"request\":\"old\","
+	    "\"connection\":7,\"status\":0,\"reason\":\"broken_answer\"}\n");
+
+	EXPECT_EQ(trace.write("second"), 1u);
+	EXPECT_NE(trace.find("cause: second: the answer to first, earlier on "
+			     "connection 7 of a, broke off"),
+	    std::string::npos)
+	    << trace.out;
+}
+
 TEST(timeline, request_is_found_in_a_summary_line)
 {
 	struct request_trace trace(
