flow/server: dispatch nothing behind an answer that announces the end

Callers saw: a request that was sent while the last answer of the connection was still being written, with connection: close in its head, was passed on to a target and then cut when that answer was complete.

Cause: whether the connection is kept is decided when the head of an answer is written, but nothing told the reader of the connection. Three ways lead there: the server drains; an answer comes before its request's body was read; an HTTP/1.0 answer whose body ends with the connection.

Now parsing stops with that head; such a request was not read, so that its caller may send it again. The answer to an HTTP/1.0 request may need the end of the connection only once its length is known to be missing, so that nothing runs ahead of it. Ruled out: requests in front of the announcing answer, which have been answered by then.

--- a/src/flow/server.h
+++ b/src/flow/server.h
@@ -17,8 +17,9 @@
  * Bodies pass through pipes in both directions and are never buffered whole.
  * A bounded number of pipelined requests is dispatched to the handler at once;
  * answers are written in order.  A request that must not run ahead waits until
- * it is the first of its connection.  A disconnect of the client is noticed at
- * any time.
+ * it is the first of its connection.  None is dispatched behind an answer that
+ * announces the end of the connection.  A disconnect of the client is noticed
+ * at any time.
  *
  * Malformed, too large and too slow requests are answered by the server itself:
  * 400, 408, 413, 431 and 501.  After such an answer the server shuts down its
--- a/src/flow/server_answer.c
+++ b/src/flow/server_answer.c
@@ -59,6 +59,8 @@
 	if (r->framing == BRF_BODY_CLOSE)
 		r->framing = BRF_BODY_CHUNKED;
 	r->keep_alive = can_keep_alive(r);
+	if (!r->keep_alive)
+		r->conn->stop_parsing = true;
 	brf_buf_add(out, r->head_text.data, r->head_text.len);
 	if (r->framing == BRF_BODY_CHUNKED && !r->head.http_1_0)
 		brf_buf_puts(out, "transfer-encoding: chunked\r\n");
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -170,11 +170,25 @@
 	}
 }
 
-static void
-accept_request(struct brf_flow_conn *c, struct brf_flow_request *r)
+/*
+ * Whether @r, the last request, may be dispatched while earlier ones are
+ * unanswered.  The answer to an HTTP/1.0 request may need the end of the
+ * connection to delimit its body.
+ */
+static bool
+can_run_ahead(const struct brf_flow_conn *c, const struct brf_flow_request *r)
 {
 	struct brf_flow_handler *handler = c->server->config.handler;
+	const struct brf_flow_request *previous =
+	    brf_list_entry(r->link.prev, struct brf_flow_request, link);
 
+	return (
+	    !previous->head.http_1_0 && handler->vt->may_run_ahead(handler, r));
+}
+
+static void
+accept_request(struct brf_flow_conn *c, struct brf_flow_request *r)
+{
 	if (!r->head.keep_alive)
 		c->stop_parsing = true;
 	if (r->head.length > c->server->config.limits->body_bytes) {
@@ -184,7 +198,7 @@
 	begin_body(r);
 	if (r->head.expects_continue && !r->body_read && first_request(c) == r)
 		brf_buf_puts(&c->writer.out, "HTTP/1.1 100 Continue\r\n\r\n");
-	if (first_request(c) == r || handler->vt->may_run_ahead(handler, r))
+	if (first_request(c) == r || can_run_ahead(c, r))
 		dispatch(r);
 }
 
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -415,6 +415,75 @@
 	EXPECT_TRUE(p.ended);
 }
 
+/* Requests sent behind an answer that announces the end of its connection. */
+struct announced_close {
+	const char *what;
+	std::string first;
+	bool drain;
+	std::string rest;
+};
+
+class flow_server_close : public flow_server,
+			  public ::testing::WithParamInterface<announced_close>
+{
+};
+
+TEST_P(flow_server_close, no_request_is_passed_on_behind_an_announced_close)
+{
+	const struct announced_close &c = GetParam();
+	raw_peer p;
+	auto *pipe = new struct brf_pipe;
+
+	p.connect_to(port);
+	talk(p, c.first, [&] { return (manual_handler.open.size() == 1); });
+	ASSERT_EQ(manual_handler.open.size(), 1u);
+	if (c.drain)
+		brf_flow_drain(srv);
+	brf_pipe_init(pipe, &bench.scheduler.tasks);
+	manual_handler.open[0]->data = pipe;
+	brf_flow_answer(
+	    manual_handler.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	brf_pipe_write(pipe, "part", 4);
+	talk(p, "", [&] { return (count(p.got, "part") == 1); });
+	EXPECT_EQ(p.put(c.rest + get("/2")), "");
+	bench.turns(50);
+	EXPECT_EQ(manual_handler.open.size(), 1u);
+	brf_pipe_write(pipe, "last", 4);
+	brf_pipe_end(pipe);
+	talk(p, "", [&] { return (false); });
+	EXPECT_EQ(count(p.got, "last"), 1u);
+	EXPECT_TRUE(p.ended);
+	EXPECT_EQ(manual_handler.ends,
+	    std::vector<enum brf_flow_end>{ BRF_FLOW_SENT });
+}
+
+INSTANTIATE_TEST_SUITE_P(causes, flow_server_close,
+    ::testing::Values(
+	announced_close{ "the server drains", get("/1"), true, "" },
+	announced_close{ "the answer came before the request's body",
+	    "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nbo", false,
+	    "dy of 1" },
+	announced_close{ "an HTTP/1.0 body ends with its connection",
+	    "GET /1 HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n",
+	    false, "" }));
+
+TEST_F(flow_server, no_request_runs_ahead_of_an_http_1_0_answer)
+{
+	raw_peer p;
+
+	p.connect_to(port);
+	p.put("GET /1 HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n" +
+	      get("/2"));
+	bench.turns(50);
+	EXPECT_EQ(manual_handler.paths, std::vector<std::string>{ "/1" });
+	answer(0, "a");
+	talk(p, "", [&] { return (manual_handler.open.size() == 2); });
+	ASSERT_EQ(manual_handler.open.size(), 2u);
+	answer(1, "b");
+	talk(p, "", [&] { return (count(p.got, " 200 ") == 2); });
+	EXPECT_EQ(count(p.got, " 200 "), 2u);
+}
+
 TEST_F(flow_server, reserved_fields_of_a_caller_are_not_forwarded)
 {
 	raw_peer p;
