mesh/tables: the state of a dropped route lives as long as its requests

Callers could see: a process that ends, or any connection or answer damaged, some time after a change of the configuration, on some runs only.

Cause: a table that lacks a route freed what the node had learned of it, while open requests and hops of that route still pointed there. When they ended they read it, and wrote the moving averages of throttle and nesting into memory that may by then hold anything else.

Evidence: mesh_call.a_route_may_be_dropped_while_its_requests_run ends under AddressSanitizer on the code before: heap-use-after-free, read by brf_nesting_by_callers() from report_state() in gate.c, freed by route_state_free() from put_in_force().

Requests and hops hold a reference now; the list of the table holds one as long as the route is in force. table_in_force tells how many states were dropped in use.

Tables and services of open requests were counted, or are never freed, before.

--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -247,6 +247,7 @@
 		brf_mesh_peer_unref(call->peers[i]);
 	brf_task_cancel(&call->work);
 	brf_timer_stop(call->calls->timers, &call->timer);
+	brf_mesh_route_state_unref(call->route_state);
 	brf_table_unref(call->table);
 	brf_pipe_free(&call->request_body);
 	brf_buf_free(&call->replay);
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -19,8 +19,8 @@
  * @hop: owned by its sender; its @impl points to this struct
  * @ticket: entry of the hop in the slot queues
  * @run: the request at the target
- * @route_state: what this node has learned about the route; NULL when no route
- *	of this node's table matches
+ * @route_state: what this node has learned about the route, a reference; NULL
+ *	when no route of this node's table matches
  * @work: posted when @run or the answer's body changes
  * @timer: fires DEADLINE_GRACE_US after the deadline; while an answer is held,
  *	HOLD_MAX_US after its head
@@ -190,6 +190,7 @@
 	brf_list_remove(&gh->link);
 	brf_task_cancel(&gh->work);
 	brf_timer_stop(gate->config.timers, &gh->timer);
+	brf_mesh_route_state_unref(gh->route_state);
 	gate->open_count--;
 	gh->hop->impl = NULL;
 	free(gh);
--- a/src/mesh/tables.c
+++ b/src/mesh/tables.c
@@ -63,33 +63,45 @@
 	brf_list_init(&t->routes);
 }
 
-static void
-route_state_free(struct brf_mesh_route_state *r)
+void
+brf_mesh_route_state_unref(struct brf_mesh_route_state *r)
 {
-	brf_list_remove(&r->link);
+	if (r == NULL || --r->refs != 0)
+		return;
 	free(r->name);
 	free(r);
 }
 
+static void
+drop_route_state(struct brf_mesh_route_state *r)
+{
+	brf_list_remove(&r->link);
+	brf_mesh_route_state_unref(r);
+}
+
 void
 brf_mesh_tables_finish(struct brf_mesh_tables *t)
 {
 	struct brf_list *l;
 
 	while ((l = brf_list_pop(&t->routes)) != NULL)
-		route_state_free(
+		drop_route_state(
 		    brf_list_entry(l, struct brf_mesh_route_state, link));
 	brf_table_unref(t->current);
 	brf_buf_free(&t->text);
 }
 
-/* Free the state of routes that the current table does not have. */
-static void
+/*
+ * Drop the state of routes that the current table does not have.
+ *
+ * Return: the number of them that open requests still use.
+ */
+static size_t
 remove_stale_routes(struct brf_mesh_tables *t)
 {
 	struct brf_list *l, *next;
 	struct brf_mesh_route_state *r;
-	size_t i;
+	size_t i, in_use = 0;
 
 	brf_list_foreach_safe (l, next, &t->routes) {
 		r = brf_list_entry(l, struct brf_mesh_route_state, link);
@@ -98,9 +110,12 @@
 				r->name) == 0)
 				break;
 		}
-		if (i == brf_table_route_count(t->current))
-			route_state_free(r);
+		if (i != brf_table_route_count(t->current))
+			continue;
+		in_use += r->refs > 1;
+		drop_route_state(r);
 	}
+	return (in_use);
 }
 
 static void
@@ -109,6 +124,7 @@
 {
 	uint64_t before =
 	    t->current != NULL ? brf_table_revision(t->current) : 0;
+	size_t in_use;
 
 	brf_table_unref(t->current);
 	t->current = table;
@@ -116,11 +132,12 @@
 	t->in_force_since = brf_now(t->clock);
 	brf_buf_clear(&t->text);
 	brf_buf_add(&t->text, text, len);
-	remove_stale_routes(t);
+	in_use = remove_stale_routes(t);
 	brf_log(BRF_LOG_INFO, "table_in_force",
 	    BRF_LU("revision", brf_table_revision(table)),
 	    BRF_LU("before", before), BRF_LS("source", source),
-	    BRF_LU("routes", brf_table_route_count(table)));
+	    BRF_LU("routes", brf_table_route_count(table)),
+	    BRF_LU("dropped_in_use", in_use));
 	t->changed(t->arg);
 }
 
@@ -171,10 +188,13 @@
 
 	brf_list_foreach (l, &t->routes) {
 		r = brf_list_entry(l, struct brf_mesh_route_state, link);
-		if (strcmp(r->name, route->name) == 0)
+		if (strcmp(r->name, route->name) == 0) {
+			r->refs++;
 			return (r);
+		}
 	}
 	r = brf_calloc(1, sizeof(*r));
+	r->refs = 2;
 	brf_throttle_init(&r->throttle, brf_now(t->clock));
 	r->name = brf_strdup(route->name, strlen(route->name));
 	brf_list_append(&t->routes, &r->link);
--- a/src/mesh/tables.h
+++ b/src/mesh/tables.h
@@ -18,13 +18,16 @@
 
 /**
  * struct brf_mesh_route_state - state of the route @name.
- * @link: in the list of struct brf_mesh_tables
+ * @link: in the list of struct brf_mesh_tables, as long as its route is in the
+ *	table in force
+ * @refs: one reference of that list and one of each open request and hop
  * @split: division of its requests among services
  * @throttle: share of its requests that is admitted where they begin
  * @nesting: whether its requests are nested calls
  */
 struct brf_mesh_route_state {
 	struct brf_list link;
+	unsigned refs;
 	char *name;
 	struct brf_split split;
 	struct brf_throttle throttle;
@@ -86,12 +89,15 @@
 /**
  * brf_mesh_tables_route_state() - find the state of @route, or create it.
  *
- * Return: owned by @t; freed when a table without a route of this name comes
- * into force.
+ * Return: with a reference, to be released with brf_mesh_route_state_unref().
+ * It stays valid when a table without a route of this name comes into force.
  */
 struct brf_mesh_route_state *brf_mesh_tables_route_state(
     struct brf_mesh_tables *t, const struct brf_route *route);
 
+/* Release a reference; the last one frees @r.  NULL is allowed. */
+void brf_mesh_route_state_unref(struct brf_mesh_route_state *r);
+
 BRF_END_DECLS
 
 #endif
--- /dev/null
+++ b/test/mesh_call_test.cc
@@ -0,0 +1,229 @@
+#include <sstream>
+
+#include "flow_fake.h"
+#include "mesh/call.h"
+#include "mesh/gate.h"
+
+namespace
+{
+
+/* Reads "REVISION ATTEMPTS PREFIX...", a table of repeatable routes to "s". */
+struct brf_table *
+read_table(const char *text, size_t len, struct brf_error *err)
+{
+	const struct brf_flow_limits limits = { 16384, 100000,
+		30 * BRF_US_PER_S, 30 * BRF_US_PER_S };
+	struct brf_table_service service = { "s", 100 };
+	struct brf_workspace_weight share = { 0, 1 };
+	std::istringstream in(std::string(text, len));
+	uint64_t revision;
+	uint32_t attempts;
+	std::string prefix;
+
+	in >> revision >> attempts;
+	struct brf_table *t = brf_table_new(revision, &limits);
+	brf_table_add_service(t, &service);
+	while (in >> prefix) {
+		struct brf_route r = { prefix.c_str(), "h", prefix.c_str(),
+			60 * BRF_US_PER_S, BRF_US_PER_S, 0, attempts, true,
+			&share, 1 };
+
+		EXPECT_TRUE(brf_table_add_route(t, &r, err));
+	}
+	return (t);
+}
+
+void
+ignore(void *arg)
+{
+	(void)arg;
+}
+
+void
+ignore_target(void *arg, const struct brf_directory_target *t)
+{
+	(void)arg;
+	(void)t;
+}
+
+/* A node whose only target is the one beside it. */
+class mesh_call : public ::testing::Test
+{
+      protected:
+	struct flow_bench bench;
+	raw_listener target;
+	raw_peer client;
+	struct brf_random_seeded random;
+	struct brf_mesh_tables tables;
+	struct brf_mesh_services services;
+	struct brf_directory_target entry = {};
+	struct brf_mesh_gate *gate = nullptr;
+	struct brf_mesh_calls calls = {};
+	struct brf_flow_server *srv = nullptr;
+	uint16_t port = 0;
+	int closing = 2;
+
+	void
+	SetUp() override
+	{
+		brf_random_seeded_init(&random, 1);
+		brf_mesh_tables_init(&tables, &bench.scheduler.clock,
+		    read_table, ignore, nullptr);
+		put_table("1 1 /a/ /b/");
+		start_gate();
+		add_target();
+		start_entry();
+		client.connect_to(port);
+	}
+
+	void
+	put_table(const std::string &text)
+	{
+		EXPECT_TRUE(brf_mesh_tables_offer(
+		    &tables, text.data(), text.size(), "store"));
+	}
+
+	void
+	start_gate()
+	{
+		struct brf_mesh_gate_config config = { &bench.loop,
+			&bench.scheduler.tasks, bench.scheduler.timers,
+			bench.metrics, &random.random, &test_names, &tables,
+			&services, loopback(target.port) };
+		struct brf_target_announcement notice = {};
+
+		gate = brf_mesh_gate_new(&config);
+		brf_copy_name(notice.id, sizeof(notice.id), "t-1");
+		brf_copy_name(notice.service, sizeof(notice.service), "s");
+		notice.slots = 20;
+		brf_mesh_gate_update_target(gate, &notice, true);
+	}
+
+	/* Its address is that of the node, so that it is reached directly. */
+	void
+	add_target()
+	{
+		struct brf_mesh_services_config config = {};
+
+		config.timers = bench.scheduler.timers;
+		config.zone = config.region = "z";
+		config.retry_budget_ratio = 1;
+		config.retry_budget_window_us = 10 * BRF_US_PER_S;
+		brf_mesh_services_init(&services, &config);
+		services.own_target_seen = ignore_target;
+		brf_copy_name(entry.entry.id, sizeof(entry.entry.id), "t-1");
+		brf_copy_name(
+		    entry.entry.service, sizeof(entry.entry.service), "s");
+		entry.entry.slots = 20;
+		entry.entry.state = BRF_TARGET_READY;
+		services.watcher.changed(&services.watcher, &entry, true);
+	}
+
+	void
+	start_entry()
+	{
+		struct brf_flow_server_config config = { &bench.loop,
+			&bench.scheduler.tasks, bench.scheduler.timers,
+			bench.metrics, &test_names, &tables.limits,
+			&calls.handler, "entry" };
+		struct sockaddr_in addr = loopback(0);
+
+		calls.tasks = &bench.scheduler.tasks;
+		calls.timers = bench.scheduler.timers;
+		calls.random = &random.random;
+		calls.metrics = bench.metrics;
+		calls.tables = &tables;
+		calls.services = &services;
+		calls.gate = gate;
+		calls.service = "s";
+		brf_mesh_calls_init(&calls);
+		srv = brf_flow_server_new(
+		    &config, (struct sockaddr *)&addr, &port, nullptr);
+		ASSERT_NE(srv, nullptr);
+	}
+
+	static void
+	one_closed(void *arg)
+	{
+		static_cast<mesh_call *>(arg)->closing--;
+	}
+
+	void
+	TearDown() override
+	{
+		brf_flow_server_close(srv, one_closed, this);
+		brf_mesh_gate_close(gate, one_closed, this);
+		EXPECT_TRUE(bench.until([&] { return (closing == 0); }));
+		EXPECT_EQ(calls.open_count, 0u);
+		services.watcher.removed(&services.watcher, &entry);
+		brf_flow_server_free(srv);
+		brf_mesh_gate_free(gate);
+		brf_mesh_services_finish(&services);
+		brf_mesh_tables_finish(&tables);
+	}
+
+	bool
+	until(const std::function<bool()> &done)
+	{
+		return (bench.until([&] {
+			target.serve();
+			client.get();
+			return (done());
+		}));
+	}
+
+	static std::string
+	get(const std::string &path, const std::string &id)
+	{
+		return ("GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Id: " + id +
+			"\r\nX-Timeout: 50000\r\n\r\n");
+	}
+
+	/* The connection on which the target got the request @id. */
+	raw_peer *
+	arrived(const std::string &id)
+	{
+		raw_peer *p = nullptr;
+
+		until([&] {
+			p = target.with("X-Id: " + id + "\r\n");
+			return (p != nullptr);
+		});
+		return (p);
+	}
+
+	static std::string
+	head(const std::string &id, size_t length)
+	{
+		return ("HTTP/1.1 200 OK\r\nx-id: " + id +
+			"\r\nx-seal: s\r\ncontent-length: " +
+			std::to_string(length) + "\r\n\r\n");
+	}
+
+	size_t
+	answers(const std::string &status)
+	{
+		const std::string line = "HTTP/1.1 " + status;
+		size_t n = 0, at = 0;
+
+		for (; (at = client.got.find(line, at)) != std::string::npos;
+		     at++)
+			n++;
+		return (n);
+	}
+};
+
+TEST_F(mesh_call, a_route_may_be_dropped_while_its_requests_run)
+{
+	raw_peer *p;
+
+	client.put(get("/a/1", "1"));
+	p = arrived("1");
+	ASSERT_NE(p, nullptr);
+	put_table("2 1 /b/");
+	p->put(head("1", 2) + "ok");
+	until([&] { return (answers("200") == 1); });
+	EXPECT_EQ(answers("200"), 1u);
+}
+
+} // namespace
