mesh/call: hold an answer that may break off while requests behind it run

Callers saw: a pipelined request, passed on to a sound target, whose connection was closed without an answer since the answer before it had broken off.

Cause: requests of one connection run side by side, but an answer was sent as soon as its head was there. If its body breaks off then (the target closes, the gate's node or the link ends), HTTP/1.1 leaves no other end for the connection than to close it, and everything behind ends with it. The gate holds short answers for 50 ms only; longer or slower ones, and a link lost in the middle of one, were not covered.

Now the node where a request began holds its answer while requests behind it run, until it is complete, 64 KiB long (what a pipe takes anyway), or its deadline has passed. One that breaks off meanwhile is replaced: sent again where the route and the budget allow it, else 502. Behind an answer that has begun and is incomplete nothing is dispatched; HTTP/1.1 returns answers in order, so that such a request would wait anyway, and if it is cut it was not passed on.

Left: an answer longer than 64 KiB that breaks off behind which requests already run.

--- a/src/flow/server.h
+++ b/src/flow/server.h
@@ -18,8 +18,9 @@
  * A bounded number of pipelined requests is dispatched to the handler at once;
  * answers are written in order.  A request that must not run ahead waits until
  * it is the first of its connection.  None is dispatched behind an answer that
- * announces the end of the connection.  A disconnect of the client is noticed
- * at any time.
+ * announces the end of the connection, nor ahead of an answer that has begun
+ * and is not complete: if that breaks off, the connection can only be closed.
+ * A disconnect of the client is noticed at any time.
  *
  * Malformed, too large and too slow requests are answered by the server itself:
  * 400, 408, 413, 431 and 501.  After such an answer the server shuts down its
@@ -166,6 +167,14 @@
     const char *fields, size_t fields_len, enum brf_body_kind kind,
     uint64_t length, struct brf_pipe *body);
 
+/**
+ * brf_flow_is_followed() - whether later requests of the connection run.
+ *
+ * If the body of @request's answer breaks off after its head was sent, they
+ * end without an answer.
+ */
+bool brf_flow_is_followed(const struct brf_flow_request *request);
+
 /**
  * brf_flow_drain() - from now on, close each connection after the answer to
  * the last request read from it.
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -171,19 +171,40 @@
 }
 
 /*
- * Whether @r, the last request, may be dispatched while earlier ones are
- * unanswered.  The answer to an HTTP/1.0 request may need the end of the
- * connection to delimit its body.
+ * Whether the connection may have to be closed after the answer to @r: its body
+ * may break off, or, of an HTTP/1.0 request, need the end of the connection.
  */
 static bool
+may_close(const struct brf_flow_request *r)
+{
+	return (
+	    r->head.http_1_0 || (r->answered && r->framing != BRF_BODY_NONE &&
+				    r->answer->state != BRF_PIPE_ENDED));
+}
+
+/* Whether @r, the last request, may be dispatched while earlier ones are
+ * unanswered. */
+static bool
 can_run_ahead(const struct brf_flow_conn *c, const struct brf_flow_request *r)
 {
 	struct brf_flow_handler *handler = c->server->config.handler;
-	const struct brf_flow_request *previous =
-	    brf_list_entry(r->link.prev, struct brf_flow_request, link);
+	struct brf_list *l;
+
+	for (l = r->link.prev; l != &c->requests; l = l->prev) {
+		if (may_close(brf_list_entry(l, struct brf_flow_request, link)))
+			return (false);
+	}
+	return (handler->vt->may_run_ahead(handler, r));
+}
+
+bool
+brf_flow_is_followed(const struct brf_flow_request *r)
+{
+	const struct brf_list *next = r->link.next;
 
 	return (
-	    !previous->head.http_1_0 && handler->vt->may_run_ahead(handler, r));
+	    next != &r->conn->requests &&
+	    brf_list_entry(next, struct brf_flow_request, link)->dispatched);
 }
 
 static void
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -7,6 +7,8 @@
 #include "policy/retry_after.h"
 
 #define REPLAY_MAX 65536u /* bytes of a body that are kept for another hop */
+/* Most bytes of an incomplete answer that are held for the requests behind. */
+#define HOLD_MAX_BYTES BRF_PIPE_HIGH_WATER
 #define HOPS_MAX BRF_TRACE_HOPS_MAX
 #define TIMEOUT_DEFAULT_MS 60000u /* for requests without a timeout */
 
@@ -27,7 +29,8 @@
  * @route_state: what this node has learned about the route
  * @hop: the latest hop
  * @work: posted when @hop or the body changes
- * @timer: fires DEADLINE_GRACE_US after @deadline
+ * @timer: fires DEADLINE_GRACE_US after @deadline; an answer that is held then
+ *	is passed on as far as it has come
  * @peers: targets to which the request was sent; @hop_count of them
  * @parent: request of this VM's target that makes the call, if @has_parent
  * @full_gates: gates that refused the request for lack of capacity
@@ -43,7 +46,7 @@
  * @replay_overflow: the body is longer than REPLAY_MAX, and @replay was freed
  * @admitted: the throttle of the route admitted the request, and the end has
  *	not been reported to it
- * @hop_open: @hop has not ended
+ * @hop_open: @hop has not ended, or its answer is held
  * @marked: the request has a congestion mark
  * @end: how the request ended, for the metrics
  * @end_reason: reason of that end
@@ -330,12 +333,18 @@
 		    call->failure_reason);
 }
 
+static void hop_answered(struct call *call);
+
 static void
 deadline_passed(struct brf_timer *timer, void *arg)
 {
 	struct call *call = arg;
 
 	(void)timer;
+	if (call->hop_open && call->hop.state == BRF_HOP_ANSWERED) {
+		hop_answered(call);
+		return;
+	}
 	if (call->hop_open)
 		call->failure_reason = BRF_R_TIMEOUT;
 	else
@@ -595,6 +604,26 @@
 	    a->body, a->length, &call->hop.answer_body);
 }
 
+/*
+ * Hold an incomplete answer while requests behind it run, so that it can still
+ * be replaced if it breaks off.
+ */
+static void
+take_answer(struct call *call)
+{
+	struct brf_hop *hop = &call->hop;
+	const struct brf_pipe *body = &hop->answer_body;
+
+	if (body->state == BRF_PIPE_BROKEN) {
+		hop->state = BRF_HOP_FAILED;
+		hop->reason = BRF_R_BROKEN_ANSWER;
+		hop_failed(call);
+	} else if (body->state == BRF_PIPE_ENDED ||
+		   brf_pipe_len(body) >= HOLD_MAX_BYTES ||
+		   !brf_flow_is_followed(call->rq))
+		hop_answered(call);
+}
+
 static void
 work(struct brf_task *task)
 {
@@ -608,7 +637,7 @@
 	case BRF_HOP_OPEN:
 		break;
 	case BRF_HOP_ANSWERED:
-		hop_answered(call);
+		take_answer(call);
 		break;
 	case BRF_HOP_REFUSED:
 		hop_refused(call);
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -467,6 +467,35 @@
 	    "GET /1 HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n",
 	    false, "" }));
 
+TEST_F(flow_server, no_request_runs_ahead_of_an_answer_that_may_break_off)
+{
+	raw_peer p;
+	auto *pipe = new struct brf_pipe;
+
+	p.connect_to(port);
+	talk(p, get("/1") + get("/2"),
+	    [&] { return (manual_handler.open.size() == 2); });
+	ASSERT_EQ(manual_handler.open.size(), 2u);
+	EXPECT_TRUE(brf_flow_is_followed(manual_handler.open[0]));
+	EXPECT_FALSE(brf_flow_is_followed(manual_handler.open[1]));
+	brf_pipe_init(pipe, &bench.scheduler.tasks);
+	manual_handler.open[1]->data = pipe;
+	brf_flow_answer(
+	    manual_handler.open[1], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	brf_pipe_write(pipe, "part", 4);
+	p.put(get("/3"));
+	bench.turns(50);
+	EXPECT_EQ(
+	    manual_handler.paths, (std::vector<std::string>{ "/1", "/2" }));
+	brf_pipe_end(pipe);
+	answer(0, "a");
+	talk(p, "", [&] { return (manual_handler.open.size() == 3); });
+	ASSERT_EQ(manual_handler.open.size(), 3u);
+	answer(2, "c");
+	talk(p, "", [&] { return (count(p.got, " 200 ") == 3); });
+	EXPECT_EQ(count(p.got, " 200 "), 3u);
+}
+
 TEST_F(flow_server, no_request_runs_ahead_of_an_http_1_0_answer)
 {
 	raw_peer p;
--- a/test/mesh_call_test.cc
+++ b/test/mesh_call_test.cc
@@ -226,4 +226,73 @@
 	EXPECT_EQ(answers("200"), 1u);
 }
 
+/* Break the answer to request "1" after its head and some of its body. */
+struct broken_answer {
+	const char *what;
+	size_t length;
+	size_t sent;
+	unsigned pause_ms;
+};
+
+class mesh_call_broken : public mesh_call,
+			 public ::testing::WithParamInterface<broken_answer>
+{
+      protected:
+	/* Two pipelined requests; the first answer breaks off. */
+	void
+	break_first_answer()
+	{
+		const struct broken_answer &b = GetParam();
+		raw_peer *first, *second;
+
+		client.put(get("/a/1", "1") + get("/a/2", "2"));
+		first = arrived("1");
+		second = arrived("2");
+		ASSERT_NE(first, nullptr);
+		ASSERT_NE(second, nullptr);
+		first->put(head("1", b.length) + std::string(b.sent, 'x'));
+		bench.pause(b.pause_ms);
+		until([&, n = 50]() mutable { return (n-- <= 0); });
+		first->drop();
+		until([&, n = 50]() mutable { return (n-- <= 0); });
+		second->put(head("2", 6) + "second");
+	}
+};
+
+TEST_P(mesh_call_broken, the_request_behind_it_is_answered)
+{
+	break_first_answer();
+	until([&] {
+		return (client.ended ||
+			client.got.find("second") != std::string::npos);
+	});
+	EXPECT_EQ(answers("502"), 1u);
+	EXPECT_EQ(answers("200"), 1u);
+	EXPECT_LT(client.got.find(" 502 "), client.got.find("second"));
+	EXPECT_FALSE(client.ended);
+}
+
+TEST_F(mesh_call, a_held_answer_is_passed_on_at_its_deadline)
+{
+	raw_peer *first;
+
+	client.put("GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
+		   "X-Timeout: 100\r\n\r\n" +
+		   get("/a/2", "2"));
+	first = arrived("1");
+	ASSERT_NE(first, nullptr);
+	ASSERT_NE(arrived("2"), nullptr);
+	first->put(head("1", 8) + "part");
+	until([&] { return (answers("200") == 1); });
+	EXPECT_NE(client.got.find("part"), std::string::npos);
+	first->put("late");
+	until([&] { return (client.got.find("late") != std::string::npos); });
+	EXPECT_NE(client.got.find("partlate"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(causes, mesh_call_broken,
+    ::testing::Values(
+	broken_answer{ "longer than a gate holds", 60000, 40000, 0 },
+	broken_answer{ "slower than a gate waits", 1000, 400, 60 }));
+
 } // namespace
