flow/server: a last answer is written whole before its connection closes

Callers saw: an answer that was cut off, when they read the last answer of a connection slowly (a planned stop, connection: close, a refusal).

Cause: a request ends when its answer is passed to the writer. From then on the connection lingers for a second, and a stopping node counts nothing as open, though bytes may wait in the writer for a kernel buffer that is full; the close dropped them.

The second counts from the moment at which the kernel has accepted everything now; a client that does not read is bounded by TCP_USER_TIMEOUT as before. A stopping node waits for unsent bytes as for open requests, within its grace time.

--- a/src/flow/server.c
+++ b/src/flow/server.c
@@ -111,6 +111,19 @@
 	return (server->open);
 }
 
+size_t
+brf_flow_unsent(const struct brf_flow_server *server)
+{
+	struct brf_list *l;
+	size_t count = 0;
+
+	brf_list_foreach (l, &server->conns)
+		count += brf_writer_pending(
+			     &brf_list_entry(l, struct brf_flow_conn, link)
+				  ->writer) != 0;
+	return (count);
+}
+
 void
 brf_flow_check_closed(struct brf_flow_server *server)
 {
--- a/src/flow/server.h
+++ b/src/flow/server.h
@@ -187,6 +187,10 @@
 /* Number of requests whose answers are not complete. */
 size_t brf_flow_open_requests(const struct brf_flow_server *server);
 
+/* Number of connections with bytes of answers that the kernel has not
+ * accepted. */
+size_t brf_flow_unsent(const struct brf_flow_server *server);
+
 /**
  * brf_flow_server_close() - stop listening and close all connections.
  *
--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -8,7 +8,8 @@
 #define PIPELINE_MAX 16u  /* open requests per connection */
 #define KEEPALIVE_S 15	  /* seconds of silence before keepalive probes */
 #define UNACKED_MS 30000u /* milliseconds until unacknowledged data fails */
-#define LINGER_US BRF_US_PER_S /* for a client to read the last answer */
+/* For a client to close, once the kernel has accepted the last answer. */
+#define LINGER_US BRF_US_PER_S
 
 static uint64_t
 now(const struct brf_flow_conn *c)
@@ -424,6 +425,9 @@
 	(void)timer;
 	if (wait == 0)
 		return;
+	if (c->state == BRF_FLOW_CONN_LINGER &&
+	    brf_writer_pending(&c->writer) != 0)
+		c->last_progress = now(c);
 	if (now(c) < c->last_progress + wait) {
 		arm_timer(c);
 		return;
--- a/src/flow/writer.c
+++ b/src/flow/writer.c
@@ -63,8 +63,8 @@
 	return (0);
 }
 
-static size_t
-pending(const struct brf_writer *w)
+size_t
+brf_writer_pending(const struct brf_writer *w)
 {
 	return (w->out.len +
 		(w->busy ? uv_stream_get_write_queue_size(w->stream) : 0));
@@ -73,9 +73,9 @@
 bool
 brf_writer_full(struct brf_writer *w)
 {
-	if (pending(w) < BRF_WRITER_HIGH_WATER)
+	if (brf_writer_pending(w) < BRF_WRITER_HIGH_WATER)
 		return (false);
 	/* only a waiting write calls @drained; without one, flush now */
 	return (brf_writer_flush(w) == 0 && w->busy &&
-		pending(w) >= BRF_WRITER_HIGH_WATER);
+		brf_writer_pending(w) >= BRF_WRITER_HIGH_WATER);
 }
--- a/src/flow/writer.h
+++ b/src/flow/writer.h
@@ -47,6 +47,9 @@
  */
 int brf_writer_flush(struct brf_writer *w);
 
+/* Number of bytes that the kernel has not accepted. */
+size_t brf_writer_pending(const struct brf_writer *w);
+
 /**
  * brf_writer_full() - whether the caller should add no more bytes for now.
  *
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -292,7 +292,8 @@
 static size_t
 open_requests(const struct brf_mesh_node *node)
 {
-	return (node->callers.open_count + brf_mesh_gate_open_hops(node->gate) +
+	return (node->callers.open_count + brf_flow_unsent(node->entry) +
+		brf_mesh_gate_open_hops(node->gate) +
 		brf_links_served(node->links));
 }
 
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -513,6 +513,29 @@
 	EXPECT_EQ(count(p.got, " 200 "), 2u);
 }
 
+/* The client begins to read when the answer has left the handler. */
+TEST_F(flow_server, a_last_answer_reaches_a_slow_reader_whole)
+{
+	const std::string body(20000000, 'b');
+	raw_peer p;
+
+	p.connect_to(port);
+	p.put(get("/1"));
+	bench.until([&] { return (manual_handler.open.size() == 1); });
+	ASSERT_EQ(manual_handler.open.size(), 1u);
+	brf_flow_drain(srv);
+	answer(0, body);
+	bench.until([&] { return (manual_handler.ends.size() == 1); });
+	ASSERT_EQ(manual_handler.ends,
+	    std::vector<enum brf_flow_end>{ BRF_FLOW_SENT });
+	EXPECT_EQ(brf_flow_unsent(srv), 1u);
+	bench.pause(1200); /* longer than the server lingers */
+	talk(p, "", [&] { return (false); });
+	EXPECT_EQ(count(p.got, "b"), body.size());
+	EXPECT_TRUE(p.ended);
+	EXPECT_EQ(brf_flow_unsent(srv), 0u);
+}
+
 TEST_F(flow_server, reserved_fields_of_a_caller_are_not_forwarded)
 {
 	raw_peer p;
