node/gate: a waiting attempt is not run by the target of another service

Callers saw: a request that waited for a target was passed on to a target of another service, which had been announced at the same node in the meantime.

Cause: brf_gate_attach() replaces the target, and what waits is granted a slot of whatever is attached then. Only brf_gate_detach() refused it, and a target that is announced without a withdrawal before doesn't pass there.

Evidence: gate.a_waiting_attempt_is_not_run_by_the_target_of_another_service failed before: the attempt ran at the other target and did not end. Now it is refused as not run, no_target. A target of the same service keeps what waits: gate.a_waiting_attempt_runs_on_the_new_target_of_its_service.

Ruled out by reading: running attempts, which hold a reference to their target and to the document in force when they arrived.

--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -134,6 +134,9 @@
 	gt->target = target;
 	gt->release = release;
 	gt->refs = 1;
+	if (gate->attached != NULL &&
+	    strcmp(gate->announcement.service, announcement->service) != 0)
+		brf_gate_detach(gate);
 	detach(gate);
 	gate->attached = gt;
 	brf_admission_drain(
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -103,7 +103,8 @@
  * brf_gate_attach() - run new attempts on @target, which has announced itself.
  * @release: called once when the gate no longer uses @target
  *
- * Attempts that run on the previous target continue there.
+ * Attempts that run on the previous target continue there.  Those that wait for
+ * a target of another service are refused with BRF_R_NO_TARGET.
  */
 void brf_gate_attach(struct brf_gate *gate, struct brf_target *target,
     const struct brf_announcement *announcement,
--- a/test/gate_test.cc
+++ b/test/gate_test.cc
@@ -347,3 +347,52 @@
 	EXPECT_NE(h.sent[1]->reply.outcome, BRF_NOT_RUN);
 	EXPECT_TRUE(h.target.running.empty());
 }
+
+/* One slot: the second attempt waits while the target is replaced. */
+TEST(gate, a_waiting_attempt_is_not_run_by_the_target_of_another_service)
+{
+	struct gate_harness h(false);
+	struct fake_target other = {};
+	struct brf_announcement announcement = {};
+
+	brf_copy_name(
+	    announcement.service, sizeof(announcement.service), "factors");
+	announcement.slots = 1;
+	brf_gate_update(h.gate, &announcement);
+	h.send_new(false);
+	h.send_new(false);
+	ASSERT_EQ(h.target.running.size(), 1u);
+	ASSERT_EQ(h.sent[1]->ends, 0);
+	other.target.vt = &target_vt;
+	brf_copy_name(
+	    announcement.service, sizeof(announcement.service), "sums");
+	brf_gate_attach(h.gate, &other.target, &announcement, release_nothing);
+	finish(&h.target, 0, BRF_RUN_ANSWERED);
+	h.advance(10 * BRF_US_PER_MS);
+	EXPECT_TRUE(other.running.empty());
+	ASSERT_EQ(h.sent[1]->ends, 1);
+	EXPECT_EQ(h.sent[1]->reply.outcome, BRF_NOT_RUN);
+	EXPECT_EQ(h.sent[1]->reply.reason, BRF_R_NO_TARGET);
+}
+
+/* A target that is announced anew, at another port, keeps what waits. */
+TEST(gate, a_waiting_attempt_runs_on_the_new_target_of_its_service)
+{
+	struct gate_harness h(false);
+	struct fake_target other = {};
+	struct brf_announcement announcement = {};
+
+	brf_copy_name(
+	    announcement.service, sizeof(announcement.service), "factors");
+	announcement.slots = 1;
+	brf_gate_update(h.gate, &announcement);
+	h.send_new(false);
+	h.send_new(false);
+	other.target.vt = &target_vt;
+	brf_gate_attach(h.gate, &other.target, &announcement, release_nothing);
+	finish(&h.target, 0, BRF_RUN_ANSWERED);
+	h.advance(0);
+	ASSERT_EQ(other.running.size(), 1u);
+	finish(&other, 0, BRF_RUN_ANSWERED);
+	EXPECT_EQ(h.sent[1]->reply.outcome, BRF_ANSWERED);
+}
