http/server: linger before closing a connection behind its last answer

Callers saw: an answer that broke off, when they had sent anything behind the request whose answer was the connection's last (connection: close, HTTP/1.0, a refusal, a stop of the server).

Cause: h2o closes the socket as soon as the kernel has taken the answer. When the client's bytes lie unread, or come after that, the kernel resets the connection and drops what it has not delivered.

A copy of the descriptor, taken when an answer may be the last, outlives h2o's: its sending side is shut down, and what the client sends is discarded until it closes, or for a second after it has acknowledged everything.

Ruled out, by tests that passed before: a request handled behind an announced close (server.no_request_is_handled_behind_an_announced_close: stop, connection: close, HTTP/1.0, refusal; h2o reads no request while another is open), streams behind the last GOAWAY (server.no_http2_stream_is_handled_behind_the_last_goaway), and streams that end with another one that was malformed, cancelled or aborted (server.a_broken_http2_stream_leaves_the_others_open).

--- a/src/http/request.c
+++ b/src/http/request.c
@@ -130,6 +130,25 @@
 	return (status >= 200 && status != 204 && status != 304);
 }
 
+static struct brf_http_conn *
+conn_of(h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+
+	return (sock->on_close.data);
+}
+
+/* Prepare for the close that follows the connection's last answer. */
+static void
+prepare_close(h2o_req_t *req)
+{
+	struct brf_http_conn *c = conn_of(req);
+
+	if (req->version < 0x200 ? !req->http1_is_persistent
+				 : c->server->stopping)
+		brf_http_conn_prepare_linger(c);
+}
+
 static void
 send_answer(h2o_req_t *req, int status, const char *body, size_t len)
 {
@@ -137,6 +156,7 @@
 	    req->input.method.base, req->input.method.len, H2O_STRLIT("HEAD"));
 	h2o_iovec_t buf = h2o_iovec_init(body, len);
 
+	prepare_close(req);
 	req->res.status = status;
 	req->res.reason = brf_http_reason_phrase(status);
 	req->res.content_length =
@@ -332,8 +352,7 @@
 {
 	struct brf_http_server *server =
 	    brf_container_of(self, struct h2o_handler, super)->server;
-	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
-	struct brf_http_conn *c = sock->on_close.data;
+	struct brf_http_conn *c = conn_of(req);
 	struct brf_http_request *r;
 	enum brf_reason reason;
 	int status;
@@ -370,6 +389,7 @@
 	enum brf_reason reason =
 	    req->res.status == 413 ? BRF_R_TOO_LARGE : BRF_R_MALFORMED;
 
+	prepare_close(req);
 	add_field(req, BRF_H_OUTCOME, brf_outcome_name(BRF_NOT_RUN), false);
 	add_field(req, BRF_H_REASON, brf_reason_name(reason), false);
 	h2o_setup_next_ostream(req, slot);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <stdlib.h>
 
 #include "base/tcp.h"
@@ -35,7 +36,21 @@
 		shutdown(h2o_socket_get_fd(c->sock), SHUT_RDWR);
 }
 
+void
+brf_http_conn_prepare_linger(struct brf_http_conn *c)
+{
+	int fd;
+
+	if (c->sock == NULL || c->linger_fd != -1)
+		return;
+	fd = h2o_socket_get_fd(c->sock);
+	c->linger_fd = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+	if (c->linger_fd != -1)
+		brf_http_watch_stop(c->server->hl, fd);
+}
+
 static void server_try_dispose(struct brf_http_server *server);
+static void linger_ended(struct brf_http_lingers *lingers);
 
 static void
 conn_closed(uv_handle_t *handle)
@@ -58,6 +73,8 @@
 	struct brf_http_conn *c = arg;
 
 	c->sock = NULL;
+	if (c->linger_fd != -1)
+		brf_http_linger_start(&c->server->lingers, c->linger_fd);
 }
 
 static void
@@ -99,6 +116,7 @@
 		return;
 	c = brf_calloc(1, sizeof(*c));
 	c->server = server;
+	c->linger_fd = -1;
 	c->watch.on_peer_close = on_peer_closed;
 	brf_list_init(&c->requests);
 	uv_tcp_init(server->hl->loop, &c->tcp);
@@ -192,6 +210,7 @@
 	server->hl = hl;
 	server->handler = handler;
 	brf_list_init(&server->conns);
+	brf_http_lingers_init(&server->lingers, hl, linger_ended);
 	uv_tcp_init(hl->loop, &server->listener);
 	server->listener.data = server;
 	rc = start_listening(server, addr);
@@ -246,6 +265,13 @@
 	return (server->conn_count);
 }
 
+static void
+linger_ended(struct brf_http_lingers *lingers)
+{
+	server_try_dispose(
+	    brf_container_of(lingers, struct brf_http_server, lingers));
+}
+
 static void
 server_closed(void *arg)
 {
@@ -259,7 +285,7 @@
 server_try_dispose(struct brf_http_server *server)
 {
 	if (server->closed == NULL || server->conn_count != 0 ||
-	    server->disposed)
+	    server->lingers.count != 0 || server->disposed)
 		return;
 	server->disposed = true;
 	/* h2o leaves this timer running, and asserts that none is */
@@ -288,6 +314,7 @@
 		c = brf_list_entry(l, struct brf_http_conn, link);
 		brf_http_conn_shutdown(c);
 	}
+	brf_http_lingers_close(&server->lingers);
 	server_try_dispose(server);
 }
 
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -3,6 +3,7 @@
 
 #include <h2o.h>
 
+#include "http/linger.h"
 #include "http/loop.h"
 #include "http/server.h"
 #include "http/watch.h"
@@ -23,6 +24,7 @@
  * @requests: requests that the handler has not answered yet
  * @h2: the last request used HTTP/2
  * @disconnected: the client closed its side of the connection
+ * @linger_fd: copy of the descriptor for a lingering close; -1 for none
  */
 struct brf_http_conn {
 	uv_tcp_t tcp;
@@ -33,6 +35,7 @@
 	struct brf_list requests;
 	bool h2;
 	bool disconnected;
+	int linger_fd;
 };
 
 struct brf_http_server {
@@ -44,6 +47,7 @@
 	bool disposed;
 	struct brf_list conns;
 	size_t conn_count;
+	struct brf_http_lingers lingers;
 	h2o_globalconf_t config;
 	h2o_context_t ctx;
 	h2o_accept_ctx_t accept;
@@ -60,6 +64,10 @@
 /* Shut down the socket; h2o then sees the end of the stream. */
 void brf_http_conn_shutdown(struct brf_http_conn *c);
 
+/* The next answer may be the last: prepare a lingering close, since h2o closes
+ * its descriptor without notice. */
+void brf_http_conn_prepare_linger(struct brf_http_conn *c);
+
 /* Register the server's handler for all requests to @host. */
 void brf_http_requests_register(
     struct brf_http_server *server, h2o_hostconf_t *host);
--- a/src/http/watch.c
+++ b/src/http/watch.c
@@ -60,3 +60,9 @@
 
 	return (epoll_ctl(hl->watch_fd, EPOLL_CTL_ADD, fd, &event) == 0);
 }
+
+void
+brf_http_watch_stop(struct brf_http_loop *hl, int fd)
+{
+	epoll_ctl(hl->watch_fd, EPOLL_CTL_DEL, fd, NULL);
+}
--- a/src/http/watch.h
+++ b/src/http/watch.h
@@ -8,8 +8,7 @@
  *
  * libuv allows one handle per descriptor, and h2o uses that handle.  So the
  * connections are added to a separate epoll set, for EPOLLRDHUP only, and libuv
- * polls the descriptor of this set.  The kernel removes a connection from the
- * set when its descriptor is closed.  For src/http only.
+ * polls the descriptor of this set.  For src/http only.
  */
 
 struct brf_http_loop;
@@ -36,6 +35,9 @@
 bool brf_http_watch_start(
     struct brf_http_loop *hl, struct brf_http_watch *watch, int fd);
 
+/* End the watch of @fd, which may stay open in a copy. */
+void brf_http_watch_stop(struct brf_http_loop *hl, int fd);
+
 BRF_END_DECLS
 
 #endif
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -666,6 +666,154 @@
 	    << frames(p.got);
 }
 
+const std::string get_1 = "GET /1 HTTP/1.1\r\n" + host;
+const std::string get_2 = "GET /2 HTTP/1.1\r\n" + host + "\r\n";
+
+const struct announced_close {
+	const char *name;
+	std::string first;
+	bool stop;
+} announced_closes[] = {
+	{ "the client asked for it", get_1 + "connection: close\r\n\r\n",
+	    false },
+	{ "http 1.0", "GET /1 HTTP/1.0\r\n\r\n", false },
+	{ "the request is refused", get_1 + host + "\r\n", false },
+	/* last: the server takes no connection after it */
+	{ "the server stops", get_1 + "\r\n", true },
+};
+
+TEST_F(server, no_request_is_handled_behind_an_announced_close)
+{
+	rec.mode = recorder::HOLD;
+	for (int same_segment = 0; same_segment < 2; same_segment++) {
+		for (auto &c : announced_closes) {
+			struct raw_peer p;
+
+			if (c.stop && same_segment == 0)
+				continue;
+			rec.handled = rec.disconnected = 0;
+			rec.held.clear();
+			p.connect_to(port);
+			p.put(same_segment ? c.first + get_2 : c.first);
+			test_loop.run_iterations(40);
+			if (!same_segment)
+				p.put(get_2);
+			if (c.stop)
+				brf_http_server_stop(srv);
+			if (!rec.held.empty())
+				echo(rec.held[0]);
+			exchange(p, "", "never");
+			EXPECT_TRUE(p.ended) << c.name;
+			EXPECT_EQ(p.got.find("/2"), std::string::npos)
+			    << c.name;
+			EXPECT_LE(rec.handled, 1) << c.name;
+			EXPECT_EQ(rec.disconnected, 0) << c.name;
+		}
+	}
+}
+
+/* GET / of host "a" on @stream. */
+std::string
+h2_get_on(uint32_t stream)
+{
+	return (frame(1, 5, stream,
+	    "\x82\x86\x84\x41\x01"
+	    "a"));
+}
+
+TEST_F(server, no_http2_stream_is_handled_behind_the_last_goaway)
+{
+	struct raw_peer p;
+
+	rec.mode = recorder::HOLD;
+	p.connect_to(port);
+	p.put(h2_preface + h2_get_on(1));
+	ASSERT_TRUE(
+	    test_loop.run_loop_until([&] { return (rec.handled == 1); }));
+	brf_http_server_stop(srv);
+	ASSERT_TRUE(test_loop.run_loop_until([&] {
+		p.get();
+		return (frames(p.got).find("7/0/0") != std::string::npos);
+	}));
+	/* the first one names no last stream */
+	p.put(h2_get_on(3));
+	EXPECT_TRUE(
+	    test_loop.run_loop_until([&] { return (rec.handled == 2); }));
+	ASSERT_TRUE(test_loop.run_loop_until([&] {
+		p.get();
+		return (frames(p.got).find("7/0/0") !=
+			frames(p.got).rfind("7/0/0"));
+	})) << frames(p.got);
+	p.put(h2_get_on(5));
+	test_loop.run_iterations(50);
+	EXPECT_EQ(rec.handled, 2);
+	echo(rec.held[0]);
+	echo(rec.held[1]);
+	EXPECT_TRUE(test_loop.run_loop_until([&] {
+		p.get();
+		return (p.ended);
+	}));
+	EXPECT_NE(frames(p.got).find("0/1/1 "), std::string::npos);
+	EXPECT_NE(frames(p.got).find("0/1/3 "), std::string::npos);
+	EXPECT_EQ(rec.disconnected, 0);
+}
+
+TEST_F(server, a_broken_http2_stream_leaves_the_others_open)
+{
+	const std::string bad_path = "\x82\x86\x41\x01"
+				     "a\x04\x01p";
+	struct raw_peer p;
+
+	rec.mode = recorder::HOLD;
+	p.connect_to(port);
+	p.put(h2_preface + h2_get_on(1) + frame(1, 5, 3, bad_path) +
+	      h2_get_on(5) + frame(3, 0, 5, std::string("\0\0\0\x08", 4)) +
+	      h2_get_on(7));
+	ASSERT_TRUE(test_loop.run_loop_until([&] {
+		p.get();
+		return (rec.handled == 3 && rec.disconnected == 1);
+	})) << rec.handled
+	    << " " << rec.disconnected << frames(p.got);
+	brf_http_abort(rec.held[0]);
+	echo(rec.held[2]);
+	EXPECT_TRUE(test_loop.run_loop_until([&] {
+		p.get();
+		return (frames(p.got).find("0/1/7 ") != std::string::npos);
+	})) << frames(p.got);
+	EXPECT_FALSE(p.ended);
+}
+
+/* Bytes behind the last request must not make the kernel drop its answer. */
+TEST_F(server, a_last_answer_arrives_whole_whatever_follows_its_request)
+{
+	for (int body_size : { 100, 1000000 }) {
+		struct raw_peer p;
+		std::string body((size_t)body_size, 'b');
+		int small = 65536;
+
+		p.connect_to(port);
+		setsockopt(p.fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+		p.put("POST /1 HTTP/1.1\r\n" + host +
+		      "connection: close\r\ncontent-length: " +
+		      std::to_string(body_size) + "\r\n\r\n");
+		ASSERT_TRUE(test_loop.run_loop_until([&] {
+			body = p.put(body);
+			return (body.empty());
+		}));
+		test_loop.run_iterations(40);
+		p.put(get_2);
+		test_loop.run_iterations(40);
+		p.put(get_2);
+		test_loop.run_iterations(40);
+		exchange(p, "", "never");
+		ASSERT_NE(p.got.find("\r\n\r\n"), std::string::npos);
+		EXPECT_EQ(p.got.size() - p.got.find("\r\n\r\n") - 4,
+		    (size_t)body_size);
+		EXPECT_EQ(rec.handled, 1);
+		rec.handled = 0;
+	}
+}
+
 TEST_F(server, close_reports_each_request_as_disconnected)
 {
 	struct raw_peer one, two;
