http/client: don't touch a target after the end of its last run

Callers saw: nothing at once; what the freed memory held by then decided whether the node went on, posted a task of garbage, or crashed.

Cause: a target that is withdrawn or replaced while requests run is released by the end of the last of them, inside done(). finish() read its list of waiting runs after that.

What waits is started by a task now that is posted before done(); freeing the target cancels it.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -41,10 +41,10 @@
 	struct brf_run *run = hr->run;
 
 	run->impl = NULL;
-	run->done(run, end, answer);
 	free(hr);
 	if (!brf_list_empty(&t->waiting))
 		brf_http_task_post(t->hl, &t->start);
+	run->done(run, end, answer); /* may free the target */
 }
 
 static void
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -1139,6 +1139,46 @@
 	brf_http_target_free(tg);
 }
 
+/* A run whose end drops the last reference to its target. */
+struct last_run {
+	struct run_recorder recorder;
+	struct brf_target *target;
+};
+
+void
+free_target(struct brf_run *run, enum brf_run_end end, struct brf_message *m)
+{
+	auto *last = reinterpret_cast<struct last_run *>(run);
+
+	run_done(run, end, m);
+	brf_http_target_free(last->target);
+}
+
+TEST_F(target, the_end_of_its_last_run_may_free_it)
+{
+	const std::string answers[] = { ok + "content-length: 0\r\n\r\n",
+		"no answer\r\n\r\n", "" };
+
+	for (auto &answer : answers) {
+		struct raw_target t;
+		struct last_run r;
+
+		prepare(r.recorder);
+		r.recorder.run.done = free_target;
+		r.target = brf_http_target_new(test_loop.hl, t.port, 1);
+		brf_target_run(r.target, &r.recorder.run);
+		ASSERT_TRUE(receives_request(t));
+		if (answer.empty())
+			brf_target_cancel(r.target, &r.recorder.run);
+		else
+			t.peer.put(answer);
+		EXPECT_TRUE(test_loop.run_loop_until(
+		    [&] { return (r.recorder.ends == 1); }));
+		test_loop.run_iterations(5);
+		EXPECT_EQ(r.recorder.ends, 1);
+	}
+}
+
 TEST_F(target, a_refused_connection_means_not_started)
 {
 	struct run_recorder r;
