flow/target: a head that fills the input ends the request

Callers saw: a target that sends a head without end held its request, its slot and its connection until the deadline; the request then ended as a timeout.

Cause: reading pauses at INPUT_MAX bytes, and a head failed only above HEAD_MAX, which is the same number. A head of exactly that length could neither go on nor fail. Reads take up to that many bytes, so that an endless head stops exactly there. A complete head was taken beyond HEAD_MAX when its end came with the same read.

Evidence: a_head_without_end_ends_the_request and a_head_that_fills_the_input_ends_the_request failed before: the request was still open after 50,000 iterations of the loop, with a running slot.

Now an incomplete head of HEAD_MAX bytes fails at once, as an invalid answer, and so does a longer complete one. a_head_of_the_limit_is_an_answer shows that the limit itself is still an answer; it passed before too.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -253,9 +253,9 @@
 	result = brf_answer_head_parse(&h, c->input.data, c->input.len,
 	    c->last_len, run->to_head, c->target->config.names, &used);
 	c->last_len = c->input.len;
-	if (result != BRF_HEAD_COMPLETE) {
+	if (result != BRF_HEAD_COMPLETE || used > HEAD_MAX) {
 		brf_answer_head_free(&h);
-		if (result != BRF_HEAD_INCOMPLETE || c->input.len > HEAD_MAX)
+		if (result != BRF_HEAD_INCOMPLETE || c->input.len >= HEAD_MAX)
 			fail_conn(c, true);
 		return (false);
 	}
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "flow_fake.h"
 #include "mesh/gate.h"
 
@@ -372,4 +374,149 @@
 	EXPECT_EQ(next.body(), "y");
 }
 
+/* What a target sends: @start, then @unit again and again. */
+struct endless_case {
+	const char *name;
+	std::string start;
+	std::string unit;
+};
+
+class mesh_gate_endless : public mesh_gate
+{
+      protected:
+	uv_timer_t alive; /* libuv runs no iteration without active handles */
+
+	void
+	SetUp() override
+	{
+		mesh_gate::SetUp();
+		uv_timer_init(&bench.loop, &alive);
+		uv_timer_start(
+		    &alive, [](uv_timer_t *) {}, 1, 1);
+	}
+
+	void
+	TearDown() override
+	{
+		mesh_gate::TearDown();
+		uv_close((uv_handle_t *)&alive, nullptr);
+		bench.turns(4);
+	}
+
+	/* Send @bytes and then @unit again and again until @done. */
+	bool
+	flood(raw_peer *p, std::string bytes, const std::string &unit,
+	    const std::function<bool()> &done)
+	{
+		return (until([&] {
+			while (!unit.empty() && bytes.size() < 65536)
+				bytes += unit;
+			bytes = p->put(bytes);
+			return (done());
+		}));
+	}
+
+	static bool
+	is_over(const struct sender &s)
+	{
+		return (s.hop.state == BRF_HOP_FAILED ||
+			s.hop.answer_body.state != BRF_PIPE_OPEN);
+	}
+
+	/* The connection is closed and the slot is free. */
+	void
+	expect_given_back(raw_peer *p, const char *name)
+	{
+		struct brf_gate_load load;
+
+		EXPECT_TRUE(until([&] { return (p->ended); })) << name;
+		brf_mesh_gate_get_load(gate, &load);
+		EXPECT_EQ(load.running, 0) << name;
+		EXPECT_EQ(brf_mesh_gate_open_hops(gate), 0u) << name;
+	}
+
+	void
+	forget_peers()
+	{
+		for (auto *peer : target.peers)
+			delete peer;
+		target.peers.clear();
+		bench.turns(20);
+	}
+
+	/* Play @c; the request must end as broken before its deadline. */
+	void
+	expect_broken_at_once(const struct endless_case &c)
+	{
+		{
+			struct sender s;
+			raw_peer *p;
+
+			send(s, "7");
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(flood(p, c.start, c.unit, [&] {
+				return (is_over(s));
+			})) << c.name;
+			if (s.hop.state == BRF_HOP_ANSWERED) {
+				EXPECT_EQ(
+				    s.hop.answer_body.state, BRF_PIPE_BROKEN)
+				    << c.name;
+			} else {
+				EXPECT_EQ(s.hop.state, BRF_HOP_FAILED)
+				    << c.name;
+				EXPECT_EQ(s.hop.reason, BRF_R_BROKEN_ANSWER)
+				    << c.name;
+			}
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+};
+
+const size_t head_max = 65536; /* bytes of an answer's head */
+const std::string chunked = ok + "transfer-encoding: chunked\r\n\r\n";
+
+TEST_F(mesh_gate_endless, a_head_without_end_ends_the_request)
+{
+	const std::string field = ok + "x: ";
+	const std::vector<struct endless_case> cases = {
+		{ "status line", "HTTP/1.1 200 O", "K" },
+		{ "one field", field, "y" },
+		{ "many fields", ok, "x: y\r\n" },
+		{ "no line", "", "H" },
+	};
+
+	for (const auto &c : cases)
+		expect_broken_at_once(c);
+}
+
+TEST_F(mesh_gate_endless, a_head_that_fills_the_input_ends_the_request)
+{
+	const std::string field = ok + "x: ";
+
+	expect_broken_at_once({ "incomplete, of the limit",
+	    field + std::string(head_max - field.size(), 'y'), "" });
+	expect_broken_at_once({ "complete, beyond the limit",
+	    field + std::string(head_max - field.size(), 'y') +
+		"\r\ncontent-length: 0\r\n\r\n",
+	    "" });
+}
+
+TEST_F(mesh_gate_endless, a_head_of_the_limit_is_an_answer)
+{
+	const std::string field = ok + "content-length: 1\r\nx: ";
+	const std::string head =
+	    field + std::string(head_max - field.size() - 4, 'y') + "\r\n\r\n";
+	struct sender s;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	flood(p, head + "z", "", [&] { return (s.hop.state != BRF_HOP_OPEN); });
+	EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+	EXPECT_EQ(s.body(), "z");
+}
+
 } // namespace
