flow/target: limit the answers before a run's own

Callers saw: a target that sends interim answers, or answers to another request, without end held its request until the deadline, and the whole node was slow meanwhile.

Cause: any number of such answers was skipped. Each is removed from the front of up to 128 KiB of input, so that one turn moved that memory some thousand times.

Evidence: answers_before_the_own_one_are_limited failed before: each of its four cases ended only at the deadline of 60 s, as a timeout.

Now a run skips at most SKIPPED_MAX answers; the next one ends it as an invalid answer. The four cases take 6 ms. a_few_interim_answers_are_skipped passed before and after.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -8,6 +8,7 @@
 
 #define INPUT_MAX 65536u	    /* unused bytes; reading pauses above */
 #define HEAD_MAX 65536u		    /* maximum bytes of an answer's head */
+#define SKIPPED_MAX 32u		    /* answers before a run's own */
 #define CONNECT_US BRF_US_PER_S	    /* timeout of connecting */
 #define IDLE_US (8 * BRF_US_PER_S)  /* idle time if the target states none */
 #define IDLE_MARGIN_US BRF_US_PER_S /* close this long before the target */
@@ -31,6 +32,8 @@
  * @remaining: bytes of the answer's body still to be read, with READ_LENGTH
  * @expires_at: clock time when an idle connection is closed
  * @keep_alive_s: from the head of the answer
+ * @skipped: answers read before the run's own: interim ones, and those to
+ *	other requests
  * @discard: the answer being read belongs to another request
  * @body_sent: the request's body was passed to @writer completely
  * @stop_sending: the target accepts no more of the request's body
@@ -55,6 +58,7 @@
 	uint64_t idle_since;
 	uint64_t expires_at;
 	uint32_t keep_alive_s;
+	uint32_t skipped;
 	bool keep_alive;
 	bool connected;
 	bool discard;
@@ -238,7 +242,41 @@
 static bool
 answers_run(const struct brf_flow_run *run, const struct brf_answer_head *h)
 {
-	return (h->id[0] == '\0' || strcmp(h->id, run->id) == 0);
+	return (h->status >= 200 &&
+		(h->id[0] == '\0' || strcmp(h->id, run->id) == 0));
+}
+
+/*
+ * Skip an interim response (RFC 9110, section 15.2) or an answer to another
+ * request.
+ *
+ * Return: false when the connection was closed.
+ */
+static bool
+skip_answer(struct brf_flow_target_conn *c, const struct brf_answer_head *h)
+{
+	c->discard = h->status >= 200;
+	if (c->discard) {
+		c->target->dropped->value++;
+		begin_reading(c, h);
+	}
+	if (++c->skipped <= SKIPPED_MAX)
+		return (true);
+	fail_conn(c, true);
+	return (false);
+}
+
+static void
+take_answer(struct brf_flow_target_conn *c, const struct brf_answer_head *h)
+{
+	struct brf_flow_run *run = c->run;
+
+	begin_reading(c, h);
+	c->keep_alive = h->keep_alive;
+	c->keep_alive_s = h->keep_alive_s;
+	run->answer = *h;
+	run->state = BRF_FLOW_RUN_ANSWERED;
+	post_owner(run, c->target);
 }
 
 /* Return: whether input was consumed. */
@@ -246,12 +284,12 @@
 read_head(struct brf_flow_target_conn *c)
 {
 	struct brf_answer_head h = { .status = 0 };
-	struct brf_flow_run *run = c->run;
 	enum brf_head_result result;
 	size_t used = 0;
+	bool open;
 
 	result = brf_answer_head_parse(&h, c->input.data, c->input.len,
-	    c->last_len, run->to_head, c->target->config.names, &used);
+	    c->last_len, c->run->to_head, c->target->config.names, &used);
 	c->last_len = c->input.len;
 	if (result != BRF_HEAD_COMPLETE || used > HEAD_MAX) {
 		brf_answer_head_free(&h);
@@ -261,23 +299,13 @@
 	}
 	c->last_len = 0;
 	brf_buf_consume(&c->input, used);
-	if (h.status < 200) { /* an interim response, RFC 9110, section 15.2 */
-		brf_answer_head_free(&h);
-		return (true);
-	}
-	begin_reading(c, &h);
-	c->discard = !answers_run(run, &h);
-	if (c->discard) {
-		c->target->dropped->value++;
-		brf_answer_head_free(&h);
+	if (answers_run(c->run, &h)) {
+		take_answer(c, &h);
 		return (true);
 	}
-	c->keep_alive = h.keep_alive;
-	c->keep_alive_s = h.keep_alive_s;
-	run->answer = h;
-	run->state = BRF_FLOW_RUN_ANSWERED;
-	post_owner(run, c->target);
-	return (true);
+	open = skip_answer(c, &h);
+	brf_answer_head_free(&h);
+	return (open);
 }
 
 static size_t
@@ -582,6 +610,7 @@
 	run->out->writer = &c->work;
 	c->read_state = READ_HEAD;
 	c->last_len = 0;
+	c->skipped = 0;
 	c->keep_alive = false;
 	c->body_sent = run->body == NULL;
 }
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -519,4 +519,36 @@
 	EXPECT_EQ(s.body(), "z");
 }
 
+TEST_F(mesh_gate_endless, answers_before_the_own_one_are_limited)
+{
+	const std::vector<struct endless_case> cases = {
+		{ "interim answers", "", "HTTP/1.1 102 P\r\n\r\n" },
+		{ "interim answers with a field", "",
+		    "HTTP/1.1 103 E\r\nx-id: 7\r\n\r\n" },
+		{ "answers to another request", "", complete_answer("6", "") },
+		{ "both", "",
+		    "HTTP/1.1 102 P\r\n\r\n" + complete_answer("6", "a") },
+	};
+
+	for (const auto &c : cases)
+		expect_broken_at_once(c);
+}
+
+TEST_F(mesh_gate_endless, a_few_interim_answers_are_skipped)
+{
+	std::string interim;
+	struct sender s;
+	raw_peer *p;
+
+	for (int i = 0; i < 20; i++)
+		interim += "HTTP/1.1 102 P\r\n\r\n";
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	p->put(interim + complete_answer("7", "own"));
+	until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+	EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+	EXPECT_EQ(s.body(), "own");
+}
+
 } // namespace
