flow/target: an answer until close to another request ends the run

Callers saw: a request waited for its deadline when its target had answered another request on the connection with a body that only the connection's end delimits.

Cause: that body was read and discarded like one of a known length, though no answer can follow it.

Evidence: another_answer_until_close_ends_the_request failed before, with an endless body and with only the head: the request was open after 50,000 iterations.

Now the run ends at that head, as an invalid answer, as it did when the target closed the connection. A discarded answer of a length or in chunks may be followed by the right one, and still ends at the deadline.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -248,7 +248,8 @@
 
 /*
  * Skip an interim response (RFC 9110, section 15.2) or an answer to another
- * request.
+ * request.  Behind one that lasts until the connection is closed, none can
+ * follow.
  *
  * Return: false when the connection was closed.
  */
@@ -260,7 +261,7 @@
 		c->target->dropped->value++;
 		begin_reading(c, h);
 	}
-	if (++c->skipped <= SKIPPED_MAX)
+	if (++c->skipped <= SKIPPED_MAX && h->body != BRF_BODY_CLOSE)
 		return (true);
 	fail_conn(c, true);
 	return (false);
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -551,4 +551,13 @@
 	EXPECT_EQ(s.body(), "own");
 }
 
+/* Such a connection can't carry the request's own answer any more. */
+TEST_F(mesh_gate_endless, another_answer_until_close_ends_the_request)
+{
+	expect_broken_at_once({ "without an end",
+	    "HTTP/1.1 200 OK\r\nx-id: 6\r\nx-seal: s\r\n\r\n", "x" });
+	expect_broken_at_once({ "only its head",
+	    "HTTP/1.1 200 OK\r\nx-id: 6\r\nx-seal: s\r\n\r\n", "" });
+}
+
 } // namespace
