flow/chunks: bound the metadata between two bytes of a body

Callers saw: a chunk extension or a trailer without end held a forwarded answer, its slot and its connection open for ever; on a caller's connection it counted as progress, so that neither the time-out nor the limit of a body ended it.

Cause: the parser skips extensions and trailer fields of any length.

Evidence: chunk_metadata_without_end_ends_the_request (the extension of a first, a later and the last chunk, and trailers) and flow_server.chunk_metadata_without_end_is_refused failed before: answers stayed open after 50,000 iterations with a running slot, and the caller got no answer within 60 s.

Now parts that hold no byte of the body may add up to BRF_CHUNKS_METADATA_MAX bytes of metadata, for answers and requests alike; above, the body is malformed. Counting starts anew with each byte of the body, so that a body of small chunks is no case: many_chunks_of_one_byte_are_an_answer passes before and after. Ruled out: chunk-size digits, which the parser limits to 16.

--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -1,7 +1,6 @@
 #include <stdlib.h>
 
 #include "base/tcp.h"
-#include "flow/chunks.h"
 #include "flow/server_impl.h"
 
 #define INPUT_MAX 65536u  /* unused bytes; reading pauses above */
@@ -161,8 +160,7 @@
 
 	c->body_bytes = 0;
 	c->body_remaining = r->head.length;
-	memset(&c->decoder, 0, sizeof(c->decoder));
-	c->decoder.consume_trailer = 1;
+	brf_chunks_init(&c->chunks);
 	if (r->head.body == BRF_BODY_NONE ||
 	    (r->head.body == BRF_BODY_LENGTH && r->head.length == 0)) {
 		r->body_read = true;
@@ -285,7 +283,7 @@
 	if (available == 0)
 		return (false);
 	result =
-	    brf_chunks_decode(&c->decoder, &c->input, available, &len, &used);
+	    brf_chunks_decode(&c->chunks, &c->input, available, &len, &used);
 	if (result == BRF_CHUNKS_INVALID)
 		return (refuse_body(r, 400));
 	c->body_bytes += len;
--- a/src/flow/server_impl.h
+++ b/src/flow/server_impl.h
@@ -1,9 +1,9 @@
 #ifndef BRF_FLOW_SERVER_IMPL_H
 #define BRF_FLOW_SERVER_IMPL_H
 
+#include "flow/chunks.h"
 #include "flow/server.h"
 #include "flow/writer.h"
-#include "http/parser.h"
 
 /**
  * DOC: Declarations shared by the server's files: server.c listens and closes,
@@ -50,7 +50,7 @@
 	size_t count;
 	struct brf_buf input;
 	size_t last_len;
-	struct phr_chunked_decoder decoder;
+	struct brf_chunks chunks;
 	uint64_t body_remaining;
 	uint64_t body_bytes;
 	uint64_t last_progress;
--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -4,7 +4,6 @@
 #include "flow/chunks.h"
 #include "flow/target.h"
 #include "flow/writer.h"
-#include "http/parser.h"
 
 #define INPUT_MAX 65536u	    /* unused bytes; reading pauses above */
 #define HEAD_MAX 65536u		    /* maximum bytes of an answer's head */
@@ -52,7 +51,7 @@
 	struct brf_list link;
 	struct brf_buf input;
 	size_t last_len;
-	struct phr_chunked_decoder decoder;
+	struct brf_chunks chunks;
 	uint64_t remaining;
 	enum read_state read_state;
 	uint64_t idle_since;
@@ -235,8 +234,7 @@
 
 	c->read_state = readings[h->body];
 	c->remaining = h->body == BRF_BODY_LENGTH ? h->length : 0;
-	memset(&c->decoder, 0, sizeof(c->decoder));
-	c->decoder.consume_trailer = 1;
+	brf_chunks_init(&c->chunks);
 }
 
 static bool
@@ -363,7 +361,7 @@
 	if (available == 0)
 		return (false);
 	result =
-	    brf_chunks_decode(&c->decoder, &c->input, available, &len, &used);
+	    brf_chunks_decode(&c->chunks, &c->input, available, &len, &used);
 	if (result == BRF_CHUNKS_INVALID) {
 		fail_conn(c, true);
 		return (false);
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -308,6 +308,34 @@
 	}
 }
 
+TEST_F(flow_server, chunk_metadata_without_end_is_refused)
+{
+	const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n"
+				 "Transfer-Encoding: chunked\r\n\r\n";
+	const std::vector<std::pair<std::string, std::string>> cases = {
+		{ "3;", "e" },
+		{ "3\r\nabc\r\n3;", "e" },
+		{ "3\r\nabc\r\n0\r\n", "x: y\r\n" },
+	};
+
+	for (const auto &c : cases) {
+		std::string bytes = head + c.first;
+		raw_peer p;
+
+		p.connect_to(port);
+		talk(p, "", [&] {
+			while (bytes.size() < 65536)
+				bytes += c.second;
+			bytes = p.put(bytes);
+			return (!p.got.empty());
+		});
+		EXPECT_EQ(p.got.substr(0, 13), "HTTP/1.1 400 ") << c.first;
+		EXPECT_EQ(manual_handler.ends,
+		    std::vector<enum brf_flow_end>{ BRF_FLOW_REFUSED });
+		manual_handler.ends.clear();
+	}
+}
+
 TEST_F(flow_server, a_refusal_waits_for_the_answers_before_it)
 {
 	raw_peer p;
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -560,4 +560,52 @@
 	    "HTTP/1.1 200 OK\r\nx-id: 6\r\nx-seal: s\r\n\r\n", "" });
 }
 
+TEST_F(mesh_gate_endless, chunk_metadata_without_end_ends_the_request)
+{
+	const std::vector<struct endless_case> cases = {
+		{ "digits", chunked, "1" },
+		{ "leading zeros", chunked, "0" },
+		{ "extension", chunked + "3;", "e" },
+		{ "extension of a later chunk", chunked + "3\r\nabc\r\n3;",
+		    "e" },
+		{ "extension of the last chunk", chunked + "0;", "e" },
+		{ "trailer of one field",
+		    chunked + "3\r\nabc\r\n0\r\nx: ", "y" },
+		{ "trailer", chunked + "3\r\nabc\r\n0\r\n", "x: y\r\n" },
+		{ "trailer of another answer",
+		    "HTTP/1.1 200 OK\r\nx-id: 6\r\n"
+		    "transfer-encoding: chunked\r\n\r\n0\r\n",
+		    "x: y\r\n" },
+	};
+
+	for (const auto &c : cases)
+		expect_broken_at_once(c);
+}
+
+/* Five of six bytes are metadata, but each chunk has little of it. */
+TEST_F(mesh_gate_endless, many_chunks_of_one_byte_are_an_answer)
+{
+	const size_t length = 200000;
+	std::string bytes = chunked;
+	struct sender s;
+	size_t got = 0;
+	raw_peer *p;
+
+	for (size_t i = 0; i < length; i++)
+		bytes += "1\r\nx\r\n";
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	EXPECT_TRUE(flood(p, bytes + "0\r\n\r\n", "", [&] {
+		if (s.hop.state == BRF_HOP_ANSWERED) {
+			got += brf_pipe_len(&s.hop.answer_body);
+			brf_pipe_consume(&s.hop.answer_body,
+			    brf_pipe_len(&s.hop.answer_body));
+		}
+		return (is_over(s) && brf_pipe_len(&s.hop.answer_body) == 0);
+	}));
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_ENDED);
+	EXPECT_EQ(got, length);
+}
+
 } // namespace
