flow/target: remember a reset while the body is still read

Callers saw: an answer whose body ends with the connection, cut by a reset, arrived as a complete answer when its reader was slow.

Cause: libuv reports EOF for such a reset, and the socket's pending error tells them apart; but asking for that error clears it. It was asked for each time the reader had taken some bytes: the first time it was seen and the end put off, the second time it was gone, and the body counted as complete.

Now the error is asked for once, when reading ends, and kept. A reset that comes after the end of the stream doesn't matter: all bytes came before it.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -411,27 +411,11 @@
 	return (false);
 }
 
-/* libuv reports EOF for a reset that arrives together with the last bytes; the
- * socket's pending error tells them apart. */
-static bool
-was_reset(const struct brf_flow_target_conn *c)
-{
-	socklen_t len = sizeof(int);
-	uv_os_fd_t fd;
-	int error = 0;
-
-	if (c->reset || uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
-	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
-		return (true);
-	return (error != 0);
-}
-
 /* The target has closed the connection and all input was read. */
 static void
 handle_end(struct brf_flow_target_conn *c)
 {
-	bool complete =
-	    c->read_state == READ_CLOSE && !c->discard && !was_reset(c);
+	bool complete = c->read_state == READ_CLOSE && !c->discard && !c->reset;
 
 	if (c->run != NULL && c->input.len != 0 &&
 	    brf_pipe_len(c->run->out) != 0)
@@ -515,6 +499,23 @@
 	set_reading(c);
 }
 
+/*
+ * libuv reports EOF for a reset that arrives together with the last bytes; the
+ * socket's pending error tells them apart.  Asking for it clears it.
+ */
+static bool
+take_pending_error(const struct brf_flow_target_conn *c)
+{
+	socklen_t len = sizeof(int);
+	uv_os_fd_t fd;
+	int error = 0;
+
+	if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
+		return (true);
+	return (error != 0);
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -527,7 +528,7 @@
 		set_reading(c); /* libuv may read again before the task runs */
 	} else {
 		c->peer_closed = true;
-		c->reset = n != UV_EOF;
+		c->reset = n != UV_EOF || take_pending_error(c);
 		uv_read_stop(stream);
 	}
 	brf_task_post(c->target->config.tasks, &c->work);
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -608,4 +608,30 @@
 	EXPECT_EQ(got, length);
 }
 
+/* A reset must be remembered while the reader still consumes earlier bytes. */
+TEST_F(mesh_gate_endless, a_body_cut_by_a_reset_is_broken_for_a_slow_reader)
+{
+	const size_t length = BRF_PIPE_HIGH_WATER + 20000;
+	struct sender s;
+	size_t got = 0;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	p->put(ok + "\r\n" + std::string(length, 'x'));
+	reset_on_drop(*p);
+	p->drop();
+	until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+	ASSERT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+	bench.turns(50);
+	until([&] {
+		got += brf_pipe_len(&s.hop.answer_body);
+		brf_pipe_consume(
+		    &s.hop.answer_body, brf_pipe_len(&s.hop.answer_body));
+		return (is_over(s));
+	});
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN);
+}
+
 } // namespace
