mesh/gate: cut a forwarded answer that nobody reads after its deadline

Callers saw: nothing; but a body without end, or one that stops, kept its slot, its connection and the planned stop of its gate for ever, once its caller had stopped to read without closing.

Cause: the timer of a hop was stopped when its answer was forwarded.

Evidence: a_body_that_nobody_reads_ends_after_the_deadline (four kinds of body) and a_body_that_stops_ends_after_the_deadline failed before: the hop was open, with its slot, 300 s of moved clock after it was sent with 60 s.

Now the timer goes on: from the deadline, an answer is cut when its reader has taken no byte for UNREAD_MAX_US. It ends visibly broken, its connection is closed and its slot is free. Whoever reads is never cut, at any speed that takes one buffer in that time: a_complete_body_is_not_cut_from_a_slow_reader reads 300,000 bytes in steps 30 s apart, 5 s before and 20 minutes after its deadline; it passes before and after. A cancelled run no longer leaves its connection as the writer of a pipe that may still be read.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -701,6 +701,7 @@
 	run->conn = NULL;
 	if (c == NULL)
 		return;
+	run->out->writer = NULL;
 	c->run = NULL;
 	conn_close(c);
 }
--- a/src/flow/target.h
+++ b/src/flow/target.h
@@ -114,7 +114,7 @@
  * brf_flow_run_cancel() - end a run; does nothing to one that has ended.
  *
  * Closes the connection of an open run, which tells the target to stop.  The
- * target doesn't touch @run afterwards.
+ * target doesn't touch @run or its pipes afterwards.
  */
 void brf_flow_run_cancel(struct brf_flow_run *run);
 
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -13,6 +13,13 @@
 #define HOLD_MAX_US (50 * BRF_US_PER_MS)
 /* Time after the deadline in which the target may still answer. */
 #define DEADLINE_GRACE_US (5 * BRF_US_PER_MS)
+/*
+ * Bounds a forwarded answer once its deadline has passed: it is cut when no
+ * byte of it was read for this time, because nobody reads it or the target
+ * sends nothing.  While it is read, however slowly, it is never cut: it may
+ * have been complete at the target in time.
+ */
+#define UNREAD_MAX_US (60 * BRF_US_PER_S)
 
 /**
  * struct gate_hop - one hop at the gate, from its arrival to its end.
@@ -23,7 +30,10 @@
  *	of this node's table matches
  * @work: posted when @run or the answer's body changes
  * @timer: fires DEADLINE_GRACE_US after the deadline; while an answer is held,
- *	HOLD_MAX_US after its head
+ *	HOLD_MAX_US after its head; once it is forwarded, at the deadline and
+ *	each UNREAD_MAX_US after it
+ * @read: bytes of a forwarded answer that were read when @timer fired last;
+ *	UINT64_MAX before
  * @arrived_at: clock time
  * @serial: identifies the hop at this gate
  * @has_slot: the hop occupies a slot of the target
@@ -41,6 +51,7 @@
 	struct brf_timer timer;
 	uint64_t arrived_at;
 	uint64_t serial;
+	uint64_t read;
 	bool has_slot;
 	bool hold_expired;
 	bool marked;
@@ -271,6 +282,43 @@
 	gate_hop_free(gh);
 }
 
+/* End a hop whose answer is being forwarded; its reader sees it broken. */
+static void
+cut_answer(struct gate_hop *gh)
+{
+	log_hop(gh, "hop_failed", BRF_R_TIMEOUT, ran_us(gh));
+	gh->gate->failures->value++;
+	gh->gate->counts.failed++;
+	brf_pipe_break(&gh->hop->answer_body);
+	gate_hop_free(gh);
+}
+
+static void
+check_reading(struct brf_timer *timer, void *arg)
+{
+	struct gate_hop *gh = arg;
+	const struct brf_pipe *body = &gh->hop->answer_body;
+	uint64_t read = body->written - brf_pipe_len(body);
+
+	if (read == gh->read) {
+		cut_answer(gh);
+		return;
+	}
+	gh->read = read;
+	brf_timer_start(gh->gate->config.timers, timer, UNREAD_MAX_US);
+}
+
+static void
+watch_reading(struct gate_hop *gh)
+{
+	uint64_t t = now(gh->gate), deadline = gh->hop->request.deadline;
+
+	gh->read = UINT64_MAX;
+	gh->timer.fire = check_reading;
+	brf_timer_start(gh->gate->config.timers, &gh->timer,
+	    deadline > t ? deadline - t : 0);
+}
+
 /* Whether the answer can be given to the hop's sender. */
 static bool
 can_forward(const struct gate_hop *gh)
@@ -355,7 +403,7 @@
 		return (false);
 	}
 	if (can_forward(gh)) {
-		brf_timer_stop(timers, &gh->timer);
+		watch_reading(gh);
 		forward_answer(gh);
 		return (true);
 	}
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -634,4 +634,122 @@
 	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN);
 }
 
+const std::vector<struct endless_case> endless_bodies = {
+	{ "until close", ok + "\r\n", "x" },
+	{ "in chunks", chunked, "4\r\nabcd\r\n" },
+	{ "in chunks of one byte", chunked, "1\r\nx\r\n" },
+	{ "of a length", ok + "content-length: 99999999999999\r\n\r\n", "x" },
+};
+
+/* Clock of the bench that the test moves forward. */
+struct moved_clock {
+	static uint64_t moved_us;
+	static const struct brf_clock_vt *original;
+	struct flow_bench &bench;
+
+	static uint64_t
+	now(struct brf_clock *clock)
+	{
+		return (original->now(clock) + moved_us);
+	}
+
+	explicit moved_clock(struct flow_bench &bench) : bench(bench)
+	{
+		static const struct brf_clock_vt vt = { now };
+
+		moved_us = 0;
+		original = bench.scheduler.clock.vt;
+		bench.scheduler.clock.vt = &vt;
+	}
+
+	void
+	move(uint64_t us)
+	{
+		moved_us += us;
+		brf_timers_run(bench.scheduler.timers);
+		bench.turns(20);
+	}
+
+	~moved_clock()
+	{
+		bench.scheduler.clock.vt = original;
+	}
+};
+
+uint64_t moved_clock::moved_us;
+const struct brf_clock_vt *moved_clock::original;
+
+TEST_F(mesh_gate_endless, a_body_that_nobody_reads_ends_after_the_deadline)
+{
+	struct moved_clock clock(bench);
+
+	for (const auto &c : endless_bodies) {
+		{
+			struct sender s;
+			raw_peer *p;
+
+			send(s, "7");
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(flood(p, c.start, c.unit, [&] {
+				return (s.hop.state == BRF_HOP_ANSWERED);
+			})) << c.name;
+			for (int i = 0; i < 10; i++)
+				clock.move(30 * BRF_US_PER_S);
+			EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN)
+			    << c.name;
+			/* what was received may still be read */
+			brf_pipe_consume(&s.hop.answer_body,
+			    brf_pipe_len(&s.hop.answer_body));
+			bench.turns(20);
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+}
+
+/* Neither side moves, though the target keeps the connection open. */
+TEST_F(mesh_gate_endless, a_body_that_stops_ends_after_the_deadline)
+{
+	struct moved_clock clock(bench);
+	struct sender s;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	p->put(ok + "content-length: 9\r\n\r\nabc");
+	ASSERT_TRUE(until([&] { return (s.hop.state == BRF_HOP_ANSWERED); }));
+	brf_pipe_consume(&s.hop.answer_body, 3);
+	for (int i = 0; i < 10; i++)
+		clock.move(30 * BRF_US_PER_S);
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN);
+	expect_given_back(p, "stopped");
+}
+
+TEST_F(mesh_gate_endless, a_complete_body_is_not_cut_from_a_slow_reader)
+{
+	const std::string body(300000, 'x');
+	struct moved_clock clock(bench);
+	struct sender s;
+	std::string bytes;
+	size_t got = 0, len;
+	raw_peer *p;
+
+	send(s, "7", true, 5000000);
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	bytes = p->put(complete_answer("7", body));
+	ASSERT_TRUE(until([&] { return (s.hop.state == BRF_HOP_ANSWERED); }));
+	for (int i = 0; i < 100 && !is_over(s); i++) {
+		bytes = p->put(bytes);
+		len = std::min(brf_pipe_len(&s.hop.answer_body), (size_t)8192);
+		brf_pipe_consume(&s.hop.answer_body, len);
+		got += len;
+		clock.move(30 * BRF_US_PER_S);
+	}
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_ENDED);
+	EXPECT_EQ(got + brf_pipe_len(&s.hop.answer_body), body.size());
+}
+
 } // namespace
