--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -752,4 +752,135 @@
 	EXPECT_EQ(got + brf_pipe_len(&s.hop.answer_body), body.size());
 }
 
+/* These bytes might still be followed by the answer. */
+TEST_F(mesh_gate_endless, the_deadline_ends_what_might_become_an_answer)
+{
+	const std::vector<struct endless_case> cases = {
+		{ "another answer of a length",
+		    "HTTP/1.1 200 OK\r\nx-id: 6\r\n"
+		    "content-length: 99999999999999\r\n\r\n",
+		    "x" },
+		{ "another answer in chunks",
+		    "HTTP/1.1 200 OK\r\nx-id: 6\r\n"
+		    "transfer-encoding: chunked\r\n\r\n",
+		    "1\r\nx\r\n" },
+		{ "a part of a head", "HTTP/1.1 200 O", "" },
+	};
+
+	for (const auto &c : cases) {
+		{
+			struct sender s;
+			raw_peer *p;
+
+			send(s, "7", true, 200000);
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(flood(p, c.start, c.unit, [&] {
+				return (is_over(s));
+			})) << c.name;
+			EXPECT_EQ(s.hop.state, BRF_HOP_FAILED) << c.name;
+			EXPECT_EQ(s.hop.reason, BRF_R_TIMEOUT) << c.name;
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+}
+
+TEST_F(mesh_gate_endless, bytes_behind_an_answer_close_an_idle_connection)
+{
+	struct sender s;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	p->put(complete_answer("7", "own"));
+	until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+	flood(p, "", "x", [&] { return (p->ended); });
+	EXPECT_EQ(s.body(), "own");
+	expect_given_back(p, "bytes behind an answer");
+}
+
+/* Not even the first bytes that follow an answer may be taken for the next. */
+TEST_F(mesh_gate_endless, an_answer_followed_by_bytes_stays_whole)
+{
+	struct sender s;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	flood(
+	    p, complete_answer("7", "own"), "x", [&] { return (is_over(s)); });
+	EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+	EXPECT_EQ(s.body(), "own");
+	expect_given_back(p, "answer followed by bytes");
+}
+
+/* The target can't send once the buffers of both kernels are full. */
+TEST_F(mesh_gate_endless, an_unread_body_takes_bounded_memory)
+{
+	for (const auto &c : endless_bodies) {
+		{
+			struct sender s;
+			size_t held = 0, stuck = 0;
+			std::string bytes = c.start;
+			raw_peer *p;
+
+			send(s, "7");
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(until([&] {
+				size_t len;
+
+				while (bytes.size() < 65536)
+					bytes += c.unit;
+				len = bytes.size();
+				bytes = p->put(bytes);
+				stuck = bytes.size() == len ? stuck + 1 : 0;
+				held = std::max(
+				    held, brf_pipe_len(&s.hop.answer_body));
+				return (stuck == 2000);
+			})) << c.name;
+			EXPECT_LE(held, 2 * BRF_PIPE_HIGH_WATER) << c.name;
+			EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED) << c.name;
+			brf_hop_release(&s.hop);
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+}
+
+/* A reader that takes all bytes at once doesn't keep the target's turn. */
+TEST_F(mesh_gate_endless, a_turn_reads_a_bounded_part_of_a_body)
+{
+	const size_t length = 4 * 1024 * 1024;
+
+	for (const auto &c : endless_bodies) {
+		{
+			struct sender s;
+			uint64_t total = 0, most = 0;
+			raw_peer *p;
+
+			send(s, "7");
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(flood(p, c.start, c.unit, [&] {
+				uint64_t n = s.hop.answer_body.written - total;
+
+				most = std::max(most, n);
+				total += n;
+				if (s.hop.state == BRF_HOP_ANSWERED)
+					brf_pipe_consume(&s.hop.answer_body,
+					    brf_pipe_len(&s.hop.answer_body));
+				return (total > length);
+			})) << c.name;
+			EXPECT_LE(most, 4 * BRF_PIPE_HIGH_WATER) << c.name;
+			brf_hop_release(&s.hop);
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+}
+
 } // namespace
