--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -4,10 +4,10 @@
 #include "flow/chunks.h"
 #include "flow/target.h"
 #include "flow/writer.h"
-#include "http/parser.h"
 
 #define INPUT_MAX 65536u	    /* unused bytes; reading pauses above */
 #define HEAD_MAX 65536u		    /* maximum bytes of an answer's head */
+#define SKIPPED_MAX 32u		    /* answers before a run's own */
 #define CONNECT_US BRF_US_PER_S	    /* timeout of connecting */
 #define IDLE_US (8 * BRF_US_PER_S)  /* idle time if the target states none */
 #define IDLE_MARGIN_US BRF_US_PER_S /* close this long before the target */
@@ -31,6 +31,8 @@
  * @remaining: bytes of the answer's body still to be read, with READ_LENGTH
  * @expires_at: clock time when an idle connection is closed
  * @keep_alive_s: from the head of the answer
+ * @skipped: answers read before the run's own: interim ones, and those to
+ *	other requests
  * @discard: the answer being read belongs to another request
  * @body_sent: the request's body was passed to @writer completely
  * @stop_sending: the target accepts no more of the request's body
@@ -49,12 +51,13 @@
 	struct brf_list link;
 	struct brf_buf input;
 	size_t last_len;
-	struct phr_chunked_decoder decoder;
+	struct brf_chunks chunks;
 	uint64_t remaining;
 	enum read_state read_state;
 	uint64_t idle_since;
 	uint64_t expires_at;
 	uint32_t keep_alive_s;
+	uint32_t skipped;
 	bool keep_alive;
 	bool connected;
 	bool discard;
@@ -231,14 +234,48 @@
 
 	c->read_state = readings[h->body];
 	c->remaining = h->body == BRF_BODY_LENGTH ? h->length : 0;
-	memset(&c->decoder, 0, sizeof(c->decoder));
-	c->decoder.consume_trailer = 1;
+	brf_chunks_init(&c->chunks);
 }
 
 static bool
 answers_run(const struct brf_flow_run *run, const struct brf_answer_head *h)
 {
-	return (h->id[0] == '\0' || strcmp(h->id, run->id) == 0);
+	return (h->status >= 200 &&
+		(h->id[0] == '\0' || strcmp(h->id, run->id) == 0));
+}
+
+/*
+ * Skip an interim response (RFC 9110, section 15.2) or an answer to another
+ * request.  Behind one that lasts until the connection is closed, none can
+ * follow.
+ *
+ * Return: false when the connection was closed.
+ */
+static bool
+skip_answer(struct brf_flow_target_conn *c, const struct brf_answer_head *h)
+{
+	c->discard = h->status >= 200;
+	if (c->discard) {
+		c->target->dropped->value++;
+		begin_reading(c, h);
+	}
+	if (++c->skipped <= SKIPPED_MAX && h->body != BRF_BODY_CLOSE)
+		return (true);
+	fail_conn(c, true);
+	return (false);
+}
+
+static void
+take_answer(struct brf_flow_target_conn *c, const struct brf_answer_head *h)
+{
+	struct brf_flow_run *run = c->run;
+
+	begin_reading(c, h);
+	c->keep_alive = h->keep_alive;
+	c->keep_alive_s = h->keep_alive_s;
+	run->answer = *h;
+	run->state = BRF_FLOW_RUN_ANSWERED;
+	post_owner(run, c->target);
 }
 
 /* Return: whether input was consumed. */
@@ -246,38 +283,28 @@
 read_head(struct brf_flow_target_conn *c)
 {
 	struct brf_answer_head h = { .status = 0 };
-	struct brf_flow_run *run = c->run;
 	enum brf_head_result result;
 	size_t used = 0;
+	bool open;
 
 	result = brf_answer_head_parse(&h, c->input.data, c->input.len,
-	    c->last_len, run->to_head, c->target->config.names, &used);
+	    c->last_len, c->run->to_head, c->target->config.names, &used);
 	c->last_len = c->input.len;
-	if (result != BRF_HEAD_COMPLETE) {
+	if (result != BRF_HEAD_COMPLETE || used > HEAD_MAX) {
 		brf_answer_head_free(&h);
-		if (result != BRF_HEAD_INCOMPLETE || c->input.len > HEAD_MAX)
+		if (result != BRF_HEAD_INCOMPLETE || c->input.len >= HEAD_MAX)
 			fail_conn(c, true);
 		return (false);
 	}
 	c->last_len = 0;
 	brf_buf_consume(&c->input, used);
-	if (h.status < 200) { /* an interim response, RFC 9110, section 15.2 */
-		brf_answer_head_free(&h);
+	if (answers_run(c->run, &h)) {
+		take_answer(c, &h);
 		return (true);
 	}
-	begin_reading(c, &h);
-	c->discard = !answers_run(run, &h);
-	if (c->discard) {
-		c->target->dropped->value++;
-		brf_answer_head_free(&h);
-		return (true);
-	}
-	c->keep_alive = h.keep_alive;
-	c->keep_alive_s = h.keep_alive_s;
-	run->answer = h;
-	run->state = BRF_FLOW_RUN_ANSWERED;
-	post_owner(run, c->target);
-	return (true);
+	open = skip_answer(c, &h);
+	brf_answer_head_free(&h);
+	return (open);
 }
 
 static size_t
@@ -334,7 +361,7 @@
 	if (available == 0)
 		return (false);
 	result =
-	    brf_chunks_decode(&c->decoder, &c->input, available, &len, &used);
+	    brf_chunks_decode(&c->chunks, &c->input, available, &len, &used);
 	if (result == BRF_CHUNKS_INVALID) {
 		fail_conn(c, true);
 		return (false);
@@ -384,27 +411,11 @@
 	return (false);
 }
 
-/* libuv reports EOF for a reset that arrives together with the last bytes; the
- * socket's pending error tells them apart. */
-static bool
-was_reset(const struct brf_flow_target_conn *c)
-{
-	socklen_t len = sizeof(int);
-	uv_os_fd_t fd;
-	int error = 0;
-
-	if (c->reset || uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
-	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
-		return (true);
-	return (error != 0);
-}
-
 /* The target has closed the connection and all input was read. */
 static void
 handle_end(struct brf_flow_target_conn *c)
 {
-	bool complete =
-	    c->read_state == READ_CLOSE && !c->discard && !was_reset(c);
+	bool complete = c->read_state == READ_CLOSE && !c->discard && !c->reset;
 
 	if (c->run != NULL && c->input.len != 0 &&
 	    brf_pipe_len(c->run->out) != 0)
@@ -488,6 +499,23 @@
 	set_reading(c);
 }
 
+/*
+ * libuv reports EOF for a reset that arrives together with the last bytes; the
+ * socket's pending error tells them apart.  Asking for it clears it.
+ */
+static bool
+take_pending_error(const struct brf_flow_target_conn *c)
+{
+	socklen_t len = sizeof(int);
+	uv_os_fd_t fd;
+	int error = 0;
+
+	if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
+		return (true);
+	return (error != 0);
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -500,7 +528,7 @@
 		set_reading(c); /* libuv may read again before the task runs */
 	} else {
 		c->peer_closed = true;
-		c->reset = n != UV_EOF;
+		c->reset = n != UV_EOF || take_pending_error(c);
 		uv_read_stop(stream);
 	}
 	brf_task_post(c->target->config.tasks, &c->work);
@@ -582,6 +610,7 @@
 	run->out->writer = &c->work;
 	c->read_state = READ_HEAD;
 	c->last_len = 0;
+	c->skipped = 0;
 	c->keep_alive = false;
 	c->body_sent = run->body == NULL;
 }
@@ -672,6 +701,7 @@
 	run->conn = NULL;
 	if (c == NULL)
 		return;
+	run->out->writer = NULL;
 	c->run = NULL;
 	conn_close(c);
 }
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "flow_fake.h"
 #include "mesh/gate.h"
 
@@ -372,4 +374,513 @@
 	EXPECT_EQ(next.body(), "y");
 }
 
+/* What a target sends: @start, then @unit again and again. */
+struct endless_case {
+	const char *name;
+	std::string start;
+	std::string unit;
+};
+
+class mesh_gate_endless : public mesh_gate
+{
+      protected:
+	uv_timer_t alive; /* libuv runs no iteration without active handles */
+
+	void
+	SetUp() override
+	{
+		mesh_gate::SetUp();
+		uv_timer_init(&bench.loop, &alive);
+		uv_timer_start(
+		    &alive, [](uv_timer_t *) {}, 1, 1);
+	}
+
+	void
+	TearDown() override
+	{
+		mesh_gate::TearDown();
+		uv_close((uv_handle_t *)&alive, nullptr);
+		bench.turns(4);
+	}
+
+	/* Send @bytes and then @unit again and again until @done. */
+	bool
+	flood(raw_peer *p, std::string bytes, const std::string &unit,
+	    const std::function<bool()> &done)
+	{
+		return (until([&] {
+			while (!unit.empty() && bytes.size() < 65536)
+				bytes += unit;
+			bytes = p->put(bytes);
+			return (done());
+		}));
+	}
+
+	static bool
+	is_over(const struct sender &s)
+	{
+		return (s.hop.state == BRF_HOP_FAILED ||
+			s.hop.answer_body.state != BRF_PIPE_OPEN);
+	}
+
+	/* The connection is closed and the slot is free. */
+	void
+	expect_given_back(raw_peer *p, const char *name)
+	{
+		struct brf_gate_load load;
+
+		EXPECT_TRUE(until([&] { return (p->ended); })) << name;
+		brf_mesh_gate_get_load(gate, &load);
+		EXPECT_EQ(load.running, 0) << name;
+		EXPECT_EQ(brf_mesh_gate_open_hops(gate), 0u) << name;
+	}
+
+	void
+	forget_peers()
+	{
+		for (auto *peer : target.peers)
+			delete peer;
+		target.peers.clear();
+		bench.turns(20);
+	}
+
+	/* Play @c; the request must end as broken before its deadline. */
+	void
+	expect_broken_at_once(const struct endless_case &c)
+	{
+		{
+			struct sender s;
+			raw_peer *p;
+
+			send(s, "7");
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(flood(p, c.start, c.unit, [&] {
+				return (is_over(s));
+			})) << c.name;
+			if (s.hop.state == BRF_HOP_ANSWERED) {
+				EXPECT_EQ(
+				    s.hop.answer_body.state, BRF_PIPE_BROKEN)
+				    << c.name;
+			} else {
+				EXPECT_EQ(s.hop.state, BRF_HOP_FAILED)
+				    << c.name;
+				EXPECT_EQ(s.hop.reason, BRF_R_BROKEN_ANSWER)
+				    << c.name;
+			}
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+};
+
+const size_t head_max = 65536; /* bytes of an answer's head */
+const std::string chunked = ok + "transfer-encoding: chunked\r\n\r\n";
+
+TEST_F(mesh_gate_endless, a_head_without_end_ends_the_request)
+{
+	const std::string field = ok + "x: ";
+	const std::vector<struct endless_case> cases = {
+		{ "status line", "HTTP/1.1 200 O", "K" },
+		{ "one field", field, "y" },
+		{ "many fields", ok, "x: y\r\n" },
+		{ "no line", "", "H" },
+	};
+
+	for (const auto &c : cases)
+		expect_broken_at_once(c);
+}
+
+TEST_F(mesh_gate_endless, a_head_that_fills_the_input_ends_the_request)
+{
+	const std::string field = ok + "x: ";
+
+	expect_broken_at_once({ "incomplete, of the limit",
+	    field + std::string(head_max - field.size(), 'y'), "" });
+	expect_broken_at_once({ "complete, beyond the limit",
+	    field + std::string(head_max - field.size(), 'y') +
+		"\r\ncontent-length: 0\r\n\r\n",
+	    "" });
+}
+
+TEST_F(mesh_gate_endless, a_head_of_the_limit_is_an_answer)
+{
+	const std::string field = ok + "content-length: 1\r\nx: ";
+	const std::string head =
+	    field + std::string(head_max - field.size() - 4, 'y') + "\r\n\r\n";
+	struct sender s;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	flood(p, head + "z", "", [&] { return (s.hop.state != BRF_HOP_OPEN); });
+	EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+	EXPECT_EQ(s.body(), "z");
+}
+
+TEST_F(mesh_gate_endless, answers_before_the_own_one_are_limited)
+{
+	const std::vector<struct endless_case> cases = {
+		{ "interim answers", "", "HTTP/1.1 102 P\r\n\r\n" },
+		{ "interim answers with a field", "",
+		    "HTTP/1.1 103 E\r\nx-id: 7\r\n\r\n" },
+		{ "answers to another request", "", complete_answer("6", "") },
+		{ "both", "",
+		    "HTTP/1.1 102 P\r\n\r\n" + complete_answer("6", "a") },
+	};
+
+	for (const auto &c : cases)
+		expect_broken_at_once(c);
+}
+
+TEST_F(mesh_gate_endless, a_few_interim_answers_are_skipped)
+{
+	std::string interim;
+	struct sender s;
+	raw_peer *p;
+
+	for (int i = 0; i < 20; i++)
+		interim += "HTTP/1.1 102 P\r\n\r\n";
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	p->put(interim + complete_answer("7", "own"));
+	until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+	EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+	EXPECT_EQ(s.body(), "own");
+}
+
+/* Such a connection can't carry the request's own answer any more. */
+TEST_F(mesh_gate_endless, another_answer_until_close_ends_the_request)
+{
+	expect_broken_at_once({ "without an end",
+	    "HTTP/1.1 200 OK\r\nx-id: 6\r\nx-seal: s\r\n\r\n", "x" });
+	expect_broken_at_once({ "only its head",
+	    "HTTP/1.1 200 OK\r\nx-id: 6\r\nx-seal: s\r\n\r\n", "" });
+}
+
+TEST_F(mesh_gate_endless, chunk_metadata_without_end_ends_the_request)
+{
+	const std::vector<struct endless_case> cases = {
+		{ "digits", chunked, "1" },
+		{ "leading zeros", chunked, "0" },
+		{ "extension", chunked + "3;", "e" },
+		{ "extension of a later chunk", chunked + "3\r\nabc\r\n3;",
+		    "e" },
+		{ "extension of the last chunk", chunked + "0;", "e" },
+		{ "trailer of one field",
+		    chunked + "3\r\nabc\r\n0\r\nx: ", "y" },
+		{ "trailer", chunked + "3\r\nabc\r\n0\r\n", "x: y\r\n" },
+		{ "trailer of another answer",
+		    "HTTP/1.1 200 OK\r\nx-id: 6\r\n"
+		    "transfer-encoding: chunked\r\n\r\n0\r\n",
+		    "x: y\r\n" },
+	};
+
+	for (const auto &c : cases)
+		expect_broken_at_once(c);
+}
+
+/* Five of six bytes are metadata, but each chunk has little of it. */
+TEST_F(mesh_gate_endless, many_chunks_of_one_byte_are_an_answer)
+{
+	const size_t length = 200000;
+	std::string bytes = chunked;
+	struct sender s;
+	size_t got = 0;
+	raw_peer *p;
+
+	for (size_t i = 0; i < length; i++)
+		bytes += "1\r\nx\r\n";
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	EXPECT_TRUE(flood(p, bytes + "0\r\n\r\n", "", [&] {
+		if (s.hop.state == BRF_HOP_ANSWERED) {
+			got += brf_pipe_len(&s.hop.answer_body);
+			brf_pipe_consume(&s.hop.answer_body,
+			    brf_pipe_len(&s.hop.answer_body));
+		}
+		return (is_over(s) && brf_pipe_len(&s.hop.answer_body) == 0);
+	}));
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_ENDED);
+	EXPECT_EQ(got, length);
+}
+
+/* A reset must be remembered while the reader still consumes earlier bytes. */
+TEST_F(mesh_gate_endless, a_body_cut_by_a_reset_is_broken_for_a_slow_reader)
+{
+	const size_t length = BRF_PIPE_HIGH_WATER + 20000;
+	struct sender s;
+	size_t got = 0;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	p->put(ok + "\r\n" + std::string(length, 'x'));
+	reset_on_drop(*p);
+	p->drop();
+	until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+	ASSERT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+	bench.turns(50);
+	until([&] {
+		got += brf_pipe_len(&s.hop.answer_body);
+		brf_pipe_consume(
+		    &s.hop.answer_body, brf_pipe_len(&s.hop.answer_body));
+		return (is_over(s));
+	});
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN);
+}
+
+const std::vector<struct endless_case> endless_bodies = {
+	{ "until close", ok + "\r\n", "x" },
+	{ "in chunks", chunked, "4\r\nabcd\r\n" },
+	{ "in chunks of one byte", chunked, "1\r\nx\r\n" },
+	{ "of a length", ok + "content-length: 99999999999999\r\n\r\n", "x" },
+};
+
+/* Clock of the bench that the test moves forward. */
+struct moved_clock {
+	static uint64_t moved_us;
+	static const struct brf_clock_vt *original;
+	struct flow_bench &bench;
+
+	static uint64_t
+	now(struct brf_clock *clock)
+	{
+		return (original->now(clock) + moved_us);
+	}
+
+	explicit moved_clock(struct flow_bench &bench) : bench(bench)
+	{
+		static const struct brf_clock_vt vt = { now };
+
+		moved_us = 0;
+		original = bench.scheduler.clock.vt;
+		bench.scheduler.clock.vt = &vt;
+	}
+
+	void
+	move(uint64_t us)
+	{
+		moved_us += us;
+		brf_timers_run(bench.scheduler.timers);
+		bench.turns(20);
+	}
+
+	~moved_clock()
+	{
+		bench.scheduler.clock.vt = original;
+	}
+};
+
+uint64_t moved_clock::moved_us;
+const struct brf_clock_vt *moved_clock::original;
+
+TEST_F(mesh_gate_endless, a_body_that_nobody_reads_ends_after_the_deadline)
+{
+	struct moved_clock clock(bench);
+
+	for (const auto &c : endless_bodies) {
+		{
+			struct sender s;
+			raw_peer *p;
+
+			send(s, "7");
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(flood(p, c.start, c.unit, [&] {
+				return (s.hop.state == BRF_HOP_ANSWERED);
+			})) << c.name;
+			for (int i = 0; i < 10; i++)
+				clock.move(30 * BRF_US_PER_S);
+			EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN)
+			    << c.name;
+			/* what was received may still be read */
+			brf_pipe_consume(&s.hop.answer_body,
+			    brf_pipe_len(&s.hop.answer_body));
+			bench.turns(20);
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+}
+
+/* Neither side moves, though the target keeps the connection open. */
+TEST_F(mesh_gate_endless, a_body_that_stops_ends_after_the_deadline)
+{
+	struct moved_clock clock(bench);
+	struct sender s;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	p->put(ok + "content-length: 9\r\n\r\nabc");
+	ASSERT_TRUE(until([&] { return (s.hop.state == BRF_HOP_ANSWERED); }));
+	brf_pipe_consume(&s.hop.answer_body, 3);
+	for (int i = 0; i < 10; i++)
+		clock.move(30 * BRF_US_PER_S);
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN);
+	expect_given_back(p, "stopped");
+}
+
+TEST_F(mesh_gate_endless, a_complete_body_is_not_cut_from_a_slow_reader)
+{
+	const std::string body(300000, 'x');
+	struct moved_clock clock(bench);
+	struct sender s;
+	std::string bytes;
+	size_t got = 0, len;
+	raw_peer *p;
+
+	send(s, "7", true, 5000000);
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	bytes = p->put(complete_answer("7", body));
+	ASSERT_TRUE(until([&] { return (s.hop.state == BRF_HOP_ANSWERED); }));
+	for (int i = 0; i < 100 && !is_over(s); i++) {
+		bytes = p->put(bytes);
+		len = std::min(brf_pipe_len(&s.hop.answer_body), (size_t)8192);
+		brf_pipe_consume(&s.hop.answer_body, len);
+		got += len;
+		clock.move(30 * BRF_US_PER_S);
+	}
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_ENDED);
+	EXPECT_EQ(got + brf_pipe_len(&s.hop.answer_body), body.size());
+}
+
+/* These bytes might still be followed by the answer. */
+TEST_F(mesh_gate_endless, the_deadline_ends_what_might_become_an_answer)
+{
+	const std::vector<struct endless_case> cases = {
+		{ "another answer of a length",
+		    "HTTP/1.1 200 OK\r\nx-id: 6\r\n"
+		    "content-length: 99999999999999\r\n\r\n",
+		    "x" },
+		{ "another answer in chunks",
+		    "HTTP/1.1 200 OK\r\nx-id: 6\r\n"
+		    "transfer-encoding: chunked\r\n\r\n",
+		    "1\r\nx\r\n" },
+		{ "a part of a head", "HTTP/1.1 200 O", "" },
+	};
+
+	for (const auto &c : cases) {
+		{
+			struct sender s;
+			raw_peer *p;
+
+			send(s, "7", true, 200000);
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(flood(p, c.start, c.unit, [&] {
+				return (is_over(s));
+			})) << c.name;
+			EXPECT_EQ(s.hop.state, BRF_HOP_FAILED) << c.name;
+			EXPECT_EQ(s.hop.reason, BRF_R_TIMEOUT) << c.name;
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+}
+
+TEST_F(mesh_gate_endless, bytes_behind_an_answer_close_an_idle_connection)
+{
+	struct sender s;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	p->put(complete_answer("7", "own"));
+	until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+	flood(p, "", "x", [&] { return (p->ended); });
+	EXPECT_EQ(s.body(), "own");
+	expect_given_back(p, "bytes behind an answer");
+}
+
+/* Not even the first bytes that follow an answer may be taken for the next. */
+TEST_F(mesh_gate_endless, an_answer_followed_by_bytes_stays_whole)
+{
+	struct sender s;
+	raw_peer *p;
+
+	send(s, "7");
+	p = arrived("7");
+	ASSERT_NE(p, nullptr);
+	flood(
+	    p, complete_answer("7", "own"), "x", [&] { return (is_over(s)); });
+	EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+	EXPECT_EQ(s.body(), "own");
+	expect_given_back(p, "answer followed by bytes");
+}
+
+/* The target can't send once the buffers of both kernels are full. */
+TEST_F(mesh_gate_endless, an_unread_body_takes_bounded_memory)
+{
+	for (const auto &c : endless_bodies) {
+		{
+			struct sender s;
+			size_t held = 0, stuck = 0;
+			std::string bytes = c.start;
+			raw_peer *p;
+
+			send(s, "7");
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(until([&] {
+				size_t len;
+
+				while (bytes.size() < 65536)
+					bytes += c.unit;
+				len = bytes.size();
+				bytes = p->put(bytes);
+				stuck = bytes.size() == len ? stuck + 1 : 0;
+				held = std::max(
+				    held, brf_pipe_len(&s.hop.answer_body));
+				return (stuck == 2000);
+			})) << c.name;
+			EXPECT_LE(held, 2 * BRF_PIPE_HIGH_WATER) << c.name;
+			EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED) << c.name;
+			brf_hop_release(&s.hop);
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+}
+
+/* A reader that takes all bytes at once doesn't keep the target's turn. */
+TEST_F(mesh_gate_endless, a_turn_reads_a_bounded_part_of_a_body)
+{
+	const size_t length = 4 * 1024 * 1024;
+
+	for (const auto &c : endless_bodies) {
+		{
+			struct sender s;
+			uint64_t total = 0, most = 0;
+			raw_peer *p;
+
+			send(s, "7");
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << c.name;
+			EXPECT_TRUE(flood(p, c.start, c.unit, [&] {
+				uint64_t n = s.hop.answer_body.written - total;
+
+				most = std::max(most, n);
+				total += n;
+				if (s.hop.state == BRF_HOP_ANSWERED)
+					brf_pipe_consume(&s.hop.answer_body,
+					    brf_pipe_len(&s.hop.answer_body));
+				return (total > length);
+			})) << c.name;
+			EXPECT_LE(most, 4 * BRF_PIPE_HIGH_WATER) << c.name;
+			brf_hop_release(&s.hop);
+			expect_given_back(p, c.name);
+		}
+		forget_peers();
+	}
+}
+
 } // namespace
