soak/oracle: requests that ran and got no answer; dropped routes

Cause: cut requests were judged only around a planned stop of their node, so that a connection closed at any other time was no finding; routes were only ever added.

unanswered takes the condition of planned_stops (ran, sound, not left, calm) without the window of a stop, and keeps that check's text inside the window, so that all that it found is still found. A request behind an answer that its target was told to break off is allowed to end: HTTP/1.1 has no other end for that connection. Such requests were not sent before; they are counted. Behind any other last answer, a connection: close among them, what has run is a finding. recovered leaves requests behind a torn answer out as it does the torn answer itself.

configured takes a 404 of a dropped route as right from the moment the drop is sent, requires it 2 s after its acknowledgement, and takes it as the sign of that version for going back.

--- a/test/e2e/test_soak.py
+++ b/test/e2e/test_soak.py
@@ -70,6 +70,32 @@
         self.assertEqual(
             judge([cut], [ran()], planned=stop, faults=[(9, 11, {"n"})]), [])
 
+    def test_what_ran_and_got_no_answer(self):
+        cut = sent("cut", status=0)
+        runs = [ran("cut")]
+        wrong = ["ran and got no answer"]
+        self.assertEqual(judge([cut], runs), wrong)
+        self.assertEqual(judge([cut], runs, faults=[(5, 6.9, None)]), wrong)
+        self.assertEqual(judge([cut], runs, faults=[(5, 7, None)]), [])
+        self.assertEqual(judge([cut], [ran("cut", did=False)]), [])
+        for allowed in ({"left": True}, {"sound": False}):
+            self.assertEqual(
+                judge([sent("cut", status=0, **allowed)], runs), [])
+
+    def test_what_ran_behind_the_last_answer_of_its_connection(self):
+        behind = sent("cut", status=0, behind="first")
+        runs = [ran("first"), ran("cut")]
+        torn = {"status": 0, "torn": True}
+        self.assertEqual(
+            judge([sent("first", sound=False, **torn), behind], runs), [])
+        # a sound one torn by the node, a refusal, an answer that was whole
+        wrong = "ran and got no answer"
+        self.assertEqual(judge([sent("first", **torn), behind], runs),
+                         [wrong, wrong])
+        for first in (sent("first", sound=False, status=0),
+                      sent("first", sound=False, status=502), sent("first")):
+            self.assertEqual(judge([first, behind], runs), [wrong])
+
     def test_a_configuration_that_is_late_or_goes_back(self):
         missing = sent(route=2, status=404)
         self.assertEqual(judge([missing], [ran()], configs=[(2, 7.0)]),
@@ -81,6 +107,23 @@
         again = sent(route=2, status=404, life=1)
         self.assertEqual(judge([shown, again], [], configs=[(2, 8.5)]), [])
 
+    def test_a_dropped_route(self):
+        o = {"configs": [(2, 1.0), (3, 7.0)], "drops": {2: (3, 6.9)}}
+        served = sent("a", at=10.0, route=2)
+        self.assertEqual(judge([served], **o), ["version 3 of 7.000 not in force"])
+        early = sent("e", at=8.0, route=2)
+        absent = sent("b", at=8.5, route=2, status=404)
+        self.assertEqual(judge([early], **o), [])
+        self.assertEqual(judge([absent], **o), [])
+        self.assertEqual(
+            judge([sent("b", at=5.0, route=2, status=404)], **o),
+            ["version 2 of 1.000 not in force"])
+        # it comes back, after it was shown and gone
+        back = sent("c", at=8.9, route=2)
+        self.assertEqual(judge([early, absent, back], **o),
+                         ["went back from version 3"])
+        self.assertEqual(judge([absent, back], **o), [])
+
     def test_too_many_repeats(self):
         firsts = [sent(str(i), at=10 + i / 100, echo=str(i), seal=f"-{i}")
                   for i in range(100)]
--- a/test/soak/oracle.py
+++ b/test/soak/oracle.py
@@ -38,6 +38,8 @@
     echo: str = ""       # id in the answer
     got: int = 0         # bytes of its body
     left: bool = False   # the caller closed its connection first
+    torn: bool = False   # its answer broke off after the head
+    behind: str = ""     # whose answer was the last on the connection
 
 
 @dataclasses.dataclass
@@ -57,6 +59,7 @@
         self.ran = []
         self.leaves = []    # (target, time of the acknowledgement)
         self.configs = []   # (version, time of the acknowledgement)
+        self.drops = {}     # route: (version without it, when it was sent)
         self.faults = []    # (begin, end, nodes or None for all)
         self.planned = []   # (node, time of the signal, time of its end)
         self.deaths = []    # what ended or grew by itself
@@ -76,7 +79,7 @@
 
     def findings(self):
         checks = (self.whole_and_own, self.once, self.true_refusals,
-                  self.drained, self.planned_stops, self.configured,
+                  self.drained, self.unanswered, self.configured,
                   self.repeats, self.cancelled, self.recovered)
         return self.deaths + [f for check in checks for f in check()]
 
@@ -113,31 +116,53 @@
                 if r.target == target and r.at > at + DRAIN_S:
                     yield f"left at {at:.3f}: {r}"
 
-    def planned_stops(self):
+    def behind_torn(self, s):
+        """Whether an answer before it on the connection broke off because its
+        back end was told so: HTTP/1.1 has no other end for the connection."""
+        first = self.sent.get(s.behind)
+        return first is not None and first.torn and not first.sound
+
+    def behind_torn_count(self):
+        return sum(1 for s in self.sent.values() if self.behind_torn(s))
+
+    def unanswered(self):
         runs = self.runs()
-        for node, at, end in self.planned:
-            for s in self.sent.values():
-                if (s.node == node and s.status == 0 and not s.left
-                        and s.sound and at - 3 <= s.at <= end and s.ident in runs
-                        and self.calm(node, s.at, s.end)):
-                    yield f"cut off by a planned stop at {at:.3f}: {s}"
+        for s in self.sent.values():
+            if (s.status != 0 or s.left or not s.sound or s.ident not in runs
+                    or self.behind_torn(s)
+                    or not self.calm(s.node, s.at, s.end)):
+                continue
+            stops = [at for node, at, end in self.planned
+                     if s.node == node and at - 3 <= s.at <= end]
+            what = (f"cut off by a planned stop at {stops[0]:.3f}" if stops
+                    else "ran and got no answer")
+            yield f"{what}: {s}, {runs[s.ident]}"
 
     def configured(self):
         seen = {}   # a process: the newest version that it has shown, and when
         acked = dict(self.configs)
         for s in sorted(self.sent.values(), key=lambda s: s.at):
-            if s.status == 0 or s.route == 0:
+            if s.status in (0, 503) or s.route == 0:
                 continue
             version, since = seen.get((s.node, s.life), (0, 0.0))
-            if s.status == 404:
-                at = acked.get(s.route)
-                if (at is not None and s.at > at + CONFIG_S
-                        and self.calm(s.node, s.at, s.end)):
-                    yield f"version {s.route} of {at:.3f} not in force: {s}"
-                if version >= s.route and s.at > since + DOWNGRADE_S:
-                    yield f"went back from version {version}: {s}"
-            elif s.status != 503 and s.route > version:
-                seen[s.node, s.life] = s.route, s.end
+            gone, sent = self.drops.get(s.route, (None, float("inf")))
+            # a version that the answer shows, and one that it lacks
+            shows, lacks = s.route, gone
+            if s.status == 404 and s.end >= sent:
+                # the table may be older than the route, or without it
+                newer = version >= s.route and s.at > since
+                shows, lacks = gone if newer else 0, None
+            elif s.status == 404:
+                shows, lacks = 0, s.route
+            at = acked.get(lacks)
+            if (at is not None and s.at > at + CONFIG_S
+                    and self.calm(s.node, s.at, s.end)):
+                yield f"version {lacks} of {at:.3f} not in force: {s}"
+            if (lacks is not None and version >= lacks
+                    and s.at > since + DOWNGRADE_S):
+                yield f"went back from version {version}: {s}"
+            if shows > version:
+                seen[s.node, s.life] = shows, s.end
 
     def repeats(self):
         firsts = collections.defaultdict(list)
@@ -174,7 +199,8 @@
     def recovered(self):
         last = max((e for _, e, _ in self.faults), default=0.0)
         after = [s for s in self.sent.values()
-                 if s.at > last + RECOVER_S and s.sound and not s.left]
+                 if s.at > last + RECOVER_S and s.sound and not s.left
+                 and not self.behind_torn(s)]
         served = sum(1 for s in after if s.status == 200)
         if len(after) >= 20 and served < RECOVER_SHARE * len(after):
             yield f"{served} of {len(after)} served after recovery"
