flow/server: end the sending side only when all answers are written

Callers saw: the end of a last answer missing, or a whole answer before one that broke off, when they read slowly.

Cause: the sending side was shut down, or after a broken answer the connection closed, as soon as the answers were with the writer, whose last bytes may wait for an earlier write.

Evidence: the_tail_of_the_last_answer_is_sent (3,970,050 of 4,064,000 bytes and no last chunk) and a_broken_answer_cuts_no_answer_before_it (3.9 of 16 MB) failed before.

Both ends linger now, and the shutdown waits until the writer is empty. An answer to HTTP/1.0 that breaks off is still reset at once, since its end would look complete.

--- a/src/flow/server_answer.c
+++ b/src/flow/server_answer.c
@@ -131,36 +131,50 @@
 
 /*
  * Closing a socket with unread input resets the connection, and the client may
- * lose the answer.  So shut down only the sending side and wait for the client
- * to close.
+ * lose the answer.  So shut down only the sending side, once all is written,
+ * and wait for the client to close.  Requests that are left end with @end.
  */
 static void
-linger(struct brf_flow_conn *c)
+linger(struct brf_flow_conn *c, enum brf_flow_end end)
 {
 	c->state = BRF_FLOW_CONN_LINGER;
 	c->last_progress = brf_now(brf_timers_clock(c->server->config.timers));
 	c->head_begun = false;
 	brf_buf_free(&c->input);
-	/* requests behind the last answer won't be answered */
 	while (!brf_list_empty(&c->requests))
 		brf_flow_request_end(brf_list_entry(c->requests.prev,
 					 struct brf_flow_request, link),
-		    BRF_FLOW_BEHIND_CLOSE);
-	uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown);
+		    end);
 }
 
-/* With HTTP/1.0 the end of the connection may end the body: reset it, so that
- * the truncated answer doesn't look complete. */
+/* Have the kernel reset the connection when it is closed. */
 static void
-abort_answer(struct brf_flow_conn *c, struct brf_flow_request *r)
+reset_on_close(struct brf_flow_conn *c)
 {
 	uv_os_fd_t fd;
 	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
 
-	brf_writer_flush(&c->writer);
-	if (r->head.http_1_0 && uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+/*
+ * The body of the answer broke off.  The answers before it are still delivered.
+ * With HTTP/1.0 the end of the connection may end the body: reset it, so that
+ * the truncated answer doesn't look complete.
+ */
+static void
+abort_answer(struct brf_flow_conn *c, struct brf_flow_request *r)
+{
+	bool reset = r->head.http_1_0;
+
 	brf_flow_request_end(r, BRF_FLOW_BROKEN);
+	if (!reset) {
+		linger(c, BRF_FLOW_EARLIER_BROKEN);
+		return;
+	}
+	brf_writer_flush(&c->writer);
+	reset_on_close(c);
 	brf_flow_conn_close(c, BRF_FLOW_EARLIER_BROKEN);
 }
 
@@ -168,10 +182,16 @@
 static bool
 flush(struct brf_flow_conn *c)
 {
-	if (brf_writer_flush(&c->writer) == 0)
-		return (true);
-	brf_flow_conn_close(c, BRF_FLOW_DISCONNECTED);
-	return (false);
+	if (brf_writer_flush(&c->writer) != 0) {
+		brf_flow_conn_close(c, BRF_FLOW_DISCONNECTED);
+		return (false);
+	}
+	if (c->state == BRF_FLOW_CONN_LINGER && !c->sending_ended &&
+	    brf_writer_pending(&c->writer) == 0) {
+		c->sending_ended = true;
+		uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown);
+	}
+	return (true);
 }
 
 bool
@@ -194,7 +214,7 @@
 			break;
 		if (progress == PROGRESS_BROKEN) {
 			abort_answer(c, r);
-			return (false);
+			break;
 		}
 		keep_alive = r->keep_alive;
 		c->last_progress =
@@ -203,7 +223,7 @@
 		if (!flush(c))
 			return (false);
 		if (!keep_alive)
-			linger(c);
+			linger(c, BRF_FLOW_BEHIND_CLOSE);
 		else
 			brf_flow_dispatch_first(c);
 	}
--- a/src/flow/server_impl.h
+++ b/src/flow/server_impl.h
@@ -13,8 +13,8 @@
 /**
  * enum brf_flow_conn_state - state of a connection.
  * @BRF_FLOW_CONN_OPEN: requests are read and answered
- * @BRF_FLOW_CONN_LINGER: the last answer was written and the sending side shut
- *	down; input is discarded
+ * @BRF_FLOW_CONN_LINGER: the last answer was passed to the writer; once it is
+ *	written, the sending side is shut down; input is discarded
  * @BRF_FLOW_CONN_CLOSING: waiting for the socket's close callback
  */
 enum brf_flow_conn_state {
@@ -36,6 +36,7 @@
  * @stop_parsing: no further request is parsed
  * @head_begun: @input starts with an incomplete head
  * @paused: reading from the socket is stopped
+ * @sending_ended: the sending side was shut down
  */
 struct brf_flow_conn {
 	uv_tcp_t tcp;
@@ -58,6 +59,7 @@
 	bool stop_parsing;
 	bool head_begun;
 	bool paused;
+	bool sending_ended;
 };
 
 struct brf_flow_server {
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -624,4 +624,61 @@
 	EXPECT_EQ(count(p.got, "first"), 1u);
 }
 
+TEST_F(flow_server, the_tail_of_the_last_answer_is_sent)
+{
+	const std::string piece(16000, 'x');
+	size_t most = 0;
+
+	for (int round = 0; round < 2; round++) {
+		raw_peer p;
+		auto *pipe = new struct brf_pipe;
+		size_t n = 0;
+
+		p.connect_to(port);
+		talk(p, get("/1", "Connection: close\r\n"),
+		    [&] { return (manual_handler.open.size() == round + 1u); });
+		brf_pipe_init(pipe, &bench.scheduler.tasks);
+		manual_handler.open[round]->data = pipe;
+		brf_flow_answer(manual_handler.open[round], 200, "", 0,
+		    BRF_BODY_CHUNKED, 0, pipe);
+		for (; round == 0 || n < most - 2; n++) {
+			brf_pipe_write(pipe, piece.data(), piece.size());
+			bench.turns(2);
+			if (brf_pipe_len(pipe) != 0)
+				break;
+		}
+		if (round == 0) {
+			most = n;
+			brf_pipe_end(pipe);
+			talk(p, "", [&] { return (false); });
+			continue;
+		}
+		brf_pipe_end(pipe);
+		bench.turns(20);
+		talk(p, "", [&] { return (false); });
+		EXPECT_GE(p.got.size(), n * piece.size());
+		EXPECT_EQ(p.got.substr(p.got.size() - 5), "0\r\n\r\n");
+	}
+}
+
+TEST_F(flow_server, a_broken_answer_cuts_no_answer_before_it)
+{
+	raw_peer p;
+	const std::string body(16000000, 'x');
+	auto *pipe = new struct brf_pipe;
+
+	p.connect_to(port);
+	talk(p, get("/1") + get("/2"),
+	    [&] { return (manual_handler.open.size() == 2); });
+	answer(0, body);
+	brf_pipe_init(pipe, &bench.scheduler.tasks);
+	manual_handler.open[1]->data = pipe;
+	brf_flow_answer(
+	    manual_handler.open[1], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	brf_pipe_break(pipe);
+	bench.turns(20);
+	talk(p, "", [&] { return (false); });
+	EXPECT_GE(p.got.size(), body.size());
+}
+
 } // namespace
