flow/server: reconsider a waiting request when an answer is complete

A request that waits behind an incomplete answer was looked at once; it then waited until it was the first of its connection, though the answer could no longer break off. a_waiting_request_runs_once_the_answer_before_it_is_complete failed before.

--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -444,12 +444,24 @@
 	brf_task_post(c->server->config.tasks, &c->work);
 }
 
+/* Dispatch the last request if it had to wait for earlier answers and need not
+ * any more. */
+static void
+dispatch_waiting(struct brf_flow_conn *c)
+{
+	struct brf_flow_request *r = last_request(c);
+
+	if (r != NULL && !r->dispatched && !r->answered && can_run_ahead(c, r))
+		dispatch(r);
+}
+
 static void
 work(struct brf_task *task)
 {
 	struct brf_flow_conn *c =
 	    brf_container_of(task, struct brf_flow_conn, work);
 
+	dispatch_waiting(c);
 	while (read_input(c))
 		;
 	if (!brf_flow_write_answers(c))
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -681,4 +681,68 @@
 	EXPECT_GE(p.got.size(), body.size());
 }
 
+TEST_F(
+    flow_server, a_waiting_request_runs_once_the_answer_before_it_is_complete)
+{
+	raw_peer p;
+	auto *pipe = new struct brf_pipe;
+
+	p.connect_to(port);
+	talk(p, get("/1") + get("/2"),
+	    [&] { return (manual_handler.open.size() == 2); });
+	brf_pipe_init(pipe, &bench.scheduler.tasks);
+	manual_handler.open[1]->data = pipe;
+	brf_flow_answer(
+	    manual_handler.open[1], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	brf_pipe_write(pipe, "part", 4);
+	p.put(get("/3"));
+	bench.turns(50);
+	EXPECT_EQ(manual_handler.open.size(), 2u);
+	brf_pipe_end(pipe); /* "/1" is still open */
+	bench.turns(50);
+	EXPECT_EQ(manual_handler.open.size(), 3u);
+}
+
+TEST_F(flow_server, nothing_runs_behind_any_incomplete_answer)
+{
+	raw_peer p;
+	auto *pipe = new struct brf_pipe;
+
+	p.connect_to(port);
+	talk(p, get("/1") + get("/2"),
+	    [&] { return (manual_handler.open.size() == 2); });
+	brf_pipe_init(pipe, &bench.scheduler.tasks);
+	manual_handler.open[0]->data = pipe;
+	brf_flow_answer(
+	    manual_handler.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	brf_pipe_write(pipe, "part", 4);
+	p.put(get("/3"));
+	bench.turns(50);
+	EXPECT_EQ(manual_handler.open.size(), 2u);
+}
+
+TEST_F(flow_server, nothing_runs_behind_a_complete_announced_close)
+{
+	const std::string piece(16000, 'x');
+	raw_peer p;
+	auto *pipe = new struct brf_pipe;
+
+	p.connect_to(port);
+	talk(p, get("/1"), [&] { return (manual_handler.open.size() == 1); });
+	brf_flow_drain(srv);
+	brf_pipe_init(pipe, &bench.scheduler.tasks);
+	manual_handler.open[0]->data = pipe;
+	brf_flow_answer(
+	    manual_handler.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	for (int i = 0; i < 2000 && brf_pipe_len(pipe) == 0; i++) {
+		brf_pipe_write(pipe, piece.data(), piece.size());
+		bench.turns(2);
+	}
+	ASSERT_NE(brf_pipe_len(pipe), 0u);
+	brf_pipe_end(pipe);
+	EXPECT_EQ(p.put(get("/2")), "");
+	bench.turns(50);
+	EXPECT_EQ(manual_handler.open.size(), 1u);
+}
+
 } // namespace
