mesh/call: a held answer that is incomplete at its deadline ends as 504

An answer held for the requests behind it was passed on at its deadline as far as it had come. A target gives up at that deadline, too: the answer then broke off, and everything behind it ended without an answer, which the hold is to prevent.

an_answer_that_is_late_and_broken_ends_only_itself failed before. A complete answer is passed on as before, also when it comes in the turn of the deadline; answers that nothing follows are never held (an_answer_that_nothing_follows_is_passed_on_at_once, which a mutant that holds all passed before).

A link that is lost while an answer is held gives connection_lost as the reason, not the target's broken_answer.

--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -85,7 +85,8 @@
  * @owner: posted when @state has changed
  * @request_body: NULL for none.  The backend becomes its reader.
  * @state: this member and the following ones are filled by the backend
- * @reason: cause of BRF_HOP_REFUSED or BRF_HOP_FAILED
+ * @reason: cause of BRF_HOP_REFUSED or BRF_HOP_FAILED, or why @answer_body is
+ *	broken, where that is known
  * @arrived: the request reached the target, even if the target refused it
  * @marked: congestion mark: the gate, or a gate that served one of the
  *	request's nested calls, is under pressure
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -58,6 +58,7 @@
 
 	sent_free(sh);
 	if (hop->state == BRF_HOP_ANSWERED) {
+		hop->reason = reason;
 		brf_pipe_break(&hop->answer_body);
 		return;
 	}
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -29,8 +29,8 @@
  * @route_state: what this node has learned about the route
  * @hop: the latest hop
  * @work: posted when @hop or the body changes
- * @timer: fires DEADLINE_GRACE_US after @deadline; an answer that is held then
- *	is passed on as far as it has come
+ * @timer: fires DEADLINE_GRACE_US after @deadline; ends a held answer that is
+ *	incomplete then
  * @peers: targets to which the request was sent; @hop_count of them
  * @parent: request of this VM's target that makes the call, if @has_parent
  * @full_gates: gates that refused the request for lack of capacity
@@ -341,7 +341,8 @@
 	struct call *call = arg;
 
 	(void)timer;
-	if (call->hop_open && call->hop.state == BRF_HOP_ANSWERED) {
+	if (call->hop_open && call->hop.state == BRF_HOP_ANSWERED &&
+	    call->hop.answer_body.state == BRF_PIPE_ENDED) {
 		hop_answered(call);
 		return;
 	}
@@ -616,7 +617,8 @@
 
 	if (body->state == BRF_PIPE_BROKEN) {
 		hop->state = BRF_HOP_FAILED;
-		hop->reason = BRF_R_BROKEN_ANSWER;
+		if (hop->reason == BRF_R_NONE)
+			hop->reason = BRF_R_BROKEN_ANSWER;
 		hop_failed(call);
 	} else if (body->state == BRF_PIPE_ENDED ||
 		   brf_pipe_len(body) >= HOLD_MAX_BYTES ||
