flow/server: look for a request once more before an idle close

Callers saw: a kept connection closed though they had sent a request on it in time; the node had been late, and its timers ran before it read.

a_late_process_reads_a_request_that_came_in_time failed before (the process sleeps over the idle time while the request is in the socket). Such a request was not passed on, so that its caller may send it again.

--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -7,6 +7,8 @@
 #define PIPELINE_MAX 16u  /* open requests per connection */
 #define KEEPALIVE_S 15	  /* seconds of silence before keepalive probes */
 #define UNACKED_MS 30000u /* milliseconds until unacknowledged data fails */
+#define IDLE_CHECK_US BRF_US_PER_MS /* for one more read before an idle close \
+				     */
 /* For a client to close, once the kernel has accepted the last answer. */
 #define LINGER_US BRF_US_PER_S
 
@@ -366,6 +368,7 @@
 	}
 	if (c->state == BRF_FLOW_CONN_LINGER)
 		return;
+	c->idle_checked = false;
 	brf_buf_add(&c->input, buf->base, (size_t)n);
 	brf_task_post(c->server->config.tasks, &c->work);
 	set_reading(c); /* libuv may read again before the task runs */
@@ -421,7 +424,6 @@
 	struct brf_flow_request *last = last_request(c);
 	uint64_t wait = timeout_us(c);
 
-	(void)timer;
 	if (wait == 0)
 		return;
 	if (c->state == BRF_FLOW_CONN_LINGER &&
@@ -431,6 +433,13 @@
 		arm_timer(c);
 		return;
 	}
+	if (c->state == BRF_FLOW_CONN_OPEN && last == NULL && !c->head_begun &&
+	    !c->idle_checked) {
+		/* a request may have come while the process was late */
+		c->idle_checked = true;
+		brf_timer_start(c->server->config.timers, timer, IDLE_CHECK_US);
+		return;
+	}
 	if (c->state == BRF_FLOW_CONN_OPEN && c->head_begun)
 		refuse(request_new(c), 408);
 	else if (c->state == BRF_FLOW_CONN_OPEN && last != NULL &&
--- a/src/flow/server_impl.h
+++ b/src/flow/server_impl.h
@@ -36,6 +36,7 @@
  * @stop_parsing: no further request is parsed
  * @head_begun: @input starts with an incomplete head
  * @paused: reading from the socket is stopped
+ * @idle_checked: the idle time is over, and input was looked for since
  * @sending_ended: the sending side was shut down
  */
 struct brf_flow_conn {
@@ -59,6 +60,7 @@
 	bool stop_parsing;
 	bool head_begun;
 	bool paused;
+	bool idle_checked;
 	bool sending_ended;
 };
 
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -745,4 +745,20 @@
 	EXPECT_EQ(manual_handler.open.size(), 1u);
 }
 
+TEST_F(flow_server, a_late_process_reads_a_request_that_came_in_time)
+{
+	raw_peer p;
+
+	limits.idle_timeout_us = 200000;
+	p.connect_to(port);
+	talk(p, get("/1"), [&] { return (manual_handler.open.size() == 1); });
+	answer(0, "a");
+	talk(p, "", [&] { return (count(p.got, "200") == 1); });
+	EXPECT_EQ(p.put(get("/2")), "");
+	usleep(400000);
+	talk(p, "", [&] { return (manual_handler.open.size() == 2); });
+	EXPECT_EQ(manual_handler.open.size(), 2u);
+	EXPECT_FALSE(p.ended);
+}
+
 } // namespace
