node: a planned stop waits until clients have their last answers

Callers saw: an answer that broke off when its node was stopped as planned and the client read slowly and sent something more.

Cause: the stop waited until each call had its answer, not until the answer had left the node: then it closed all connections, those that were being written too.

Evidence: test_stop.Stop.test_stop_waits_for_a_client_that_reads_slowly failed before, 2 of 2 (connection reset), and passes 3 of 3. A first form of this test, in which the client sent nothing more, passed before: the kernel delivers what it has.

--- a/src/http/request.c
+++ b/src/http/request.c
@@ -17,6 +17,7 @@
  * @answer: referenced until h2o has sent it
  */
 struct pool_entry {
+	struct brf_http_server *server;
 	struct brf_http_request *request;
 	struct brf_message *answer;
 };
@@ -86,6 +87,8 @@
 	struct pool_entry *entry = arg;
 	struct brf_http_request *r = entry->request;
 
+	if (entry->answer != NULL)
+		entry->server->writing--;
 	brf_message_unref(entry->answer);
 	if (r != NULL)
 		detach(r);
@@ -97,6 +100,7 @@
 	struct pool_entry *entry =
 	    h2o_mem_alloc_shared(&req->pool, sizeof(*entry), dispose_entry);
 
+	entry->server = r->server;
 	entry->request = r;
 	entry->answer = NULL;
 	return (entry);
@@ -477,6 +481,7 @@
 
 	if (req != NULL) {
 		request->entry->answer = brf_message_ref(answer);
+		request->server->writing++;
 		add_answer_fields(req, answer);
 		for (i = 0; i < extra_count; i++)
 			add_field(req, extra[i].name, extra[i].value, true);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -265,6 +265,12 @@
 	return (server->conn_count);
 }
 
+size_t
+brf_http_server_unsent(const struct brf_http_server *server)
+{
+	return (server->writing + server->lingers.count);
+}
+
 static void
 linger_ended(struct brf_http_lingers *lingers)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -88,6 +88,9 @@
 /* Return: number of open connections. */
 size_t brf_http_server_connections(const struct brf_http_server *server);
 
+/* Return: number of answers that their clients may not have received. */
+size_t brf_http_server_unsent(const struct brf_http_server *server);
+
 /**
  * brf_http_server_close() - close the listener and all connections; requests in
  * progress are reported as disconnected.  Run the loop until @closed is called,
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -47,6 +47,7 @@
 	bool disposed;
 	struct brf_list conns;
 	size_t conn_count;
+	size_t writing; /* answers that the kernel has not taken */
 	struct brf_http_lingers lingers;
 	h2o_globalconf_t config;
 	h2o_context_t ctx;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -429,7 +429,9 @@
 {
 	return (node->call_context.open_calls +
 		brf_gate_open_attempts(node->gate) +
-		brf_peers_open_calls(node->peers));
+		brf_peers_open_calls(node->peers) +
+		brf_http_server_unsent(node->entry) +
+		brf_http_server_unsent(node->local));
 }
 
 static bool
--- a/test/e2e/test_stop.py
+++ b/test/e2e/test_stop.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import time
 import unittest
 
@@ -62,6 +63,42 @@
             self.assertGreater(report["offered"], 0)
             self.assertEqual(report["good"], report["offered"], report)
 
+    def test_stop_waits_for_a_client_that_reads_slowly(self):
+        """The answer is larger than the client's window; the client sends
+        more, and reads after the time for which the node lingers."""
+        body = b"b" * 1000000
+        with fleet.Fleet() as f, socket.create_server(
+                (fleet.HOST, 0)) as listener:
+            node = f.add_node("n0", extra=["--linger-ms", "200"])
+            status, _, _ = fleet.request(
+                node.ports["local"], "PUT", "/brf/v1/target",
+                json.dumps({"service": "factors", "slots": 1, "cold": False,
+                            "connections": 1, "heartbeat_ms": 60000,
+                            "port": listener.getsockname()[1]}))
+            self.assertEqual(status, 200)
+            listener.settimeout(10)
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            client.settimeout(20)
+            client.connect((fleet.HOST, node.ports["entry"]))
+            get = b"GET / HTTP/1.1\r\nHost: factors\r\n\r\n"
+            client.sendall(get)
+            target, _ = listener.accept()
+            target.recv(65536)
+            node.signal(signal.SIGTERM)
+            client.sendall(get)
+            target.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
+                           % len(body) + body)
+            time.sleep(1.5)
+            client.sendall(get)
+            got = b""
+            while part := client.recv(65536):
+                got += part
+            self.assertEqual(got.split(b"\r\n\r\n", 1)[1], body)
+            client.close()
+            target.close()
+            self.assertEqual(node.stop(), 0)
+
     def test_rolling_replacement_loses_nothing(self):
         """Each node but the callers' is replaced, one after the other."""
         with fleet.Fleet() as f:
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -814,6 +814,35 @@
 	}
 }
 
+TEST_F(server, answers_are_unsent_until_their_client_has_them)
+{
+	const std::string post = "POST / HTTP/1.1\r\n" + host +
+				 "content-length: 1000000\r\n\r\n" +
+				 std::string(1000000, 'b');
+	std::string bytes;
+	struct raw_peer p;
+
+	for (int i = 0; i < 8; i++)
+		bytes += post;
+	p.connect_to(port);
+	test_loop.run_loop_until([&] {
+		bytes = p.put(bytes);
+		return (brf_http_server_unsent(srv) == 1);
+	});
+	brf_http_server_stop(srv);
+	test_loop.run_iterations(100);
+	EXPECT_EQ(brf_http_server_unsent(srv), 1u);
+	test_loop.run_loop_until([&] {
+		bytes = p.put(bytes);
+		p.get();
+		return (p.ended);
+	});
+	EXPECT_NE(p.got.find("Connection: close"), std::string::npos);
+	p.drop();
+	EXPECT_TRUE(test_loop.run_loop_until(
+	    [&] { return (brf_http_server_unsent(srv) == 0); }));
+}
+
 TEST_F(server, close_reports_each_request_as_disconnected)
 {
 	struct raw_peer one, two;
