http_test: a target that sends bytes without end

No fault found. target.endless_bytes_end_in_time_and_bounded_memory sends up to 16 MB in a status line, a field, many fields, interim answers, chunks, a chunk extension and trailers: the heap grows by less than 4 MB, the run ends as too large, or as cancelled when its time is over (interim answers, extension, trailers), and its connection is closed. target.endless_bytes_do_not_keep_a_fetch_open: neither interim answers nor trailers put off the time-out of a fetch, streamed or not. A streamed body without end is a watch; its line is bounded by the store's client (by reading).

--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 #include "bulrushford.h"
 #include "http_fake.h"
@@ -1288,6 +1289,73 @@
 	}
 }
 
+/* Bytes without end: after @head, @part again and again. */
+const struct endless_answer {
+	const char *name;
+	std::string head;
+	std::string part;
+	enum brf_run_end end;
+} endless_answers[] = {
+	{ "status line", "HTTP/1.1 200 ", "x", BRF_RUN_TOO_LARGE },
+	{ "one field", ok + "a: ", "x", BRF_RUN_TOO_LARGE },
+	{ "fields", ok, "a: b\r\n", BRF_RUN_TOO_LARGE },
+	{ "long fields", ok, "a: " + std::string(4096, 'b') + "\r\n",
+	    BRF_RUN_TOO_LARGE },
+	{ "interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n",
+	    BRF_RUN_CANCELLED },
+	{ "chunks", ok + te + "\r\n", "4\r\nabcd\r\n", BRF_RUN_TOO_LARGE },
+	{ "chunk extension", ok + te + "\r\n4;", "x", BRF_RUN_CANCELLED },
+	{ "trailers", ok + te + "\r\n0\r\n", "a: b\r\n", BRF_RUN_CANCELLED },
+};
+
+/* Bytes in use; 0 where the allocator doesn't tell. */
+size_t
+heap_bytes()
+{
+	struct mallinfo2 m = mallinfo2();
+
+	return (m.uordblks + m.hblkhd);
+}
+
+TEST_F(target, endless_bytes_end_in_time_and_bounded_memory)
+{
+	const size_t total = (size_t)16 << 20, most = (size_t)4 << 20;
+
+	for (auto &c : endless_answers) {
+		struct raw_target t;
+		struct run_recorder r;
+		struct brf_target *tg =
+		    brf_http_target_new(test_loop.hl, t.port, 1);
+		std::string block, rest;
+		size_t sent = 0, before;
+
+		while (block.size() < 65536)
+			block += c.part;
+		prepare(r);
+		brf_target_run(tg, &r.run);
+		ASSERT_TRUE(receives_request(t)) << c.name;
+		rest = c.head;
+		before = heap_bytes();
+		test_loop.run_loop_until([&] {
+			sent += rest.size();
+			rest = t.peer.put(rest);
+			sent -= rest.size();
+			if (rest.empty())
+				rest = block;
+			EXPECT_LT(heap_bytes(), before + most) << c.name;
+			return (r.ends != 0 || sent > total);
+		});
+		brf_target_cancel(tg, &r.run); /* as the gate in time */
+		EXPECT_EQ(r.ends, 1) << c.name;
+		EXPECT_EQ(r.end, c.end) << c.name << " after " << sent;
+		EXPECT_TRUE(test_loop.run_loop_until([&] {
+			t.peer.get();
+			return (t.peer.ended);
+		})) << c.name;
+		brf_http_target_free(tg);
+	}
+}
+
 struct fetch_recorder {
 	int ends;
 	enum brf_errc code;
@@ -1425,6 +1493,37 @@
 	EXPECT_FALSE(t.accepts());
 }
 
+/* Neither counts as progress of a streamed body. */
+TEST_F(target, endless_bytes_do_not_keep_a_fetch_open)
+{
+	for (const char *name : { "interim answers", "trailers" }) {
+		for (bool stream : { false, true }) {
+			struct raw_target t;
+			struct fetch_recorder r;
+			std::string rest;
+
+			start_fetch(
+			    test_loop, &r, t.port, stream, 50 * BRF_US_PER_MS);
+			ASSERT_TRUE(receives_request(t));
+			for (auto &c : endless_answers) {
+				if (strcmp(c.name, name) == 0)
+					rest = c.head;
+			}
+			test_loop.run_loop_until([&] {
+				for (auto &c : endless_answers) {
+					if (rest.empty() &&
+					    strcmp(c.name, name) == 0)
+						rest = c.part;
+				}
+				rest = t.peer.put(rest);
+				return (r.ends != 0);
+			});
+			EXPECT_EQ(r.ends, 1) << name;
+			EXPECT_EQ(r.code, BRF_E_TIMEOUT) << name;
+		}
+	}
+}
+
 TEST_F(target, fetch_cancelled_in_its_chunk_callback_reports_no_end)
 {
 	struct raw_target t;
