link: a malformed message ends its own hop only

Callers saw: one hop's message that broke the protocol ended every hop between two nodes: those sent as connection_lost, those taken were cancelled at their target.

Cause: each such message closed the connection, though records delimit the messages, and the header names the hop.

Now that hop ends, as failed or with a broken body, the other end is told, and the fault is counted and logged as before. A SEND that was not taken is answered as garbage arguments, which its sender reads as not run; when its xid is open already, the open hop is failed first, so that the replies come in the order of the requests. Such a failure has no load report; a limit of 0 tells so. What concerns no hop still closes the connection: records, RPC headers, the program, HELLO and watches.

--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -188,7 +188,7 @@
 	if (!brf_link_reply_get(xdr, record, &r, err))
 		return (false);
 	hop->load = r.load;
-	hop->has_load = true;
+	hop->has_load = r.load.limit != 0; /* see fail_hop() in serve.c */
 	hop->arrived = r.arrived;
 	hop->marked = r.marked;
 	hop->nested_route = r.nested_route;
@@ -240,6 +240,36 @@
 	return (true);
 }
 
+/*
+ * End the hop whose message was malformed.  Records delimit the messages, so
+ * that the other hops of the connection can go on.
+ */
+static void
+fail_stream(struct brf_link_stream *s, const struct brf_error *err)
+{
+	struct brf_link_conn *lc = s->lc;
+
+	lc->conn.set->fault(lc->conn.set, err);
+	brf_link_cancel_put(&lc->conn.out, s->xid);
+	brf_conn_schedule_write(&lc->conn);
+	end_hop(sent_of(s), BRF_HOP_FAILED, BRF_R_BROKEN_ANSWER);
+}
+
+static bool
+handle_stream_message(struct brf_link_conn *lc, struct brf_link_stream *s,
+    const struct brf_rpc_header *header, XDR *xdr,
+    const struct brf_record *record, struct brf_error *err)
+{
+	if (!header->is_call)
+		return (handle_reply(lc, s, xdr, record, err));
+	if (header->procedure == BRF_LINK_DATA)
+		return (handle_data(s, xdr, record, err));
+	if (header->procedure == BRF_LINK_WINDOW_UPDATE)
+		return (handle_window_update(s, xdr, record, err));
+	return (brf_error_set(
+	    err, BRF_E_RPC_PROCEDURE, 0, "procedure %u", header->procedure));
+}
+
 static void
 log_link_up(struct brf_link_conn *lc)
 {
@@ -284,14 +314,9 @@
 		end_hop(sent_of(s), BRF_HOP_REFUSED, BRF_R_NOT_SENT);
 		return (true);
 	}
-	if (!header.is_call)
-		return (handle_reply(lc, s, &xdr, record, err));
-	if (header.procedure == BRF_LINK_DATA)
-		return (handle_data(s, &xdr, record, err));
-	if (header.procedure == BRF_LINK_WINDOW_UPDATE)
-		return (handle_window_update(s, &xdr, record, err));
-	return (brf_error_set(
-	    err, BRF_E_RPC_PROCEDURE, 0, "procedure %u", header.procedure));
+	if (!handle_stream_message(lc, s, &header, &xdr, record, err))
+		fail_stream(s, err);
+	return (true);
 }
 
 static void
--- a/src/link/serve.c
+++ b/src/link/serve.c
@@ -202,10 +202,10 @@
 }
 
 static bool
-handle_stream_call(struct served_conn *sc, const struct brf_rpc_header *header,
-    XDR *xdr, const struct brf_record *record, struct brf_error *err)
+handle_stream_call(struct brf_link_conn *lc,
+    const struct brf_rpc_header *header, XDR *xdr,
+    const struct brf_record *record, struct brf_error *err)
 {
-	struct brf_link_conn *lc = &sc->lc;
 	struct brf_link_stream *s = brf_link_find_stream(lc, header->xid);
 	struct brf_link_data data;
 	struct brf_link_window_update window;
@@ -228,9 +228,6 @@
 		if (s != NULL)
 			served_free(served_of(s));
 		return (true);
-	case BRF_LINK_WATCH:
-		return (
-		    brf_link_watch_serve(lc, header->xid, xdr, record, err));
 	default:
 		brf_rpc_write_status(
 		    &lc->conn.out, header->xid, BRF_RPC_PROC_UNAVAIL);
@@ -239,6 +236,50 @@
 	}
 }
 
+/* The hop ends without a load report, which its gate would have to fill. */
+static void
+fail_hop(struct served_hop *sv)
+{
+	struct brf_link_data broken = {
+		.stream = sv->s.xid,
+		.part = { .data = "", .len = 0 },
+		.broken = true,
+	};
+
+	brf_hop_release(&sv->hop);
+	if (sv->replied) {
+		brf_link_data_put(&sv->s.lc->conn.out, &broken);
+		brf_conn_schedule_write(&sv->s.lc->conn);
+	} else {
+		sv->hop.state = BRF_HOP_FAILED;
+		sv->hop.reason = BRF_R_CONNECTION_LOST;
+		sv->hop.arrived = true;
+		memset(&sv->hop.load, 0, sizeof(sv->hop.load));
+		write_reply(sv);
+	}
+	served_free(sv);
+}
+
+/*
+ * A message of one hop was malformed.  Records delimit the messages, so that
+ * the other hops of the connection can go on.  A request that was not taken
+ * gets a reply of its own, behind the one of the open hop with its xid.
+ */
+static void
+fail_stream(struct brf_link_conn *lc, const struct brf_rpc_header *header,
+    const struct brf_error *err)
+{
+	struct brf_link_stream *s = brf_link_find_stream(lc, header->xid);
+
+	lc->conn.set->fault(lc->conn.set, err);
+	if (s != NULL)
+		fail_hop(served_of(s));
+	if (header->procedure != BRF_LINK_SEND)
+		return;
+	brf_rpc_write_status(&lc->conn.out, header->xid, BRF_RPC_GARBAGE_ARGS);
+	brf_conn_schedule_write(&lc->conn);
+}
+
 static bool
 on_message(struct brf_conn *conn, const struct brf_record *record,
     struct brf_error *err)
@@ -246,7 +287,7 @@
 	struct brf_link_conn *lc = conn_of(conn);
 	struct served_conn *sc = served_conn_of(lc);
 	struct brf_rpc_header header;
-	bool known;
+	bool known, taken;
 	XDR xdr;
 
 	if (!brf_rpc_read(&xdr, record, &header, err))
@@ -262,10 +303,17 @@
 	if (!sc->known)
 		return (
 		    brf_error_set(err, BRF_E_AUTH, 0, "HELLO must come first"));
+	if (header.procedure == BRF_LINK_WATCH)
+		return (
+		    brf_link_watch_serve(lc, header.xid, &xdr, record, err));
 	if (header.procedure == BRF_LINK_SEND)
-		return (handle_send(
-		    lc, header.xid, &xdr, record, sc->service, err));
-	return (handle_stream_call(sc, &header, &xdr, record, err));
+		taken =
+		    handle_send(lc, header.xid, &xdr, record, sc->service, err);
+	else
+		taken = handle_stream_call(lc, &header, &xdr, record, err);
+	if (!taken)
+		fail_stream(lc, &header, err);
+	return (true);
 }
 
 static void
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -664,3 +664,242 @@
 	EXPECT_FALSE(w.has_reply);
 	close();
 }
+
+namespace
+{
+
+/* Messages of one hop that another node should not send. */
+struct malformed_case {
+	const char *name;
+	std::function<void(struct brf_buf &out, uint32_t xid)> put;
+};
+
+size_t
+count_of(const std::string &in, const std::string &what)
+{
+	size_t n = 0;
+
+	for (size_t at = 0; (at = in.find(what, at)) != std::string::npos;
+	     at += what.size())
+		n++;
+	return (n);
+}
+
+void
+put_answer(struct brf_buf &out, uint32_t xid, bool end)
+{
+	struct brf_link_reply reply = {};
+	const std::string none;
+
+	reply.state = BRF_HOP_ANSWERED;
+	reply.arrived = true;
+	reply.load = { 1, 2, 3, 4 };
+	reply.status = 200;
+	reply.body = BRF_BODY_CHUNKED;
+	reply.end = end;
+	reply.fields = reply.part = as_text(none);
+	brf_link_reply_put(&out, xid, &reply);
+}
+
+void
+put_part(struct brf_buf &out, uint32_t xid, size_t len, bool end = false)
+{
+	const std::string part(len, 'x');
+	struct brf_link_data data = {};
+
+	data.stream = xid;
+	data.part = as_text(part);
+	data.end = end;
+	brf_link_data_put(&out, &data);
+}
+
+void
+put_too_much(struct brf_buf &out, uint32_t xid)
+{
+	for (int i = 0; i < 5; i++)
+		put_part(out, xid, BRF_LINK_PART_MAX);
+}
+
+void
+put_request(struct brf_buf &out, uint32_t xid)
+{
+	const std::string text = "t-1", none;
+	struct brf_link_send send = {};
+
+	send.timeout_us = send.max_wait_us = 60000000;
+	send.body = BRF_BODY_CHUNKED;
+	send.id = send.target = send.method = send.host = send.path =
+	    as_text(text);
+	send.fields = send.part = as_text(none);
+	brf_link_send_put(&out, xid, &send);
+}
+
+/* Send @out on @p, and clear it. */
+void
+put_all(raw_peer &p, struct brf_buf &out)
+{
+	EXPECT_EQ(p.put(std::string(out.data, out.len)), "");
+	brf_buf_free(&out);
+}
+
+const std::vector<struct malformed_case> malformed_replies = {
+	{ "body exceeds its window",
+	    [](struct brf_buf &out, uint32_t xid) {
+		    put_answer(out, xid, false);
+		    put_too_much(out, xid);
+	    } },
+	{ "second reply",
+	    [](struct brf_buf &out, uint32_t xid) {
+		    put_answer(out, xid, false);
+		    put_answer(out, xid, false);
+	    } },
+	{ "body before its head",
+	    [](struct brf_buf &out, uint32_t xid) { put_part(out, xid, 3); } },
+	{ "reply without a result",
+	    [](struct brf_buf &out, uint32_t xid) {
+		    brf_rpc_write_status(&out, xid, BRF_RPC_SUCCESS);
+	    } },
+	{ "unknown procedure",
+	    [](struct brf_buf &out, uint32_t xid) {
+		    brf_link_empty_call_put(
+			&out, xid, (enum brf_link_procedure)99);
+	    } },
+};
+
+} // namespace
+
+TEST_F(two_nodes, a_malformed_reply_ends_only_its_own_hop)
+{
+	for (const auto &c : malformed_replies) {
+		struct raw_listener node;
+		struct sockaddr_in addr = loopback(node.port);
+		struct brf_link *link = brf_links_get(a.links, &addr);
+		struct brf_buf out = {};
+
+		{
+			struct outgoing_hop bad(bench), good(bench);
+
+			bad.reads = false;
+			brf_hop_send(brf_link_backend(link), &bad.hop);
+			brf_hop_send(brf_link_backend(link), &good.hop);
+			ASSERT_TRUE(bench.until([&] {
+				node.serve();
+				return (node.peers.size() == 1 &&
+					count_of(node.peers[0]->got,
+					    "h.example") == 2);
+			})) << c.name;
+			c.put(out, 0);
+			put_all(*node.peers[0], out);
+			EXPECT_TRUE(bench.until([&] {
+				return (bad.hop.state == BRF_HOP_FAILED ||
+					bad.hop.answer_body.state ==
+					    BRF_PIPE_BROKEN);
+			})) << c.name;
+			put_answer(out, 1, true);
+			put_all(*node.peers[0], out);
+			EXPECT_TRUE(bench.until([&] {
+				return (good.hop.state != BRF_HOP_OPEN);
+			})) << c.name;
+			EXPECT_EQ(good.hop.state, BRF_HOP_ANSWERED) << c.name;
+			EXPECT_EQ(good.hop.answer_body.state, BRF_PIPE_ENDED)
+			    << c.name;
+			EXPECT_EQ(brf_link_health(link), BRF_LINK_UP) << c.name;
+		}
+		brf_link_release(link);
+	}
+	close();
+}
+
+TEST_F(two_nodes, a_malformed_message_of_a_sender_ends_only_its_own_hop)
+{
+	const std::vector<struct malformed_case> cases = {
+		{ "body exceeds its window", put_too_much },
+		{ "body after its end",
+		    [](struct brf_buf &out, uint32_t xid) {
+			    put_part(out, xid, 3, true);
+			    put_part(out, xid, 3);
+		    } },
+		{ "stream is open already", put_request },
+		{ "part without arguments",
+		    [](struct brf_buf &out, uint32_t xid) {
+			    brf_link_empty_call_put(&out, xid, BRF_LINK_DATA);
+		    } },
+	};
+	const std::string name = "c";
+	struct brf_link_hello hello = {};
+
+	hello.node = hello.service = as_text(name);
+	for (const auto &c : cases) {
+		struct brf_buf out = {};
+		struct brf_hop *good;
+		raw_peer p;
+
+		p.connect_to(ntohs(b.addr.sin_port));
+		brf_link_hello_put(&out, 0xffffffffu, false, &hello);
+		put_request(out, 5);
+		put_request(out, 6);
+		put_all(p, out);
+		good = arrived(2);
+		ASSERT_EQ(b.gate.open.size(), 2u) << c.name;
+		c.put(out, 5);
+		put_all(p, out);
+		EXPECT_TRUE(bench.until([&] {
+			return (b.gate.open.size() < 2);
+		})) << c.name;
+		bench.turns(20);
+		p.get();
+		EXPECT_FALSE(p.ended) << c.name;
+		ASSERT_EQ(b.gate.open.size(), 1u) << c.name;
+		EXPECT_EQ(b.gate.open.front(), good) << c.name;
+		p.got.clear();
+		b.gate.refuse(good, BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until([&] {
+			p.get();
+			return (!p.got.empty());
+		})) << c.name;
+		p.drop();
+		EXPECT_TRUE(bench.until([&] { return (b.gate.open.empty()); }));
+	}
+	close();
+}
+
+/* The request was not taken, so it may be sent to another target. */
+TEST_F(two_nodes, a_request_that_cannot_be_read_is_answered_as_not_run)
+{
+	const std::string name = "c";
+	struct brf_link_hello hello = {};
+	struct brf_buf out = {};
+	raw_peer p;
+
+	hello.node = hello.service = as_text(name);
+	p.connect_to(ntohs(b.addr.sin_port));
+	brf_link_hello_put(&out, 0xffffffffu, false, &hello);
+	put_request(out, 6);
+	put_all(p, out);
+	arrived(1);
+	EXPECT_TRUE(bench.until([&] {
+		p.get();
+		return (!p.got.empty()); /* the reply to HELLO */
+	}));
+	p.got.clear();
+	brf_link_empty_call_put(&out, 5, BRF_LINK_SEND);
+	put_all(p, out);
+	EXPECT_TRUE(bench.until([&] {
+		p.get();
+		return (!p.got.empty() || p.ended);
+	}));
+	EXPECT_FALSE(p.ended);
+	EXPECT_EQ(b.gate.open.size(), 1u);
+	brf_buf_add(&out, p.got.data(), p.got.size());
+	{
+		struct one_record r(out);
+
+		EXPECT_TRUE(r.whole);
+		EXPECT_EQ(r.header.xid, 5u);
+		EXPECT_EQ(r.header.status, BRF_RPC_GARBAGE_ARGS);
+	}
+	brf_buf_free(&out);
+	p.drop();
+	EXPECT_TRUE(bench.until([&] { return (b.gate.open.empty()); }));
+	close();
+}
