link: close an unused link also when its last hop was never sent

Nodes kept: a connection that nobody used, for as long as both processes ran, when a link was given up while its only hop waited to be written, and that hop was then cancelled.

Cause: a link with a waiting hop was not closed when it was released, and the timer that closes it later runs only once a hop was written.

Evidence: an_unused_link_is_closed_when_its_last_hop_was_never_sent failed before: the connection stayed open.

Now one function closes what is unused, at the release of a link or of a hop and by the timer. By reading only: the timer closed also with a hop in the queue; such a hop was refused as not sent, truly, but for no reason. Now it is not.

--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -384,7 +384,7 @@
 	link->refs++; /* the callbacks may release the last reference */
 	brf_link_watches_lost(link);
 	link->refs--;
-	brf_link_free_if_unused(link);
+	brf_link_end_if_unused(link);
 }
 
 static void
@@ -426,8 +426,8 @@
 		return;
 	}
 	if (lc->open_streams == 0) {
-		if (lc->link != NULL && lc->link->refs == 0)
-			close_conn(lc, "no longer in use");
+		if (lc->link != NULL)
+			brf_link_end_if_unused(lc->link);
 		return;
 	}
 	if (silence >= BRF_LINK_DEAD_US) {
@@ -557,7 +557,7 @@
 	if (sh != NULL)
 		cancel_stream(sh);
 	link->hops--;
-	brf_link_free_if_unused(link);
+	brf_link_end_if_unused(link);
 }
 
 const struct brf_hop_backend_vt brf_link_backend_vt = {
--- a/src/link/impl.h
+++ b/src/link/impl.h
@@ -160,8 +160,11 @@
 /* links.c */
 void brf_link_free(struct brf_link *link);
 
-/* Free @link if it has no references, no connection and no hops. */
-void brf_link_free_if_unused(struct brf_link *link);
+/*
+ * If @link has no references and nothing to send: close a connection without
+ * streams, and free the link once it has neither connection nor hops.
+ */
+void brf_link_end_if_unused(struct brf_link *link);
 
 /* Call the callback of brf_links_close() once all handles are closed. */
 void brf_links_check_closed(struct brf_links *links);
--- a/src/link/links.c
+++ b/src/link/links.c
@@ -147,21 +147,22 @@
 void
 brf_link_release(struct brf_link *link)
 {
-	struct brf_error err;
-
-	if (--link->refs != 0)
-		return;
-	brf_error_set(&err, BRF_E_CLOSED, 0, "no longer in use");
-	if (link->lc == NULL)
-		brf_link_free_if_unused(link);
-	else if (link->lc->open_streams == 0 && brf_list_empty(&link->queue))
-		brf_conn_close(&link->lc->conn, &err);
+	link->refs--;
+	brf_link_end_if_unused(link);
 }
 
 void
-brf_link_free_if_unused(struct brf_link *link)
+brf_link_end_if_unused(struct brf_link *link)
 {
-	if (link->refs == 0 && link->lc == NULL && link->hops == 0)
+	struct brf_link_conn *lc = link->lc;
+	struct brf_error err;
+
+	if (link->refs != 0 || !brf_list_empty(&link->queue))
+		return;
+	if (lc != NULL && lc->open_streams == 0) {
+		brf_error_set(&err, BRF_E_CLOSED, 0, "no longer in use");
+		brf_conn_close(&lc->conn, &err); /* calls this again */
+	} else if (lc == NULL && link->hops == 0)
 		brf_link_free(link);
 }
 
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -903,3 +903,23 @@
 	EXPECT_TRUE(bench.until([&] { return (b.gate.open.empty()); }));
 	close();
 }
+
+/* No hop is left that would start the timer of its connection. */
+TEST_F(two_nodes, an_unused_link_is_closed_when_its_last_hop_was_never_sent)
+{
+	struct raw_listener node;
+	struct sockaddr_in addr = loopback(node.port);
+	struct brf_link *link = brf_links_get(a.links, &addr);
+
+	{
+		struct outgoing_hop s(bench);
+
+		brf_hop_send(brf_link_backend(link), &s.hop);
+		brf_link_release(link);
+	}
+	EXPECT_TRUE(bench.until([&] {
+		node.serve();
+		return (node.peers.size() == 1 && node.peers[0]->ended);
+	}));
+	close();
+}
