link: a link closed as unused does not back off

Callers saw: hops to a node were refused as not sent for 100 ms, when its target had left and another was announced at the same address, while an answer of the first was still being delivered.

Cause: closing an unused link counted as a failed connection. An ended hop that its sender has not released keeps the link, which is then taken up again.

Evidence: a_link_closed_as_unused_is_not_down failed before: the link was down, and the next hop was refused.

Now only the loss of a link in use makes its node wait.

--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -375,11 +375,11 @@
 	if (link == NULL)
 		return;
 	link->lc = NULL;
-	if (!links->closing) {
+	if (link->refs != 0)
 		back_off(link);
+	if (!links->closing)
 		brf_log(BRF_LOG_INFO, "link_lost", BRF_LS("peer", link->name),
 		    BRF_LE(err), BRF_LU("failures", link->failures));
-	}
 	end_queue(link);
 	link->refs++; /* the callbacks may release the last reference */
 	brf_link_watches_lost(link);
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -923,3 +923,27 @@
 	}));
 	close();
 }
+
+/* An ended hop keeps the link, whose connection was closed on purpose. */
+TEST_F(two_nodes, a_link_closed_as_unused_is_not_down)
+{
+	{
+		struct outgoing_hop first(bench), second(bench);
+		struct brf_hop *hop;
+
+		send(first);
+		hop = arrived();
+		b.gate.answer(hop, 200, "");
+		brf_pipe_end(&hop->answer_body);
+		ASSERT_TRUE(bench.until([&] {
+			return (first.hop.answer_body.state == BRF_PIPE_ENDED);
+		}));
+		release_link_to_b();
+		EXPECT_EQ(brf_link_health(link_to_b()), BRF_LINK_IDLE);
+		send(second);
+		EXPECT_NE(arrived(), nullptr);
+		EXPECT_EQ(second.hop.state, BRF_HOP_OPEN);
+	}
+	release_link_to_b();
+	close();
+}
