--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -947,3 +947,57 @@
 	release_link_to_b();
 	close();
 }
+
+/*
+ * The other node doesn't read, then sends what closes the connection.  Whatever
+ * it can still read afterwards holds no request that was reported as not run.
+ */
+TEST_F(two_nodes, a_refused_hop_never_reached_the_other_node)
+{
+	const size_t count = 60;
+	const std::string fields = "x: " + std::string(300000, 'y') + "\r\n";
+	struct raw_listener node;
+	struct sockaddr_in addr = loopback(node.port);
+	struct brf_link *link = brf_links_get(a.links, &addr);
+	std::list<struct outgoing_hop> hops;
+	std::vector<std::string> ids;
+	size_t refused = 0, failed = 0, i = 0;
+
+	for (i = 0; i < count; i++)
+		ids.push_back("id-" + std::to_string(1000 + i) + "-end");
+	for (const auto &id : ids) {
+		hops.emplace_back(bench);
+		hops.back().hop.request.id = id.c_str();
+		hops.back().hop.request.fields = fields.c_str();
+		hops.back().hop.request.fields_len = fields.size();
+		brf_hop_send(brf_link_backend(link), &hops.back().hop);
+	}
+	bench.turns(500);
+	node.peers.push_back(new raw_peer());
+	node.peers[0]->fd = accept4(node.fd, nullptr, nullptr, SOCK_NONBLOCK);
+	node.peers[0]->put(std::string(64, '\xff'));
+	EXPECT_TRUE(bench.until(
+	    [&] { return (hops.back().hop.state != BRF_HOP_OPEN); }));
+	EXPECT_TRUE(bench.until([&] {
+		node.serve();
+		return (node.peers[0]->ended);
+	}));
+	i = 0;
+	for (auto &s : hops) {
+		if (s.hop.state == BRF_HOP_REFUSED) {
+			EXPECT_EQ(
+			    node.peers[0]->got.find(ids[i]), std::string::npos)
+			    << ids[i];
+			refused++;
+		} else {
+			EXPECT_EQ(s.hop.state, BRF_HOP_FAILED);
+			failed++;
+		}
+		i++;
+	}
+	EXPECT_NE(refused, 0u);
+	EXPECT_NE(failed, 0u);
+	hops.clear();
+	brf_link_release(link);
+	close();
+}
