--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -189,7 +189,7 @@
 	if (!brf_link_reply_get(xdr, record, &r, err))
 		return (false);
 	hop->load = r.load;
-	hop->has_load = true;
+	hop->has_load = r.load.limit != 0; /* see fail_hop() in serve.c */
 	hop->arrived = r.arrived;
 	hop->marked = r.marked;
 	hop->nested_route = r.nested_route;
@@ -241,6 +241,36 @@
 	return (true);
 }
 
+/*
+ * End the hop whose message was malformed.  Records delimit the messages, so
+ * that the other hops of the connection can go on.
+ */
+static void
+fail_stream(struct brf_link_stream *s, const struct brf_error *err)
+{
+	struct brf_link_conn *lc = s->lc;
+
+	lc->conn.set->fault(lc->conn.set, err);
+	brf_link_cancel_put(&lc->conn.out, s->xid);
+	brf_conn_schedule_write(&lc->conn);
+	end_hop(sent_of(s), BRF_HOP_FAILED, BRF_R_BROKEN_ANSWER);
+}
+
+static bool
+handle_stream_message(struct brf_link_conn *lc, struct brf_link_stream *s,
+    const struct brf_rpc_header *header, XDR *xdr,
+    const struct brf_record *record, struct brf_error *err)
+{
+	if (!header->is_call)
+		return (handle_reply(lc, s, xdr, record, err));
+	if (header->procedure == BRF_LINK_DATA)
+		return (handle_data(s, xdr, record, err));
+	if (header->procedure == BRF_LINK_WINDOW_UPDATE)
+		return (handle_window_update(s, xdr, record, err));
+	return (brf_error_set(
+	    err, BRF_E_RPC_PROCEDURE, 0, "procedure %u", header->procedure));
+}
+
 static void
 log_link_up(struct brf_link_conn *lc)
 {
@@ -285,14 +315,9 @@
 		end_hop(sent_of(s), BRF_HOP_REFUSED, BRF_R_NOT_SENT);
 		return (true);
 	}
-	if (!header.is_call)
-		return (handle_reply(lc, s, &xdr, record, err));
-	if (header.procedure == BRF_LINK_DATA)
-		return (handle_data(s, &xdr, record, err));
-	if (header.procedure == BRF_LINK_WINDOW_UPDATE)
-		return (handle_window_update(s, &xdr, record, err));
-	return (brf_error_set(
-	    err, BRF_E_RPC_PROCEDURE, 0, "procedure %u", header.procedure));
+	if (!handle_stream_message(lc, s, &header, &xdr, record, err))
+		fail_stream(s, err);
+	return (true);
 }
 
 static void
@@ -351,16 +376,16 @@
 	if (link == NULL)
 		return;
 	link->lc = NULL;
-	if (!links->closing) {
+	if (link->refs != 0)
 		back_off(link);
+	if (!links->closing)
 		brf_log(BRF_LOG_INFO, "link_lost", BRF_LS("peer", link->name),
 		    BRF_LE(err), BRF_LU("failures", link->failures));
-	}
 	end_queue(link);
 	link->refs++; /* the callbacks may release the last reference */
 	brf_link_watches_lost(link);
 	link->refs--;
-	brf_link_free_if_unused(link);
+	brf_link_end_if_unused(link);
 }
 
 static void
@@ -402,8 +427,8 @@
 		return;
 	}
 	if (lc->open_streams == 0) {
-		if (lc->link != NULL && lc->link->refs == 0)
-			close_conn(lc, "no longer in use");
+		if (lc->link != NULL)
+			brf_link_end_if_unused(lc->link);
 		return;
 	}
 	if (silence >= BRF_LINK_DEAD_US) {
@@ -533,7 +558,7 @@
 	if (sh != NULL)
 		cancel_stream(sh);
 	link->hops--;
-	brf_link_free_if_unused(link);
+	brf_link_end_if_unused(link);
 }
 
 const struct brf_hop_backend_vt brf_link_backend_vt = {
