--- a/Makefile
+++ b/Makefile
@@ -139,7 +139,7 @@
 	tools/fuzz smoke $(SEED)
 
 soak: $(call bins,bulrushford-node)
-	tools/soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES)
+	BRF_BIN=$(BUILD)/bin tools/soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES)
 
 fuzz: fuzzers $(BUILD)/bin/brf_test
 	tools/fuzz long $(SEED) $(SECONDS)
