--- a/test/e2e/test_soak.py
+++ b/test/e2e/test_soak.py
@@ -110,7 +110,8 @@
     def test_a_dropped_route(self):
         o = {"configs": [(2, 1.0), (3, 7.0)], "drops": {2: (3, 6.9)}}
         served = sent("a", at=10.0, route=2)
-        self.assertEqual(judge([served], **o), ["version 3 of 7.000 not in force"])
+        self.assertEqual(judge([served], **o),
+                         ["version 3 of 7.000 not in force"])
         early = sent("e", at=8.0, route=2)
         absent = sent("b", at=8.5, route=2, status=404)
         self.assertEqual(judge([early], **o), [])
