soak/oracle: a dropped route's 404 counts as served after recovery

A 404 that comes before the drop was sent counts as before, and configured judges when it is due. The bound is the same; a planted case for both.

--- a/test/e2e/test_soak.py
+++ b/test/e2e/test_soak.py
@@ -151,6 +151,11 @@
         self.assertEqual(judge(down, faults=fault),
                          ["0 of 20 served after recovery"])
         self.assertEqual(judge(down, faults=[(10.0, 16.0, None)]), [])
+        absent = [sent(str(i), at=30.0, status=404, route=2)
+                  for i in range(20)]
+        self.assertEqual(judge(absent, drops={2: (3, 30.2)}),
+                         ["0 of 20 served after recovery"])
+        self.assertEqual(judge(absent, drops={2: (3, 30.0)}), [])
 
     def test_processes_that_end_or_grow(self):
         self.assertEqual(judge(deaths=["n ended by itself"]),
--- a/test/soak/oracle.py
+++ b/test/soak/oracle.py
@@ -138,6 +138,11 @@
                     else "ran and got no answer")
             yield f"{what}: {s}, {runs[s.ident]}"
 
+    def rightly_absent(self, s):
+        """Whether a 404 is due to a drop of the route."""
+        return (s.status == 404 and s.route in self.drops
+                and s.end >= self.drops[s.route][1])
+
     def configured(self):
         seen = {}   # a process: the newest version that it has shown, and when
         acked = dict(self.configs)
@@ -145,10 +150,10 @@
             if s.status in (0, 503) or s.route == 0:
                 continue
             version, since = seen.get((s.node, s.life), (0, 0.0))
-            gone, sent = self.drops.get(s.route, (None, float("inf")))
+            gone, _ = self.drops.get(s.route, (None, 0.0))
             # a version that the answer shows, and one that it lacks
             shows, lacks = s.route, gone
-            if s.status == 404 and s.end >= sent:
+            if self.rightly_absent(s):
                 # the table may be older than the route, or without it
                 newer = version >= s.route and s.at > since
                 shows, lacks = gone if newer else 0, None
@@ -201,6 +206,7 @@
         after = [s for s in self.sent.values()
                  if s.at > last + RECOVER_S and s.sound and not s.left
                  and not self.behind_torn(s)]
-        served = sum(1 for s in after if s.status == 200)
+        served = sum(1 for s in after
+                     if s.status == 200 or self.rightly_absent(s))
         if len(after) >= 20 and served < RECOVER_SHARE * len(after):
             yield f"{served} of {len(after)} served after recovery"
