--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -7,8 +7,7 @@
 #define PIPELINE_MAX 16u  /* open requests per connection */
 #define KEEPALIVE_S 15	  /* seconds of silence before keepalive probes */
 #define UNACKED_MS 30000u /* milliseconds until unacknowledged data fails */
-#define IDLE_CHECK_US BRF_US_PER_MS /* for one more read before an idle close \
-				     */
+#define IDLE_CHECK_US BRF_US_PER_MS /* for one more read */
 /* For a client to close, once the kernel has accepted the last answer. */
 #define LINGER_US BRF_US_PER_S
 
