gate_test, wire_peer_test: what a change or a bad call leaves whole

gate.a_document_that_changes_ends_no_open_attempt: a document that is replaced or deleted while one attempt runs and two wait; all three are answered.

wire.a_malformed_call_ends_no_other_call_of_its_connection: two calls of one connection, with each malformed input between them that leaves the connection open. The test beside it kept its other call on another connection.

--- a/test/gate_test.cc
+++ b/test/gate_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "config/docs.h"
 #include "node/gate.h"
 #include "policy/token.h"
 
@@ -396,3 +397,41 @@
 	finish(&other, 0, BRF_RUN_ANSWERED);
 	EXPECT_EQ(h.sent[1]->reply.outcome, BRF_ANSWERED);
 }
+
+/* What an attempt keeps of its document outlives the document. */
+TEST(gate, a_document_that_changes_ends_no_open_attempt)
+{
+	const std::string head = "{\"schema\":1,\"service\":\"factors\",";
+	const std::string first =
+	    head + "\"workspaces\":{\"w\":3},\"routes\":[{"
+		   "\"method\":\"*\",\"path\":\"/a\",\"class\":1}]}";
+	const std::string second = head + "\"queue\":{\"length\":9}}";
+
+	for (bool deleted : { false, true }) {
+		struct gate_harness h(false);
+		struct brf_announcement announcement = {};
+
+		ASSERT_EQ(brf_docs_apply(
+			      h.docs, "factors", 1, first.data(), first.size()),
+		    BRF_DOCS_APPLIED);
+		brf_copy_name(announcement.service,
+		    sizeof(announcement.service), "factors");
+		announcement.slots = 1;
+		brf_gate_update(h.gate, &announcement);
+		for (int i = 0; i < 3; i++)
+			h.send_new(i % 2 == 0);
+		ASSERT_EQ(h.target.running.size(), 1u);
+		ASSERT_EQ(brf_docs_apply(h.docs, "factors", 2,
+			      deleted ? nullptr : second.data(),
+			      deleted ? 0 : second.size()),
+		    BRF_DOCS_APPLIED);
+		for (int i = 0; i < 3; i++) {
+			ASSERT_EQ(h.target.running.size(), 1u);
+			finish(&h.target, 0, BRF_RUN_ANSWERED);
+			h.advance(0);
+		}
+		for (auto &s : h.sent)
+			EXPECT_EQ(s->reply.outcome, BRF_ANSWERED);
+		EXPECT_EQ(h.find_violation(), nullptr);
+	}
+}
--- a/test/wire_peer_test.cc
+++ b/test/wire_peer_test.cc
@@ -667,6 +667,50 @@
 	EXPECT_EQ(other.body, "kept");
 }
 
+/* Input that is answered, or ignored, between two calls of one connection. */
+TEST_F(wire, a_malformed_call_ends_no_other_call_of_its_connection)
+{
+	struct test_call first(1, "", BRF_US_PER_S), last(2, "", BRF_US_PER_S);
+	struct brf_rpc_header h = {};
+	struct raw_socket r;
+	std::set<uint32_t> answered;
+	size_t replies = 0, want = 2;
+	XDR xdr;
+	auto put = [](struct test_call &c) {
+		return ([&c](XDR *x) {
+			return (
+			    brf_attempt_encode(x, &c.x.attempt, BRF_US_PER_S));
+		});
+	};
+
+	connect_socket(&r);
+	authenticate(&r, false);
+	r.send(call_bytes(101, BRF_PEER_CALL, put(first)));
+	for (auto &c : invalid_inputs()) {
+		if (c.end != ANSWERED_AND_OPEN && c.end != OPEN)
+			continue;
+		r.send(c.bytes);
+		want += c.end == ANSWERED_AND_OPEN;
+	}
+	r.send(call_bytes(102, BRF_PEER_CALL, put(last)));
+	ASSERT_TRUE(run([&] { return (callee->gate.open.size() == 2); }));
+	EXPECT_EQ(callee->gate.cancelled, 0);
+	callee->gate.answer(callee->gate.open[1], "");
+	callee->gate.answer(callee->gate.open[0], "");
+	ASSERT_TRUE(run([&] {
+		while (r.poll()) {
+			struct brf_record rec = { &r.record[0],
+				r.record.size() };
+			EXPECT_TRUE(brf_rpc_read(&xdr, &rec, &h, nullptr));
+			replies++;
+			if (h.status == BRF_RPC_SUCCESS)
+				answered.insert(h.xid);
+		}
+		return (replies == want);
+	}));
+	EXPECT_EQ(answered, (std::set<uint32_t>{ 101, 102 }));
+}
+
 TEST_F(wire, wrong_proof_is_denied)
 {
 	struct brf_rpc_header h;
