soak/proxy: a connection that is cut or lost bytes ends with a reset

The proxy's reset sent a FIN before it (shutdown of both sides), and a way that dropped bytes still passed the FIN on, which no network does; a node can't tell either from the end of such a body. It does tell a reset (src/flow/target.c, c->reset).

Now a cut shuts down only the receiving side and closes with SO_LINGER 0. The check of whole answers is unchanged.

--- a/test/e2e/test_soak.py
+++ b/test/e2e/test_soak.py
@@ -1,10 +1,13 @@
 """The soak's oracle catches each fault that is planted for it."""
 
+import socket
 import sys
+import time
 import unittest
 
 sys.path.insert(0, "test/soak")
 import oracle  # noqa: E402
+import proxy  # noqa: E402
 
 Sent, Ran = oracle.Sent, oracle.Ran
 
@@ -162,5 +165,27 @@
                          ["n ended by itself"])
 
 
+class Links(unittest.TestCase):
+    def test_a_cut_is_no_end_of_a_body(self):
+        def lose(p, far):
+            p.mode = "down"
+            far.sendall(b"b")
+            time.sleep(0.1)
+            far.close()
+
+        for harm in (lambda p, far: p.reset(), lose):
+            with socket.create_server((proxy.HOST, 0)) as listener:
+                p = proxy.Proxy(listener.getsockname()[1])
+                near = socket.create_connection((proxy.HOST, p.listen_port), 5)
+                far, _ = listener.accept()
+                far.sendall(b"a")
+                self.assertEqual(near.recv(1), b"a")
+                harm(p, far)
+                self.assertRaises(ConnectionResetError, near.recv, 1)
+                near.close()
+                far.close()
+                p.close()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -50,24 +50,33 @@
 
     def carry(self, way, source, sink, pair):
         try:
+            lost = False
             while (data := source.recv(65536)):
                 if self.mode == "delay":
                     time.sleep(self.delay_s)
-                if self.mode not in ("silent", way):
+                if self.mode in ("silent", way):
+                    lost = True
+                else:
                     sink.sendall(data)
+            if lost or pair not in self.pairs:
+                raise ConnectionError
             sink.shutdown(socket.SHUT_WR)
         except OSError:
-            self.end(pair)
+            self.end(pair, reset=True)
             return
         if way == "down":
             self.end(pair)
 
-    def end(self, pair):
+    def end(self, pair, reset=False):
+        """With `reset`, no FIN is sent: it would look like the end of a body
+        that ends with its connection."""
         with self.lock:
             self.pairs.discard(pair)
         for s in pair:
             try:
-                s.shutdown(socket.SHUT_RDWR)
+                if reset:
+                    s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                s.shutdown(socket.SHUT_RD if reset else socket.SHUT_RDWR)
             except OSError:
                 pass
             s.close()
@@ -77,12 +86,7 @@
         with self.lock:
             pairs = list(self.pairs)
         for pair in pairs:
-            for s in pair:
-                try:
-                    s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                except OSError:
-                    pass
-            self.end(pair)
+            self.end(pair, reset=True)
 
     def close(self):
         self.listener.close()
