--- a/src/flow/server.c
+++ b/src/flow/server.c
@@ -16,12 +16,6 @@
 	[BRF_FLOW_ABORTED] = "aborted",
 };
 
-const char *
-brf_flow_end_name(enum brf_flow_end end)
-{
-	return (end_names[end]);
-}
-
 static void
 make_metrics(struct brf_flow_server *server)
 {
--- a/src/flow/server.h
+++ b/src/flow/server.h
@@ -181,9 +181,6 @@
  */
 void brf_flow_drain(struct brf_flow_server *server);
 
-/* Return: name in logs and metrics; stable. */
-const char *brf_flow_end_name(enum brf_flow_end end);
-
 /* Number of requests whose answers are not complete. */
 size_t brf_flow_open_requests(const struct brf_flow_server *server);
 
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -8,7 +8,7 @@
 
 #define REPLAY_MAX 65536u /* bytes of a body that are kept for another hop */
 /* Most bytes of an incomplete answer that are held for the requests behind. */
-#define HOLD_MAX_BYTES BRF_PIPE_HIGH_WATER
+#define HELD_ANSWER_MAX_BYTES BRF_PIPE_HIGH_WATER
 #define HOPS_MAX BRF_TRACE_HOPS_MAX
 #define TIMEOUT_DEFAULT_MS 60000u /* for requests without a timeout */
 
@@ -621,7 +621,7 @@
 			hop->reason = BRF_R_BROKEN_ANSWER;
 		hop_failed(call);
 	} else if (body->state == BRF_PIPE_ENDED ||
-		   brf_pipe_len(body) >= HOLD_MAX_BYTES ||
+		   brf_pipe_len(body) >= HELD_ANSWER_MAX_BYTES ||
 		   !brf_flow_is_followed(call->rq))
 		hop_answered(call);
 }
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -55,6 +55,12 @@
 const struct brf_flow_handler_vt manual_handler_vt = { may_run_ahead,
 	on_request, on_ended, on_refused };
 
+std::string
+get(const std::string &path, const std::string &fields = "")
+{
+	return ("GET " + path + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+}
+
 class flow_server : public ::testing::Test
 {
       protected:
@@ -103,6 +109,29 @@
 		});
 	}
 
+	/* Start a chunked answer; the test writes its body. */
+	struct brf_pipe *
+	begin_answer(size_t i)
+	{
+		auto *pipe = new struct brf_pipe;
+
+		brf_pipe_init(pipe, &bench.scheduler.tasks);
+		manual_handler.open[i]->data = pipe;
+		brf_flow_answer(manual_handler.open[i], 200, "", 0,
+		    BRF_BODY_CHUNKED, 0, pipe);
+		return (pipe);
+	}
+
+	/* Send two requests at once, and wait until both are open. */
+	void
+	open_two(raw_peer &p, const std::string &second)
+	{
+		p.connect_to(port);
+		talk(p, get("/1") + second,
+		    [&] { return (manual_handler.open.size() == 2); });
+		ASSERT_EQ(manual_handler.open.size(), 2u);
+	}
+
 	void
 	answer(size_t i, const std::string &body, int status = 200)
 	{
@@ -117,12 +146,6 @@
 	}
 };
 
-std::string
-get(const std::string &path, const std::string &fields = "")
-{
-	return ("GET " + path + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
-}
-
 size_t
 count(const std::string &in, const std::string &what)
 {
@@ -355,9 +378,7 @@
 {
 	raw_peer p;
 
-	p.connect_to(port);
-	talk(p, get("/1") + get("/2"),
-	    [&] { return (manual_handler.open.size() == 2); });
+	open_two(p, get("/2"));
 	p.drop();
 	bench.until([&] { return (manual_handler.ends.size() == 2); });
 	EXPECT_EQ(manual_handler.ends,
@@ -368,14 +389,11 @@
 TEST_F(flow_server, a_truncated_answer_does_not_look_complete)
 {
 	raw_peer p;
-	auto *pipe = new struct brf_pipe;
+	struct brf_pipe *pipe;
 
 	p.connect_to(port);
 	talk(p, get("/1"), [&] { return (manual_handler.open.size() == 1); });
-	brf_pipe_init(pipe, &bench.scheduler.tasks);
-	manual_handler.open[0]->data = pipe;
-	brf_flow_answer(
-	    manual_handler.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	pipe = begin_answer(0);
 	brf_pipe_write(pipe, "part", 4);
 	talk(p, "", [&] { return (count(p.got, "part") == 1); });
 	brf_pipe_break(pipe);
@@ -389,18 +407,12 @@
 TEST_F(flow_server, the_end_of_a_request_tells_which_answer_broke_off)
 {
 	raw_peer p;
-	auto *pipe = new struct brf_pipe;
+	struct brf_pipe *pipe;
 
-	p.connect_to(port);
-	talk(p, get("/1") + get("/2"),
-	    [&] { return (manual_handler.open.size() == 2); });
-	ASSERT_EQ(manual_handler.open.size(), 2u);
+	open_two(p, get("/2"));
 	EXPECT_EQ(manual_handler.open[0]->connection,
 	    manual_handler.open[1]->connection);
-	brf_pipe_init(pipe, &bench.scheduler.tasks);
-	manual_handler.open[0]->data = pipe;
-	brf_flow_answer(
-	    manual_handler.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	pipe = begin_answer(0);
 	brf_pipe_write(pipe, "part", 4);
 	talk(p, "", [&] { return (count(p.got, "part") == 1); });
 	brf_pipe_break(pipe);
@@ -431,9 +443,7 @@
 {
 	raw_peer p;
 
-	p.connect_to(port);
-	talk(p, get("/1") + get("/2"),
-	    [&] { return (manual_handler.open.size() == 2); });
+	open_two(p, get("/2"));
 	brf_flow_drain(srv);
 	answer(0, "a");
 	answer(1, "b");
@@ -460,17 +470,14 @@
 {
 	const struct announced_close &c = GetParam();
 	raw_peer p;
-	auto *pipe = new struct brf_pipe;
+	struct brf_pipe *pipe;
 
 	p.connect_to(port);
 	talk(p, c.first, [&] { return (manual_handler.open.size() == 1); });
 	ASSERT_EQ(manual_handler.open.size(), 1u);
 	if (c.drain)
 		brf_flow_drain(srv);
-	brf_pipe_init(pipe, &bench.scheduler.tasks);
-	manual_handler.open[0]->data = pipe;
-	brf_flow_answer(
-	    manual_handler.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	pipe = begin_answer(0);
 	brf_pipe_write(pipe, "part", 4);
 	talk(p, "", [&] { return (count(p.got, "part") == 1); });
 	EXPECT_EQ(p.put(c.rest + get("/2")), "");
@@ -498,18 +505,12 @@
 TEST_F(flow_server, no_request_runs_ahead_of_an_answer_that_may_break_off)
 {
 	raw_peer p;
-	auto *pipe = new struct brf_pipe;
+	struct brf_pipe *pipe;
 
-	p.connect_to(port);
-	talk(p, get("/1") + get("/2"),
-	    [&] { return (manual_handler.open.size() == 2); });
-	ASSERT_EQ(manual_handler.open.size(), 2u);
+	open_two(p, get("/2"));
 	EXPECT_TRUE(brf_flow_is_followed(manual_handler.open[0]));
 	EXPECT_FALSE(brf_flow_is_followed(manual_handler.open[1]));
-	brf_pipe_init(pipe, &bench.scheduler.tasks);
-	manual_handler.open[1]->data = pipe;
-	brf_flow_answer(
-	    manual_handler.open[1], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	pipe = begin_answer(1);
 	brf_pipe_write(pipe, "part", 4);
 	p.put(get("/3"));
 	bench.turns(50);
@@ -631,16 +632,13 @@
 
 	for (int round = 0; round < 2; round++) {
 		raw_peer p;
-		auto *pipe = new struct brf_pipe;
+		struct brf_pipe *pipe;
 		size_t n = 0;
 
 		p.connect_to(port);
 		talk(p, get("/1", "Connection: close\r\n"),
 		    [&] { return (manual_handler.open.size() == round + 1u); });
-		brf_pipe_init(pipe, &bench.scheduler.tasks);
-		manual_handler.open[round]->data = pipe;
-		brf_flow_answer(manual_handler.open[round], 200, "", 0,
-		    BRF_BODY_CHUNKED, 0, pipe);
+		pipe = begin_answer(round);
 		for (; round == 0 || n < most - 2; n++) {
 			brf_pipe_write(pipe, piece.data(), piece.size());
 			bench.turns(2);
@@ -665,16 +663,11 @@
 {
 	raw_peer p;
 	const std::string body(16000000, 'x');
-	auto *pipe = new struct brf_pipe;
+	struct brf_pipe *pipe;
 
-	p.connect_to(port);
-	talk(p, get("/1") + get("/2"),
-	    [&] { return (manual_handler.open.size() == 2); });
+	open_two(p, get("/2"));
 	answer(0, body);
-	brf_pipe_init(pipe, &bench.scheduler.tasks);
-	manual_handler.open[1]->data = pipe;
-	brf_flow_answer(
-	    manual_handler.open[1], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	pipe = begin_answer(1);
 	brf_pipe_break(pipe);
 	bench.turns(20);
 	talk(p, "", [&] { return (false); });
@@ -685,15 +678,10 @@
     flow_server, a_waiting_request_runs_once_the_answer_before_it_is_complete)
 {
 	raw_peer p;
-	auto *pipe = new struct brf_pipe;
+	struct brf_pipe *pipe;
 
-	p.connect_to(port);
-	talk(p, get("/1") + get("/2"),
-	    [&] { return (manual_handler.open.size() == 2); });
-	brf_pipe_init(pipe, &bench.scheduler.tasks);
-	manual_handler.open[1]->data = pipe;
-	brf_flow_answer(
-	    manual_handler.open[1], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	open_two(p, get("/2"));
+	pipe = begin_answer(1);
 	brf_pipe_write(pipe, "part", 4);
 	p.put(get("/3"));
 	bench.turns(50);
@@ -706,15 +694,10 @@
 TEST_F(flow_server, nothing_runs_behind_any_incomplete_answer)
 {
 	raw_peer p;
-	auto *pipe = new struct brf_pipe;
+	struct brf_pipe *pipe;
 
-	p.connect_to(port);
-	talk(p, get("/1") + get("/2"),
-	    [&] { return (manual_handler.open.size() == 2); });
-	brf_pipe_init(pipe, &bench.scheduler.tasks);
-	manual_handler.open[0]->data = pipe;
-	brf_flow_answer(
-	    manual_handler.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	open_two(p, get("/2"));
+	pipe = begin_answer(0);
 	brf_pipe_write(pipe, "part", 4);
 	p.put(get("/3"));
 	bench.turns(50);
@@ -725,15 +708,12 @@
 {
 	const std::string piece(16000, 'x');
 	raw_peer p;
-	auto *pipe = new struct brf_pipe;
+	struct brf_pipe *pipe;
 
 	p.connect_to(port);
 	talk(p, get("/1"), [&] { return (manual_handler.open.size() == 1); });
 	brf_flow_drain(srv);
-	brf_pipe_init(pipe, &bench.scheduler.tasks);
-	manual_handler.open[0]->data = pipe;
-	brf_flow_answer(
-	    manual_handler.open[0], 200, "", 0, BRF_BODY_CHUNKED, 0, pipe);
+	pipe = begin_answer(0);
 	for (int i = 0; i < 2000 && brf_pipe_len(pipe) == 0; i++) {
 		brf_pipe_write(pipe, piece.data(), piece.size());
 		bench.turns(2);
--- a/test/mesh_call_test.cc
+++ b/test/mesh_call_test.cc
@@ -62,6 +62,8 @@
 	struct brf_flow_server *srv = nullptr;
 	uint16_t port = 0;
 	int closing = 2;
+	raw_peer *first = nullptr; /* got the requests 1 and 2 */
+	raw_peer *second = nullptr;
 
 	void
 	SetUp() override
@@ -200,6 +202,28 @@
 			std::to_string(length) + "\r\n\r\n");
 	}
 
+	/* Send two requests at once, and wait until both have arrived. */
+	void
+	send_two(const std::string &requests)
+	{
+		client.put(requests);
+		first = arrived("1");
+		second = arrived("2");
+		ASSERT_NE(first, nullptr);
+		ASSERT_NE(second, nullptr);
+	}
+
+	/* The second answer is sent last; wait for it. */
+	void
+	answer_second()
+	{
+		second->put(head("2", 6) + "second");
+		until([&] {
+			return (client.ended ||
+				client.got.find("second") != std::string::npos);
+		});
+	}
+
 	size_t
 	answers(const std::string &status)
 	{
@@ -243,13 +267,8 @@
 	break_first_answer()
 	{
 		const struct broken_answer &b = GetParam();
-		raw_peer *first, *second;
 
-		client.put(get("/a/1", "1") + get("/a/2", "2"));
-		first = arrived("1");
-		second = arrived("2");
-		ASSERT_NE(first, nullptr);
-		ASSERT_NE(second, nullptr);
+		send_two(get("/a/1", "1") + get("/a/2", "2"));
 		first->put(head("1", b.length) + std::string(b.sent, 'x'));
 		bench.pause(b.pause_ms);
 		until([&, n = 50]() mutable { return (n-- <= 0); });
@@ -274,62 +293,37 @@
 
 TEST_F(mesh_call, a_held_answer_incomplete_at_its_deadline_ends_only_itself)
 {
-	raw_peer *first, *second;
-
-	client.put("GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
-		   "X-Timeout: 100\r\n\r\n" +
-		   get("/a/2", "2"));
-	first = arrived("1");
-	second = arrived("2");
-	ASSERT_NE(first, nullptr);
-	ASSERT_NE(second, nullptr);
+	send_two("GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
+		 "X-Timeout: 100\r\n\r\n" +
+		 get("/a/2", "2"));
 	first->put(head("1", 8) + "part");
 	until([&] { return (answers("504") == 1); });
 	EXPECT_EQ(answers("504"), 1u);
 	until([&] { return (first->ended); });
-	second->put(head("2", 6) + "second");
-	until([&] {
-		return (client.ended ||
-			client.got.find("second") != std::string::npos);
-	});
+	answer_second();
 	EXPECT_EQ(answers("200"), 1u);
 	EXPECT_FALSE(client.ended);
 }
 
 TEST_F(mesh_call, an_answer_that_is_late_and_broken_ends_only_itself)
 {
-	raw_peer *first, *second;
-
-	client.put("GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
-		   "X-Timeout: 100\r\n\r\n" +
-		   get("/a/2", "2"));
-	first = arrived("1");
-	second = arrived("2");
-	ASSERT_NE(first, nullptr);
-	ASSERT_NE(second, nullptr);
+	send_two("GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
+		 "X-Timeout: 100\r\n\r\n" +
+		 get("/a/2", "2"));
 	first->put(head("1", 8) + "part");
 	bench.pause(300);
 	first->drop();
 	until([&, n = 50]() mutable { return (n-- <= 0); });
-	second->put(head("2", 6) + "second");
-	until([&] {
-		return (client.ended ||
-			client.got.find("second") != std::string::npos);
-	});
+	answer_second();
 	EXPECT_NE(client.got.find("second"), std::string::npos);
 	EXPECT_FALSE(client.ended);
 }
 
 TEST_F(mesh_call, a_long_answer_is_passed_on)
 {
-	raw_peer *first, *second;
 	std::string rest = head("1", 300000) + std::string(300000, 'x');
 
-	client.put(get("/a/1", "1") + get("/a/2", "2"));
-	first = arrived("1");
-	second = arrived("2");
-	ASSERT_NE(first, nullptr);
-	ASSERT_NE(second, nullptr);
+	send_two(get("/a/1", "1") + get("/a/2", "2"));
 	second->put(head("2", 6) + "second");
 	until([&] {
 		rest = first->put(rest);
@@ -341,7 +335,6 @@
 
 TEST_F(mesh_call, a_long_chunked_answer_is_passed_on)
 {
-	raw_peer *first, *second;
 	std::string rest = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n"
 			   "transfer-encoding: chunked\r\n\r\n";
 
@@ -350,11 +343,7 @@
 	for (int i = 0; i < 60; i++)
 		rest += "3e7\r\n" + std::string(999, 'y') + "\r\n";
 	rest += "0\r\n\r\n";
-	client.put(get("/a/1", "1") + get("/a/2", "2"));
-	first = arrived("1");
-	second = arrived("2");
-	ASSERT_NE(first, nullptr);
-	ASSERT_NE(second, nullptr);
+	send_two(get("/a/1", "1") + get("/a/2", "2"));
 	second->put(head("2", 6) + "second");
 	until([&] {
 		rest = first->put(rest);
@@ -365,13 +354,7 @@
 
 TEST_F(mesh_call, a_caller_that_leaves_cancels_a_held_answer)
 {
-	raw_peer *first, *second;
-
-	client.put(get("/a/1", "1") + get("/a/2", "2"));
-	first = arrived("1");
-	second = arrived("2");
-	ASSERT_NE(first, nullptr);
-	ASSERT_NE(second, nullptr);
+	send_two(get("/a/1", "1") + get("/a/2", "2"));
 	first->put(head("1", 8) + "part");
 	bench.pause(100);
 	client.drop();
@@ -381,14 +364,8 @@
 
 TEST_F(mesh_call, answers_without_a_body_are_not_held)
 {
-	raw_peer *first, *second;
-
-	client.put("HEAD /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n" +
-		   get("/a/2", "2") + get("/a/3", "3"));
-	first = arrived("1");
-	second = arrived("2");
-	ASSERT_NE(first, nullptr);
-	ASSERT_NE(second, nullptr);
+	send_two("HEAD /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n" +
+		 get("/a/2", "2") + get("/a/3", "3"));
 	ASSERT_NE(arrived("3"), nullptr);
 	first->put(head("1", 800));
 	until([&] { return (answers("200") == 1); });
