mesh/gate: log and count what a target says of itself in its answers

No line and no counter of a node named a target's rate limit, nor that it leaves while its announcements say otherwise, so that a limit that was read and not obeyed could not be told from one that nothing reads. Event target_report, metrics brf_gate_rate_limit, brf_gate_target_leaving and brf_gate_limited_runs_total. Decides nothing yet.

--- a/fuzz/head.c
+++ b/fuzz/head.c
@@ -13,6 +13,8 @@
 	.seal = "seal",
 	.not_run = "not-run",
 	.instance = "instance",
+	.rate_limit = "rate-limit",
+	.leaving = "leaving",
 };
 
 /* What is passed on must begin no other field or message. */
--- a/src/flow/head.c
+++ b/src/flow/head.c
@@ -292,6 +292,27 @@
 	return (single(fields, count, name, &several) != NULL);
 }
 
+static void
+read_statement(struct brf_self_statement *s, const struct phr_header *fields,
+    size_t count, const struct brf_field_names *names)
+{
+	bool several = false;
+	const struct phr_header *limit =
+	    single(fields, count, names->rate_limit, &several);
+	const struct phr_header *leaving;
+
+	if (limit == NULL)
+		s->limit = BRF_LIMIT_ABSENT;
+	else if (!several && brf_rate_limit_parse(limit->value,
+				 limit->value_len, &s->rate_limit))
+		s->limit = BRF_LIMIT_STATED;
+	else
+		s->limit = BRF_LIMIT_MALFORMED;
+	leaving = single(fields, count, names->leaving, &several);
+	s->leaving = leaving != NULL && leaving->value_len == 1 &&
+		     leaving->value[0] == '1';
+}
+
 static enum brf_body_kind
 answer_body(const struct brf_answer_head *h, bool to_head,
     const struct brf_http_framing *framing)
@@ -333,6 +354,7 @@
 	h->sealed = has_field(fields, count, names->seal);
 	h->not_run = has_field(fields, count, names->not_run);
 	h->encoded = has_field(fields, count, "content-encoding");
+	read_statement(&h->statement, fields, count, names);
 	return (BRF_HEAD_COMPLETE);
 }
 
--- a/src/flow/head.h
+++ b/src/flow/head.h
@@ -2,6 +2,7 @@
 #define BRF_HEAD_H
 
 #include "base/buf.h"
+#include "policy/self_report.h"
 
 /**
  * DOC: Heads of HTTP/1.1 messages that a node forwards.
@@ -22,6 +23,9 @@
  * @seal: present on each answer that the target itself has sent
  * @not_run: on an answer: the target did not run the request
  * @instance: on an answer: the target that sent it
+ * @rate_limit: on an answer: requests a second that the target takes from all
+ *	nodes together
+ * @leaving: on an answer: "1" when the target leaves
  */
 struct brf_field_names {
 	const char *id;
@@ -31,6 +35,8 @@
 	const char *seal;
 	const char *not_run;
 	const char *instance;
+	const char *rate_limit;
+	const char *leaving;
 };
 
 /**
@@ -90,6 +96,7 @@
  * @not_run: the not_run field is present
  * @encoded: the content-encoding field is present, though the request asked
  *	for no coding
+ * @statement: what the target says of itself; its @authentic is not set
  */
 struct brf_answer_head {
 	int status;
@@ -102,6 +109,7 @@
 	bool sealed;
 	bool not_run;
 	bool encoded;
+	struct brf_self_statement statement;
 };
 
 /**
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -36,6 +36,8 @@
  *	UINT64_MAX before
  * @arrived_at: clock time
  * @serial: identifies the hop at this gate
+ * @incarnation: of the target that runs it
+ * @learned: what the target says of itself in the answer was applied
  * @has_slot: the hop occupies a slot of the target
  * @hold_expired: the answer was held for HOLD_MAX_US
  * @marked: the hop has a congestion mark, from this gate or from a nested call
@@ -52,6 +54,8 @@
 	uint64_t arrived_at;
 	uint64_t serial;
 	uint64_t read;
+	uint64_t incarnation;
+	bool learned;
 	bool has_slot;
 	bool hold_expired;
 	bool marked;
@@ -80,6 +84,8 @@
  * @hops: open hops; @open_count of them
  * @serial: serial number of the latest hop
  * @refusal_reason: why all hops are refused; BRF_R_NONE when they are not
+ * @incarnation: counts the incarnations of the target
+ * @report: what the present incarnation says of itself
  * @marker: decides which hops get a congestion mark for their wait
  * @pending_marks: congestion marks of failed nested calls whose parent is not
  *	certain
@@ -94,12 +100,17 @@
 	size_t open_count;
 	uint64_t serial;
 	enum brf_reason refusal_reason;
+	uint64_t incarnation;
+	struct brf_self_report report;
 	struct brf_mesh_gate_counts counts;
 	struct brf_congestion_marker marker;
 	struct brf_pending_marks pending_marks;
 	struct brf_metric *runs;
 	struct brf_metric *refusals;
 	struct brf_metric *failures;
+	struct brf_metric *limited_runs;
+	struct brf_metric *rate_limit;
+	struct brf_metric *leaving;
 	struct brf_histogram *waited;
 	struct brf_histogram *ran;
 };
@@ -369,6 +380,43 @@
 	return (BRF_R_NONE);
 }
 
+static void
+log_report(const struct brf_mesh_gate *gate, const char *source)
+{
+	const struct brf_self_report *report = &gate->report;
+
+	brf_log(BRF_LOG_INFO, "target_report",
+	    BRF_LS("target", gate->notice.id), BRF_LS("source", source),
+	    BRF_LD("rate_limit", report->rate_limit),
+	    BRF_LU("leaving", report->leaving));
+}
+
+/* Another target may have the address of this one by now. */
+static bool
+is_by_target(const struct gate_hop *gh)
+{
+	return (gh->incarnation == gh->gate->incarnation &&
+		gh->run.answer.status != 421);
+}
+
+/* Apply what the target says of itself in its answer. */
+static void
+learn(struct gate_hop *gh)
+{
+	struct brf_mesh_gate *gate = gh->gate;
+	struct brf_self_statement statement = gh->run.answer.statement;
+
+	if (gh->learned || !is_by_target(gh))
+		return;
+	gh->learned = true;
+	statement.authentic = gh->run.answer.sealed;
+	if (!brf_self_report_update(&gate->report, &statement))
+		return;
+	gate->rate_limit->value = gate->report.rate_limit;
+	gate->leaving->value = gate->report.leaving;
+	log_report(gate, "answer");
+}
+
 static void
 hold_timeout(struct brf_timer *timer, void *arg)
 {
@@ -436,6 +484,7 @@
 	}
 	if (gh->run.state != BRF_FLOW_RUN_ANSWERED)
 		return;
+	learn(gh);
 	if (gh->hop->state == BRF_HOP_OPEN && !take_answer(gh))
 		return;
 	if (gh->hop->answer_body.state != BRF_PIPE_OPEN) {
@@ -483,7 +532,10 @@
 	gh->has_slot = true;
 	gh->marked = brf_congestion_mark(
 	    &gate->marker, gh->ticket.rank, gh->ticket.waited_us);
+	gh->incarnation = gate->incarnation;
 	gate->runs->value++;
+	if (gate->report.rate_limit != 0)
+		gate->limited_runs->value++;
 	brf_histogram_add(gate->waited, gh->ticket.waited_us);
 	build_head(gh);
 	run->owner = &gh->work;
@@ -636,6 +688,14 @@
 	    m, "brf_gate_refusals_total", "Hops that were not run.", "");
 	gate->failures = brf_metrics_counter(m, "brf_gate_failures_total",
 	    "Hops that may have run and have no answer.", "");
+	gate->limited_runs =
+	    brf_metrics_counter(m, "brf_gate_limited_runs_total",
+		"Requests sent to this VM's target under its rate limit.", "");
+	gate->rate_limit = brf_metrics_gauge(m, "brf_gate_rate_limit",
+	    "Requests a second that this VM's target takes; 0 for no limit.",
+	    "");
+	gate->leaving = brf_metrics_gauge(m, "brf_gate_target_leaving",
+	    "1 when this VM's target says that it leaves.", "");
 	gate->waited = brf_metrics_histogram(m, "brf_gate_wait_seconds",
 	    "Time that a hop waited for a slot.", "");
 	gate->ran = brf_metrics_histogram(
@@ -680,12 +740,23 @@
 		brf_slot_queues_drain(gate->queues, reason);
 }
 
+/* A new incarnation states its own limit, and does not leave. */
+static void
+forget_incarnation(struct brf_mesh_gate *gate)
+{
+	brf_flow_target_close_idle(gate->target);
+	gate->incarnation++;
+	memset(&gate->report, 0, sizeof(gate->report));
+	gate->rate_limit->value = 0;
+	gate->leaving->value = 0;
+}
+
 void
 brf_mesh_gate_update_target(struct brf_mesh_gate *gate,
     const struct brf_target_announcement *notice, bool is_new)
 {
 	if (is_new)
-		brf_flow_target_close_idle(gate->target);
+		forget_incarnation(gate);
 	gate->notice = *notice;
 	brf_slot_queues_set_slots(gate->queues, notice->slots);
 	if (notice->state == BRF_TARGET_READY)
--- a/test/flow_fake.h
+++ b/test/flow_fake.h
@@ -67,6 +67,8 @@
 	"x-seal",
 	"x-not-run",
 	"x-instance",
+	"x-limit",
+	"x-leaving",
 };
 
 /* A listener whose connections the test reads and writes as raw bytes. */
