--- a/src/base/outcome.h
+++ b/src/base/outcome.h
@@ -51,7 +51,8 @@
 	X(BRF_R_GATE_RESTARTED, "gate_restarted", 409)       \
 	X(BRF_R_EARLIER_BROKEN, "earlier_broken", 502)       \
 	X(BRF_R_BEHIND_CLOSE, "behind_close", 502)           \
-	X(BRF_R_ABORTED, "aborted", 502)
+	X(BRF_R_ABORTED, "aborted", 502)                     \
+	X(BRF_R_RATE_LIMIT, "rate_limit", 503)
 
 enum brf_reason {
 #define X(code, name, status) code,
--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -28,6 +28,9 @@
  * @repeatable: the request is idempotent and may run more than once
  * @nested: the request is a nested call of a running request
  * @repeat: a retry: the request was sent to another target before
+ * @born: incarnation of @target, see struct brf_entry
+ * @rate_limit: limit that this incarnation stated to the sender, requests a
+ *	second; 0 for none
  */
 struct brf_hop_request {
 	const char *id;
@@ -46,6 +49,22 @@
 	bool repeatable;
 	bool nested;
 	bool repeat;
+	uint64_t born;
+	double rate_limit;
+};
+
+/**
+ * struct brf_target_report - what a gate knows of its target's statements,
+ * reported along with its load.
+ * @born: incarnation of the target, see struct brf_entry
+ * @self: its statements
+ * @permit_wait_us: time until a further request finds a permit of the rate
+ *	limit, microseconds; 0 without a limit
+ */
+struct brf_target_report {
+	uint64_t born;
+	struct brf_self_report self;
+	uint64_t permit_wait_us;
 };
 
 /**
@@ -92,7 +111,7 @@
  *	request's nested calls, is under pressure
  * @nested_route: some services never send requests of this route to the gate,
  *	so its requests are taken for nested calls
- * @has_load: @load is filled
+ * @has_load: @load and @report are filled
  * @retry_after_ms: with BRF_HOP_REFUSED, time until a retry makes sense; 0 when
  *	unknown
  * @replacement: with BRF_R_NO_TARGET, directory entry of the target that the
@@ -112,6 +131,7 @@
 	bool nested_route;
 	bool has_load;
 	struct brf_gate_load load;
+	struct brf_target_report report;
 	uint32_t retry_after_ms;
 	struct brf_buf replacement;
 	struct brf_answer_head answer;
--- a/src/link/codec.c
+++ b/src/link/codec.c
@@ -14,6 +14,10 @@
 #define F_ARRIVED 0x80u
 #define F_MARKED 0x100u
 #define F_INNER 0x200u
+#define F_LIMITED 0x400u /* reply */
+#define F_LEAVING 0x800u /* reply */
+#define F_HEARD 0x1000u	 /* reply */
+#define F_SEND_LIMITED 0x10000u
 #define BODY_SHIFT 4
 #define BODY_MASK 0x3u
 #define RANK_SHIFT 8
@@ -21,6 +25,8 @@
 #define STATUS_SHIFT 16
 #define STATE_MASK 0x3u
 
+#define RATE_UNIT 1e6 /* rates are sent in millionths of a request a second */
+
 static bool
 malformed(struct brf_error *err, const char *what)
 {
@@ -41,6 +47,12 @@
 	put_u32(xdr, (uint32_t)v);
 }
 
+static void
+put_rate(XDR *xdr, double rate)
+{
+	put_u64(xdr, (uint64_t)(brf_rate_limit_clamp(rate) * RATE_UNIT));
+}
+
 static void
 put_text(XDR *xdr, const struct brf_link_text *t)
 {
@@ -65,6 +77,17 @@
 	return (true);
 }
 
+static bool
+get_rate(XDR *xdr, double *rate)
+{
+	uint64_t units;
+
+	if (!get_u64(xdr, &units))
+		return (false);
+	*rate = brf_rate_limit_clamp((double)units / RATE_UNIT);
+	return (true);
+}
+
 static bool
 get_text(XDR *xdr, const struct brf_record *record, struct brf_link_text *t,
     size_t max_len)
@@ -158,6 +181,7 @@
 {
 	return ((s->repeatable ? F_REPEATABLE : 0) |
 		(s->nested ? F_NESTED : 0) | (s->repeat ? F_REPEAT : 0) |
+		(s->rate_limit != 0 ? F_SEND_LIMITED : 0) |
 		(s->end ? F_END : 0) | (uint32_t)s->body << BODY_SHIFT |
 		s->rank << RANK_SHIFT);
 }
@@ -178,6 +202,10 @@
 	put_u32(&w.xdr, s->max_wait_us);
 	if (s->body == BRF_BODY_LENGTH && !s->end)
 		put_u64(&w.xdr, s->length);
+	if (s->rate_limit != 0) {
+		put_rate(&w.xdr, s->rate_limit);
+		put_u64(&w.xdr, s->born);
+	}
 	put_text(&w.xdr, &s->id);
 	put_text(&w.xdr, &s->target);
 	put_text(&w.xdr, &s->method);
@@ -217,9 +245,13 @@
 	s->body = (enum brf_body_kind)(flags >> BODY_SHIFT & BODY_MASK);
 	s->rank = flags >> RANK_SHIFT & RANK_MASK;
 	s->length = 0;
+	s->rate_limit = 0;
+	s->born = 0;
 	if (s->body == BRF_BODY_CLOSE ||
 	    (s->body == BRF_BODY_LENGTH && !s->end &&
 		!get_u64(xdr, &s->length)) ||
+	    ((flags & F_SEND_LIMITED) != 0 &&
+		(!get_rate(xdr, &s->rate_limit) || !get_u64(xdr, &s->born))) ||
 	    !get_send_texts(xdr, record, s) || !brf_rpc_at_end(xdr, record))
 		return (malformed(err, "send"));
 	if (s->method.len == 0 || s->path.len == 0 || !is_visible(&s->id) ||
@@ -253,6 +285,40 @@
 	return (true);
 }
 
+static uint32_t
+report_flags(const struct brf_target_report *report)
+{
+	return ((report->self.rate_limit != 0 ? F_LIMITED : 0) |
+		(report->self.leaving ? F_LEAVING : 0) |
+		(report->self.heard ? F_HEARD : 0));
+}
+
+static void
+put_report(XDR *xdr, const struct brf_target_report *report)
+{
+	uint32_t flags = report_flags(report);
+
+	if ((flags & (F_LIMITED | F_LEAVING)) != 0)
+		put_u64(xdr, report->born);
+	if ((flags & F_LIMITED) == 0)
+		return;
+	put_rate(xdr, report->self.rate_limit);
+	put_u64(xdr, report->permit_wait_us);
+}
+
+static bool
+get_report(XDR *xdr, uint32_t flags, struct brf_target_report *report)
+{
+	report->self.leaving = (flags & F_LEAVING) != 0;
+	report->self.heard = (flags & F_HEARD) != 0;
+	if ((flags & (F_LEAVING | F_LIMITED)) != 0 &&
+	    !get_u64(xdr, &report->born))
+		return (false);
+	return ((flags & F_LIMITED) == 0 ||
+		(get_rate(xdr, &report->self.rate_limit) &&
+		    get_u64(xdr, &report->permit_wait_us)));
+}
+
 void
 brf_link_reply_put(
     struct brf_buf *out, uint32_t xid, const struct brf_link_reply *r)
@@ -266,9 +332,10 @@
 	put_u32(&w.xdr,
 	    (uint32_t)r->state | (r->end ? F_END : 0) |
 		(r->arrived ? F_ARRIVED : 0) | (r->marked ? F_MARKED : 0) |
-		(r->nested_route ? F_INNER : 0) |
+		(r->nested_route ? F_INNER : 0) | report_flags(&r->report) |
 		(uint32_t)r->body << BODY_SHIFT | r->status << STATUS_SHIFT);
 	put_load(&w.xdr, &r->load);
+	put_report(&w.xdr, &r->report);
 	if (!answered) {
 		put_u32(&w.xdr, (uint32_t)r->reason);
 		put_u32(&w.xdr, r->retry_after_ms);
@@ -318,7 +385,8 @@
 	bool ok;
 
 	memset(r, 0, sizeof(*r));
-	if (!get_u32(xdr, &flags) || !get_load(xdr, &r->load))
+	if (!get_u32(xdr, &flags) || !get_load(xdr, &r->load) ||
+	    !get_report(xdr, flags, &r->report))
 		return (malformed(err, "reply"));
 	r->state = (enum brf_hop_state)(flags & STATE_MASK);
 	r->end = (flags & F_END) != 0;
--- a/src/link/codec.h
+++ b/src/link/codec.h
@@ -82,6 +82,8 @@
  * without @end
  * @fields: header fields as lines that end in CR LF
  * @part: the first part of the body
+ * @rate_limit, @born: as in struct brf_hop_request; on the wire only with a
+ *	limit
  */
 struct brf_link_send {
 	uint32_t timeout_us;
@@ -100,6 +102,8 @@
 	struct brf_link_text host;
 	struct brf_link_text fields;
 	struct brf_link_text part;
+	double rate_limit;
+	uint64_t born;
 };
 
 /**
@@ -108,6 +112,8 @@
  * @arrived, @marked, @inner: as in struct brf_hop
  * @reason, @retry_after_ms: unless the state is BRF_HOP_ANSWERED
  * @replacement: as in struct brf_hop; only with BRF_R_NO_TARGET
+ * @report: as in struct brf_hop, without @stated_at; on the wire only when the
+ *	target has a limit or leaves
  * @status, @body, @end, @length, @fields, @part: only with BRF_HOP_ANSWERED; as
  * in struct brf_link_send
  */
@@ -120,6 +126,7 @@
 	uint32_t retry_after_ms;
 	struct brf_link_text replacement;
 	struct brf_gate_load load;
+	struct brf_target_report report;
 	uint32_t status;
 	enum brf_body_kind body;
 	bool end;
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -123,6 +123,8 @@
 		.path = text_of(rq->path),
 		.host = text_of(rq->host),
 		.fields = { .data = rq->fields, .len = rq->fields_len },
+		.rate_limit = rq->rate_limit,
+		.born = rq->born,
 	};
 
 	send.part = brf_link_peek_part(&sh->s.out, &send.end);
@@ -189,6 +191,7 @@
 	if (!brf_link_reply_get(xdr, record, &r, err))
 		return (false);
 	hop->load = r.load;
+	hop->report = r.report;
 	hop->has_load = r.load.limit != 0; /* see fail_hop() in serve.c */
 	hop->arrived = r.arrived;
 	hop->marked = r.marked;
--- a/src/link/serve.c
+++ b/src/link/serve.c
@@ -57,6 +57,7 @@
 		.retry_after_ms = hop->retry_after_ms,
 		.replacement = { hop->replacement.data, hop->replacement.len },
 		.load = hop->load,
+		.report = hop->report,
 	};
 
 	if (hop->state == BRF_HOP_ANSWERED) {
@@ -129,6 +130,8 @@
 	rq->repeatable = send->repeatable;
 	rq->nested = send->nested;
 	rq->repeat = send->repeat;
+	rq->rate_limit = send->rate_limit;
+	rq->born = send->born;
 }
 
 static bool
@@ -255,6 +258,7 @@
 		sv->hop.reason = BRF_R_CONNECTION_LOST;
 		sv->hop.arrived = true;
 		memset(&sv->hop.load, 0, sizeof(sv->hop.load));
+		memset(&sv->hop.report, 0, sizeof(sv->hop.report));
 		write_reply(sv);
 	}
 	served_free(sv);
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -41,6 +41,7 @@
  * @failure_reason: why an attempt that may have run has no answer; BRF_R_NONE
  *	as long as the request has certainly not run
  * @refusal_reason: why the last hop was refused
+ * @reported: the report of the gate of @hop was applied
  * @request_body: the request's body on its way to the hop
  * @replay: the part of the body sent so far, to be sent again by the next hop
  * @replay_overflow: the body is longer than REPLAY_MAX, and @replay was freed
@@ -72,7 +73,7 @@
 	uint64_t deadline;
 	enum brf_reason failure_reason;
 	enum brf_reason refusal_reason;
-	uint32_t retry_after_ms;
+	bool reported;
 	struct brf_pipe request_body;
 	struct brf_buf replay;
 	bool replay_overflow;
@@ -275,6 +276,9 @@
 		when.objective_us = call->route->objective_us;
 	if (calls->exit_at > t)
 		when.until_exit_us = calls->exit_at - t;
+	if (call->service != NULL)
+		when.until_permit_us =
+		    brf_mesh_service_permit_wait_us(call->service, t);
 	ms = brf_retry_after_us(&when, calls->random) / BRF_US_PER_MS;
 	brf_buf_printf(fields, "retry-after: %llu.%03llu\r\n",
 	    (unsigned long long)(ms / 1000), (unsigned long long)(ms % 1000));
@@ -417,6 +421,35 @@
 							: MAX_WAIT_SHARE)));
 }
 
+static struct brf_balancer_request
+balancer_request(const struct call *call)
+{
+	return ((struct brf_balancer_request){
+	    .rank = rank(call),
+	    .nested = call->nested,
+	    .repeatable = call->route->repeatable,
+	    .max_wait_us = slot_wait_limit_us(call),
+	});
+}
+
+/*
+ * Longest time to wait at the gate of @peer.  A request does not wait for a
+ * permit of one target while another one could run it.
+ */
+static uint64_t
+wait_limit_us(const struct call *call, const struct brf_mesh_peer *peer)
+{
+	struct brf_balancer_request request = balancer_request(call);
+	uint64_t limit = request.max_wait_us, waited = elapsed(call);
+
+	if (peer->balancer.rate_limit == 0)
+		return (limit);
+	if (brf_mesh_service_has_unlimited(call->service, &request, call->peers,
+		call->hop_count, peer, now(call->calls)))
+		return (0);
+	return (waited < limit ? limit - waited : 0);
+}
+
 static void
 send_hop(struct call *call, struct brf_mesh_peer *peer)
 {
@@ -436,7 +469,7 @@
 		.fields = head->fields.data != NULL ? head->fields.data : "",
 		.fields_len = head->fields.len,
 		.deadline = call->deadline,
-		.max_wait_us = slot_wait_limit_us(call),
+		.max_wait_us = wait_limit_us(call, peer),
 		.length = head->length,
 		.body = head->body,
 		.rank = rank(call),
@@ -444,7 +477,10 @@
 		.nested = call->nested,
 		.repeat = call->targets_reached > 0 ||
 			  (call->has_parent && call->parent.repeat),
+		.born = peer->born,
+		.rate_limit = peer->report.rate_limit,
 	};
+	call->reported = false;
 	if (head->body != BRF_BODY_NONE)
 		begin_body(call);
 	call->peers[call->hop_count++] = peer;
@@ -461,11 +497,7 @@
 try_next_target(struct call *call)
 {
 	struct brf_mesh_calls *calls = call->calls;
-	struct brf_balancer_request request = {
-		.rank = rank(call),
-		.nested = call->nested,
-		.repeatable = call->route->repeatable,
-	};
+	struct brf_balancer_request request = balancer_request(call);
 	struct brf_mesh_peer *peer = NULL;
 
 	if (call->hop_count < HOPS_MAX && call->full_gates < FULL_GATES_MAX)
@@ -476,7 +508,13 @@
 		return;
 	}
 	if (call->hop_count == 0)
-		call->refusal_reason = BRF_R_NO_TARGET;
+		call->refusal_reason = brf_mesh_service_permit_wait_us(
+					   call->service, now(calls)) != 0
+					   ? BRF_R_RATE_LIMIT
+					   : BRF_R_NO_TARGET;
+	/* no target is left: now the limits are the service's capacity */
+	if (call->refusal_reason == BRF_R_RATE_LIMIT)
+		call->marked = true;
 	give_up(call);
 }
 
@@ -486,6 +524,7 @@
 	[BRF_R_WORKSPACE_SHARE] = BRF_FEEDBACK_NO_CAPACITY,
 	[BRF_R_DEADLINE] = BRF_FEEDBACK_NO_CAPACITY,
 	[BRF_R_EXPIRED] = BRF_FEEDBACK_NO_CAPACITY,
+	[BRF_R_RATE_LIMIT] = BRF_FEEDBACK_RATE_LIMIT,
 	[BRF_R_DRAINING] = BRF_FEEDBACK_DRAINING,
 	[BRF_R_TARGET_SHED] = BRF_FEEDBACK_TARGET_FAILED,
 	[BRF_R_NO_TARGET] = BRF_FEEDBACK_UNREACHABLE,
@@ -584,6 +623,21 @@
 		log_end(call, "request_ended", status, BRF_R_NONE, 0);
 }
 
+/*
+ * Apply the report of the hop's gate when it arrives: a held answer is handled
+ * later, when newer reports may have come.
+ */
+static void
+take_report(struct call *call)
+{
+	if (call->reported || call->hop.state == BRF_HOP_OPEN ||
+	    !call->hop.has_load)
+		return;
+	call->reported = true;
+	brf_mesh_peer_reported(call->peers[call->hop_count - 1],
+	    &call->hop.report, now(call->calls));
+}
+
 static void
 hop_answered(struct call *call)
 {
@@ -591,6 +645,7 @@
 	struct brf_mesh_peer *peer = call->peers[call->hop_count - 1];
 	uint64_t t = now(call->calls);
 
+	take_report(call);
 	call->hop_open = false;
 	call->answered = true;
 	brf_timer_stop(call->calls->timers, &call->timer);
@@ -635,6 +690,7 @@
 		forward_body(call);
 	if (!call->hop_open)
 		return;
+	take_report(call);
 	switch (call->hop.state) {
 	case BRF_HOP_OPEN:
 		break;
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -37,6 +37,7 @@
  * @arrived_at: clock time
  * @serial: identifies the hop at this gate
  * @incarnation: of the target that runs it
+ * @permit_wait_us: promised to the sender, see brf_slot_queues_promise_us()
  * @learned: what the target says of itself in the answer was applied
  * @has_slot: the hop occupies a slot of the target
  * @hold_expired: the answer was held for HOLD_MAX_US
@@ -55,6 +56,7 @@
 	uint64_t serial;
 	uint64_t read;
 	uint64_t incarnation;
+	uint64_t permit_wait_us;
 	bool learned;
 	bool has_slot;
 	bool hold_expired;
@@ -232,6 +234,12 @@
 		gh->gate->counts.marked++;
 	hop->has_load = true;
 	brf_mesh_gate_get_load(gh->gate, &hop->load);
+	hop->report.born = gh->gate->notice.born;
+	hop->report.self = gh->gate->report;
+	hop->report.permit_wait_us =
+	    gh->permit_wait_us != 0
+		? gh->permit_wait_us
+		: brf_slot_queues_permit_wait_us(gh->gate->queues);
 	brf_task_post(gh->gate->config.tasks, hop->owner);
 }
 
@@ -272,6 +280,9 @@
 	hop->arrived = arrived;
 	if (reason == BRF_R_NO_TARGET)
 		report_replacement(gh);
+	if (reason == BRF_R_RATE_LIMIT)
+		gh->permit_wait_us =
+		    brf_slot_queues_promise_us(gh->gate->queues);
 	hop->retry_after_ms =
 	    (uint32_t)(brf_slot_queues_backlog_us(gh->gate->queues) /
 		       BRF_US_PER_MS);
@@ -391,6 +402,24 @@
 	    BRF_LU("leaving", report->leaving));
 }
 
+/* Apply a change of the report. */
+static void
+apply_report(struct brf_mesh_gate *gate, const char *source)
+{
+	const struct brf_self_report *report = &gate->report;
+	bool leaves = report->leaving && gate->leaving->value == 0;
+
+	gate->rate_limit->value = report->rate_limit;
+	gate->leaving->value = report->leaving;
+	log_report(gate, source);
+	brf_slot_queues_set_rate(gate->queues, report->rate_limit);
+	if (!leaves)
+		return;
+	brf_mesh_gate_refuse(gate, BRF_R_DRAINING);
+	if (gate->config.target_leaves != NULL)
+		gate->config.target_leaves(gate->config.arg);
+}
+
 /* Another target may have the address of this one by now. */
 static bool
 is_by_target(const struct gate_hop *gh)
@@ -410,11 +439,9 @@
 		return;
 	gh->learned = true;
 	statement.authentic = gh->run.answer.sealed;
-	if (!brf_self_report_update(&gate->report, &statement))
-		return;
-	gate->rate_limit->value = gate->report.rate_limit;
-	gate->leaving->value = gate->report.leaving;
-	log_report(gate, "answer");
+	statement.asked_at = gh->run.sent_at;
+	if (brf_self_report_update(&gate->report, &statement, now(gate)))
+		apply_report(gate, "answer");
 }
 
 static void
@@ -530,8 +557,10 @@
 	struct brf_hop *hop = gh->hop;
 
 	gh->has_slot = true;
-	gh->marked = brf_congestion_mark(
-	    &gate->marker, gh->ticket.rank, gh->ticket.waited_us);
+	/* a target that limits itself is not a sign of congestion */
+	gh->marked = !gh->ticket.rate_limited &&
+		     brf_congestion_mark(
+			 &gate->marker, gh->ticket.rank, gh->ticket.waited_us);
 	gh->incarnation = gate->incarnation;
 	gate->runs->value++;
 	if (gate->report.rate_limit != 0)
@@ -632,6 +661,16 @@
 	return (BRF_R_NONE);
 }
 
+/* Take over a limit that was stated before this process began. */
+static void
+learn_from_sender(struct brf_mesh_gate *gate, const struct brf_hop_request *rq)
+{
+	if (rq->born == gate->notice.born &&
+	    strcmp(rq->target, gate->notice.id) == 0 &&
+	    brf_self_report_adopt(&gate->report, rq->rate_limit, now(gate)))
+		apply_report(gate, "sender");
+}
+
 static void
 gate_send(struct brf_hop_backend *backend, struct brf_hop *hop)
 {
@@ -639,6 +678,7 @@
 	enum brf_reason reason = refusal_for(gate, &hop->request);
 	struct gate_hop *gh = gate_hop_new(gate, hop);
 
+	learn_from_sender(gate, &hop->request);
 	if (reason != BRF_R_NONE) {
 		refuse(gh, reason, false);
 		return;
@@ -652,7 +692,9 @@
 	case BRF_SLOT_WAIT:
 		break;
 	case BRF_SLOT_REFUSE:
-		refuse(gh, BRF_R_OVERLOAD, false);
+		refuse(gh,
+		    gh->ticket.rate_limited ? BRF_R_RATE_LIMIT : BRF_R_OVERLOAD,
+		    false);
 		break;
 	}
 }
@@ -749,6 +791,7 @@
 	memset(&gate->report, 0, sizeof(gate->report));
 	gate->rate_limit->value = 0;
 	gate->leaving->value = 0;
+	brf_slot_queues_set_rate(gate->queues, 0);
 }
 
 void
@@ -759,12 +802,18 @@
 		forget_incarnation(gate);
 	gate->notice = *notice;
 	brf_slot_queues_set_slots(gate->queues, notice->slots);
-	if (notice->state == BRF_TARGET_READY)
+	if (notice->state == BRF_TARGET_READY && !gate->report.leaving)
 		brf_mesh_gate_refuse(gate, BRF_R_NONE);
 	else
 		brf_mesh_gate_refuse(gate, BRF_R_DRAINING);
 }
 
+bool
+brf_mesh_gate_target_leaves(const struct brf_mesh_gate *gate)
+{
+	return (gate->report.leaving);
+}
+
 void
 brf_mesh_gate_set_max_connections(struct brf_mesh_gate *gate, uint32_t most)
 {
@@ -902,6 +951,7 @@
 		    BRF_LU("running", load.running),
 		    BRF_LU("waiting", load.waiting),
 		    BRF_LU("service_ms", load.service_ms),
+		    BRF_LD("rate_limit", gate->report.rate_limit),
 		    BRF_LU("ended", c->ended), BRF_LU("refused", c->refused),
 		    BRF_LU("failed", c->failed), BRF_LU("marked", c->marked));
 	}
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -34,6 +34,8 @@
  * @append_target_entry: appends the directory entry of the present target to
  *	@out, for the member @instead of struct brf_hop; called with @arg when a
  *	hop asks for another target; may be NULL
+ * @target_leaves: called with @arg when the target says in an answer that it
+ *	leaves; may be NULL
  */
 struct brf_mesh_gate_config {
 	uv_loop_t *loop;
@@ -46,6 +48,7 @@
 	const struct brf_mesh_services *services;
 	struct sockaddr_in target;
 	void (*append_target_entry)(void *arg, struct brf_buf *out);
+	void (*target_leaves)(void *arg);
 	void *arg;
 };
 
@@ -72,13 +75,17 @@
 void brf_mesh_gate_update_target(struct brf_mesh_gate *gate,
     const struct brf_target_announcement *notice, bool is_new);
 
+/* Whether the present incarnation of the target said that it leaves. */
+bool brf_mesh_gate_target_leaves(const struct brf_mesh_gate *gate);
+
 /* Set the maximum number of connections to the target. */
 void brf_mesh_gate_set_max_connections(
     struct brf_mesh_gate *gate, uint32_t max);
 
 /**
  * brf_mesh_gate_refuse() - refuse waiting and new hops with @reason, until
- * brf_mesh_gate_update_target() with a ready target.  Running hops continue.
+ * brf_mesh_gate_update_target() with a ready target that stays.  Running hops
+ * continue.
  */
 void brf_mesh_gate_refuse(struct brf_mesh_gate *gate, enum brf_reason reason);
 
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -123,7 +123,8 @@
 	e->born = n->born;
 	e->warmup_us = n->warmup_us;
 	e->state = n->state;
-	if (node->stop.refusing && e->state == BRF_TARGET_READY)
+	if ((node->stop.refusing || brf_mesh_gate_target_leaves(node->gate)) &&
+	    e->state == BRF_TARGET_READY)
 		e->state = BRF_TARGET_DRAINING;
 }
 
@@ -153,6 +154,12 @@
 	brf_registration_set(node->registration, &entry);
 }
 
+static void
+target_leaves(void *arg)
+{
+	publish(arg);
+}
+
 static void
 log_announcement(const struct brf_target_announcement *n, const char *event)
 {
@@ -410,6 +417,7 @@
 		.services = &node->services,
 		.target = node->settings.target,
 		.append_target_entry = append_target_entry,
+		.target_leaves = target_leaves,
 		.arg = node };
 	struct brf_links_config links = { .loop = &node->loop,
 		.tasks = &node->scheduler.tasks,
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -118,6 +118,44 @@
 		brf_link_release(previous);
 }
 
+static uint64_t
+now_of(const struct brf_mesh_services *s)
+{
+	return (brf_now(brf_timers_clock(s->config.timers)));
+}
+
+static void
+set_report(struct brf_mesh_peer *peer, const struct brf_target_report *report,
+    uint64_t now)
+{
+	bool changed =
+	    peer->report.leaving != report->self.leaving ||
+	    (peer->report.rate_limit == 0) != (report->self.rate_limit == 0);
+
+	peer->report = report->self;
+	brf_balancer_report(&peer->balancer, report, now);
+	if (changed)
+		brf_log(BRF_LOG_INFO, "target_report",
+		    BRF_LS("target", peer->id), BRF_LS("source", "gate"),
+		    BRF_LD("rate_limit", report->self.rate_limit),
+		    BRF_LU("leaving", report->self.leaving));
+}
+
+/* Begin with what is remembered of this incarnation. */
+static void
+begin_incarnation(struct brf_mesh_peer *peer, uint64_t born)
+{
+	struct brf_mesh_services *s = peer->services;
+	struct brf_target_report report = { .born = born };
+	uint64_t t = now_of(s);
+
+	peer->born = born;
+	peer->balancer.leaving = false;
+	memset(&peer->report, 0, sizeof(peer->report));
+	brf_report_memory_take(&s->reports, peer->id, born, &report.self, t);
+	set_report(peer, &report, t);
+}
+
 static void
 update_peer(struct brf_mesh_peer *peer, const struct brf_directory_target *t)
 {
@@ -132,6 +170,8 @@
 	peer->balancer.warmup_end = t->received_at + e->warmup_us;
 	peer->balancer.draining = e->state != BRF_TARGET_READY;
 	peer->balancer.drain_backoff_until = 0;
+	if (peer->born != e->born)
+		begin_incarnation(peer, e->born);
 	if (peer->service != service) {
 		remove_from_service(peer);
 		add_to_service(peer, service);
@@ -150,6 +190,7 @@
 	t->data = peer;
 	brf_copy_name(peer->id, sizeof(peer->id), e->id);
 	brf_balancer_target_init(&peer->balancer, locality_of(s, e), e->slots);
+	begin_incarnation(peer, e->born);
 	add_to_service(peer, brf_mesh_service_get(s, e->service));
 }
 
@@ -178,6 +219,8 @@
 	struct brf_mesh_peer *peer = t->data;
 
 	peer->target = NULL;
+	brf_report_memory_put(
+	    &s->reports, peer->id, peer->born, &peer->report, now_of(s));
 	remove_from_service(peer);
 	update_bits(s);
 	set_link(peer, NULL);
@@ -193,6 +236,7 @@
 	s->watcher.removed = on_gone;
 	s->config = *config;
 	brf_list_init(&s->list);
+	brf_report_memory_init(&s->reports);
 }
 
 void
@@ -202,6 +246,7 @@
 
 	while ((l = brf_list_pop(&s->list)) != NULL)
 		free(brf_list_entry(l, struct brf_mesh_service, link));
+	brf_report_memory_finish(&s->reports);
 }
 
 static bool
@@ -230,25 +275,81 @@
 	peer->balancer.down = health == BRF_LINK_DOWN;
 }
 
-struct brf_mesh_peer *
-brf_mesh_service_choose(struct brf_mesh_service *service,
-    struct brf_balancer_request *request, struct brf_mesh_peer *const *tried,
-    size_t tried_count, struct brf_random *random, uint64_t now)
-{
+/**
+ * struct candidates - the targets of a service, as the balancer takes them.
+ */
+struct candidates {
 	struct brf_balancer_target *targets[BRF_BALANCER_TARGETS_MAX];
 	bool was_tried[BRF_BALANCER_TARGETS_MAX];
+};
+
+static void
+list_candidates(const struct brf_mesh_service *service,
+    struct brf_mesh_peer *const *tried, size_t tried_count,
+    struct candidates *c)
+{
 	struct brf_mesh_peer *peer;
-	size_t i, chosen;
+	size_t i;
 
 	for (i = 0; i < service->count; i++) {
 		peer = service->peers[i];
 		update_health(peer);
-		targets[i] = &peer->balancer;
-		was_tried[i] = contains(tried, tried_count, peer);
+		c->targets[i] = &peer->balancer;
+		c->was_tried[i] = contains(tried, tried_count, peer);
+	}
+}
+
+bool
+brf_mesh_service_has_unlimited(struct brf_mesh_service *service,
+    struct brf_balancer_request *request, struct brf_mesh_peer *const *tried,
+    size_t tried_count, const struct brf_mesh_peer *peer, uint64_t now)
+{
+	struct candidates c;
+	size_t except;
+
+	list_candidates(service, tried, tried_count, &c);
+	request->tried = c.was_tried;
+	for (except = 0; except < service->count; except++) {
+		if (service->peers[except] == peer)
+			break;
 	}
-	request->tried = was_tried;
-	chosen =
-	    brf_balancer_choose(targets, service->count, request, random, now);
+	return (brf_balancer_has_unlimited(
+	    c.targets, service->count, request, except, now));
+}
+
+uint64_t
+brf_mesh_service_permit_wait_us(
+    const struct brf_mesh_service *service, uint64_t now)
+{
+	const struct brf_balancer_target *t;
+	uint64_t soonest = UINT64_MAX, wait;
+	size_t i;
+
+	for (i = 0; i < service->count; i++) {
+		t = &service->peers[i]->balancer;
+		if (t->draining || t->leaving)
+			continue;
+		if (t->rate_limit == 0)
+			return (0);
+		wait = t->permit_at > now ? t->permit_at - now : 0;
+		if (wait < soonest)
+			soonest = wait;
+	}
+	return (soonest != UINT64_MAX ? soonest : 0);
+}
+
+struct brf_mesh_peer *
+brf_mesh_service_choose(struct brf_mesh_service *service,
+    struct brf_balancer_request *request, struct brf_mesh_peer *const *tried,
+    size_t tried_count, struct brf_random *random, uint64_t now)
+{
+	struct candidates c;
+	size_t chosen;
+
+	list_candidates(service, tried, tried_count, &c);
+	request->tried = c.was_tried;
+	chosen = brf_balancer_choose(
+	    c.targets, service->count, request, random, now);
 	if (chosen == BRF_BALANCER_NONE)
 		return (NULL);
 	service->peers[chosen]->refs++;
@@ -276,3 +377,23 @@
 		brf_log(BRF_LOG_INFO, "target_readmitted",
 		    BRF_LS("target", peer->id));
 }
+
+void
+brf_mesh_peer_reported(struct brf_mesh_peer *peer,
+    const struct brf_target_report *report, uint64_t now)
+{
+	bool names_incarnation =
+	    report->self.rate_limit != 0 || report->self.leaving;
+	struct brf_target_report own = *report;
+
+	if (!report->self.heard)
+		return;
+	if (names_incarnation &&
+	    (peer->target == NULL || report->born != peer->born)) {
+		brf_report_memory_put(&peer->services->reports, peer->id,
+		    report->born, &report->self, now);
+		return;
+	}
+	own.self.leaving = own.self.leaving || peer->report.leaving;
+	set_report(peer, &own, now);
+}
--- a/src/mesh/services.h
+++ b/src/mesh/services.h
@@ -3,6 +3,7 @@
 
 #include "fleet/directory.h"
 #include "link/link.h"
+#include "mesh/report_memory.h"
 #include "mesh/request_metrics.h"
 #include "policy/balancer.h"
 #include "policy/retry_window.h"
@@ -19,6 +20,8 @@
  * @link: link to the target's node; NULL for this VM's own target, and after
  *	the directory has dropped the target
  * @id: name of the target in hops
+ * @born: incarnation of the target, see struct brf_entry
+ * @report: what it has said of itself
  * @target: the directory's target; NULL once the directory has dropped it
  * @service: service of the target
  * @services: the set that @service belongs to
@@ -28,6 +31,8 @@
 	struct brf_balancer_target balancer;
 	struct brf_link *link;
 	char id[BRF_ENTRY_ID_MAX + 1];
+	uint64_t born;
+	struct brf_self_report report;
 	struct brf_directory_target *target;
 	struct brf_mesh_service *service;
 	struct brf_mesh_services *services;
@@ -79,6 +84,7 @@
  * @list: the services; none is removed before brf_mesh_services_finish()
  * @bits: bits of the services that have targets, see policy/nesting.h
  * @count: number of services in @list
+ * @reports: statements of targets that are not, or no longer, among the peers
  * @own_target_seen: called with @arg when the directory has read the entry of
  *	this VM's target from the store
  */
@@ -88,6 +94,7 @@
 	struct brf_list list;
 	uint64_t bits;
 	uint32_t count;
+	struct brf_report_memory reports;
 	void (*own_target_seen)(
 	    void *arg, const struct brf_directory_target *t);
 	void *arg;
@@ -140,6 +147,32 @@
     enum brf_balancer_feedback end, const struct brf_gate_load *load,
     uint64_t now);
 
+/**
+ * brf_mesh_peer_reported() - apply what the gate of @peer reported, as soon as
+ * it has arrived; see brf_balancer_report().
+ */
+void brf_mesh_peer_reported(struct brf_mesh_peer *peer,
+    const struct brf_target_report *report, uint64_t now);
+
+/**
+ * brf_mesh_service_has_unlimited() - whether a target without a rate limit,
+ * other than @peer, could take the request as well; with the arguments of
+ * brf_mesh_service_choose().
+ */
+bool brf_mesh_service_has_unlimited(struct brf_mesh_service *service,
+    struct brf_balancer_request *request, struct brf_mesh_peer *const *tried,
+    size_t tried_count, const struct brf_mesh_peer *peer, uint64_t now);
+
+/**
+ * brf_mesh_service_permit_wait_us() - time until the rate limit of a target
+ * admits another request of this node.
+ *
+ * Return: microseconds; 0 when a target that takes work has no limit, or none
+ * takes any.
+ */
+uint64_t brf_mesh_service_permit_wait_us(
+    const struct brf_mesh_service *service, uint64_t now);
+
 /* Release one reference; the last one frees @peer. */
 void brf_mesh_peer_unref(struct brf_mesh_peer *peer);
 
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -108,31 +108,54 @@
 static bool
 accepts_work(const struct brf_balancer_target *t, uint64_t now)
 {
-	return (!t->draining && t->drain_backoff_until <= now);
+	return (!t->draining && !t->leaving && t->drain_backoff_until <= now);
 }
 
+/* Expected wait of a request for a permit of the target's rate limit. */
+static uint64_t
+permit_wait_us(const struct brf_balancer_target *t, uint64_t now)
+{
+	return (t->permit_at > now ? t->permit_at - now : 0);
+}
+
+/**
+ * enum stage - which targets are considered, from the first choice to the last.
+ * @STAGE_READY: those whose rate limit has a permit, or that have no limit
+ * @STAGE_LIMITED: also those for whose permit the request can wait
+ * @STAGE_EJECTED: also ejected ones before their time
+ */
+enum stage {
+	STAGE_READY,
+	STAGE_LIMITED,
+	STAGE_EJECTED,
+	STAGE_COUNT
+};
+
 /*
  * An ejected target gets one repeatable request at a time as a probe: once its
  * ejection time is over, or earlier when no other candidate is left.
  */
 static bool
 is_eligible(const struct brf_balancer_target *t,
-    const struct brf_balancer_request *request, bool last_resort, uint64_t now)
+    const struct brf_balancer_request *request, enum stage stage, uint64_t now)
 {
-	if (!accepts_work(t, now))
+	uint64_t max_wait = stage == STAGE_READY ? 0 : request->max_wait_us;
+
+	if (!accepts_work(t, now) || permit_wait_us(t, now) > max_wait)
 		return (false);
 	if (t->consecutive_failures < FAILURES_MAX)
 		return (true);
 	return (!t->probing && request->repeatable &&
-		(last_resort || t->ejected_until <= now));
+		(stage == STAGE_EJECTED || t->ejected_until <= now));
 }
 
 static double
 cost(const struct brf_balancer_target *t, struct brf_random *random,
     uint64_t now)
 {
-	double c =
-	    brf_balancer_estimate_us(t, now) + locality_penalty[t->locality];
+	double c = brf_balancer_estimate_us(t, now) +
+		   (double)permit_wait_us(t, now) +
+		   locality_penalty[t->locality];
 
 	if (t->silent || t->down)
 		c += LINK_DOUBT_US;
@@ -165,7 +188,7 @@
 /* The candidate of lowest cost, in the other region with @far, else in this. */
 static size_t
 choose(struct brf_balancer_target *const *targets, size_t count, bool far,
-    bool last_resort, const struct brf_balancer_request *request,
+    enum stage stage, const struct brf_balancer_request *request,
     struct brf_random *random, uint64_t now)
 {
 	size_t i, best = BRF_BALANCER_NONE;
@@ -174,7 +197,7 @@
 	for (i = 0; i < count; i++) {
 		if ((targets[i]->locality == BRF_LOCALITY_FAR) != far ||
 		    request->tried[i] ||
-		    !is_eligible(targets[i], request, last_resort, now))
+		    !is_eligible(targets[i], request, stage, now))
 			continue;
 		c = cost(targets[i], random, now);
 		if (best == BRF_BALANCER_NONE || c < least) {
@@ -217,8 +240,9 @@
 }
 
 /*
- * Whether the request has tried a target in this region that accepts work and
- * is not ejected, so that the region is only short of capacity.
+ * Whether the request has tried a target in this region that accepts work, is
+ * not ejected and does not limit itself, so that the region is only short of
+ * capacity.
  */
 static bool
 tried_in_region(struct brf_balancer_target *const *targets, size_t count,
@@ -230,7 +254,7 @@
 	for (i = 0; i < count; i++) {
 		t = targets[i];
 		if (request->tried[i] && t->locality != BRF_LOCALITY_FAR &&
-		    accepts_work(t, now) &&
+		    accepts_work(t, now) && permit_wait_us(t, now) == 0 &&
 		    t->consecutive_failures < FAILURES_MAX)
 			return (true);
 	}
@@ -245,24 +269,51 @@
 	bool may_go_far = !tried_in_region(targets, count, request, now) ||
 			  (!request->nested && request->rank == 0);
 	size_t chosen = explore(targets, count, request, random, now);
-	int last_resort;
+	int stage;
 
 	set_assumed_ms(targets, count);
-	for (last_resort = 0; last_resort < 2 && chosen == BRF_BALANCER_NONE;
-	     last_resort++) {
-		chosen = choose(
-		    targets, count, false, last_resort, request, random, now);
+	for (stage = STAGE_READY;
+	     stage < STAGE_COUNT && chosen == BRF_BALANCER_NONE; stage++) {
+		chosen = choose(targets, count, false, (enum stage)stage,
+		    request, random, now);
 		if (chosen == BRF_BALANCER_NONE && may_go_far)
-			chosen = choose(targets, count, true, last_resort,
+			chosen = choose(targets, count, true, (enum stage)stage,
 			    request, random, now);
 	}
 	return (chosen);
 }
 
+bool
+brf_balancer_has_unlimited(struct brf_balancer_target *const *targets,
+    size_t count, const struct brf_balancer_request *request, size_t except,
+    uint64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (i != except && !request->tried[i] &&
+		    targets[i]->rate_limit == 0 && !targets[i]->down &&
+		    is_eligible(targets[i], request, STAGE_READY, now))
+			return (true);
+	}
+	return (false);
+}
+
+void
+brf_balancer_report(struct brf_balancer_target *t,
+    const struct brf_target_report *report, uint64_t now)
+{
+	t->leaving = t->leaving || report->self.leaving;
+	t->rate_limit = report->self.rate_limit;
+	t->permit_at = t->rate_limit != 0 ? now + report->permit_wait_us : 0;
+}
+
 void
 brf_balancer_hop_sent(struct brf_balancer_target *t, uint64_t now)
 {
-	(void)now;
+	if (t->rate_limit != 0)
+		t->permit_at = now + permit_wait_us(t, now) +
+			       (uint64_t)(BRF_US_PER_S / t->rate_limit);
 	t->in_flight++;
 	if (t->consecutive_failures >= FAILURES_MAX)
 		t->probing = true;
@@ -309,6 +360,7 @@
 		update_success_rate(t, 1);
 		break;
 	case BRF_FEEDBACK_NO_CAPACITY:
+	case BRF_FEEDBACK_RATE_LIMIT:
 		clear_failures(t);
 		break;
 	case BRF_FEEDBACK_DRAINING:
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -18,6 +18,10 @@
  * for which no target in this region exists or accepts work, and by the most
  * important root requests when those targets have no free slots.
  *
+ * A target may limit the requests that it takes from all nodes.  While others
+ * of its service have room, it is chosen only when a permit of its limit is
+ * expected to be at hand; else by how long the request would wait for one.
+ *
  * A target is known only by the answers of its hops: one that has just joined
  * would get none while a faster one has free slots.  So a share of the hops
  * goes to a target of this zone that has never reported.
@@ -56,6 +60,10 @@
  * @drain_backoff_until: clock time before which it gets no hops, since its gate
  *	refused one as draining
  * @probing: the one hop that tests an ejected target is in flight
+ * @rate_limit: requests a second that it takes from all nodes; 0 for no limit
+ * @permit_at: clock time at which @rate_limit is expected to admit a request
+ *	of this node
+ * @leaving: it said in an answer that it leaves
  * @draining: its directory entry says that it accepts no new work
  * @silent: nothing is received from its node
  * @down: its node is not reachable
@@ -73,7 +81,10 @@
 	uint32_t consecutive_failures;
 	uint64_t ejected_until;
 	uint64_t drain_backoff_until;
+	double rate_limit;
+	uint64_t permit_at;
 	bool probing;
+	bool leaving;
 	bool draining;
 	bool silent;
 	bool down;
@@ -85,12 +96,14 @@
  * @nested: it is a call made by a running request
  * @repeatable: it may run more than once
  * @tried: for each candidate, whether this request was sent to it before
+ * @max_wait_us: longest time that it may wait at a gate, microseconds
  */
 struct brf_balancer_request {
 	uint32_t rank;
 	bool nested;
 	bool repeatable;
 	const bool *tried;
+	uint64_t max_wait_us;
 };
 
 #define BRF_BALANCER_NONE SIZE_MAX
@@ -115,6 +128,18 @@
     size_t count, const struct brf_balancer_request *request,
     struct brf_random *random, uint64_t now);
 
+/**
+ * brf_balancer_has_unlimited() - whether a target without a rate limit, other
+ * than @except, could take @request as well.
+ */
+bool brf_balancer_has_unlimited(struct brf_balancer_target *const *targets,
+    size_t count, const struct brf_balancer_request *request, size_t except,
+    uint64_t now);
+
+/* Apply what the gate of @t reported of its statements. */
+void brf_balancer_report(struct brf_balancer_target *t,
+    const struct brf_target_report *report, uint64_t now);
+
 /* Report that a hop was sent to @t. */
 void brf_balancer_hop_sent(struct brf_balancer_target *t, uint64_t now);
 
@@ -122,6 +147,8 @@
  * enum brf_balancer_feedback - what the end of a hop says about its target.
  * @BRF_FEEDBACK_ANSWERED: the target answered
  * @BRF_FEEDBACK_NO_CAPACITY: the gate refused the hop for lack of capacity
+ * @BRF_FEEDBACK_RATE_LIMIT: the gate refused the hop for the target's limit,
+ *	which is no fault of it
  * @BRF_FEEDBACK_DRAINING: refused because the target accepts no new work
  * @BRF_FEEDBACK_TARGET_FAILED: the target itself refused or failed the request
  * @BRF_FEEDBACK_UNREACHABLE: no response, or no connection to the target
@@ -130,6 +157,7 @@
 enum brf_balancer_feedback {
 	BRF_FEEDBACK_ANSWERED,
 	BRF_FEEDBACK_NO_CAPACITY,
+	BRF_FEEDBACK_RATE_LIMIT,
 	BRF_FEEDBACK_DRAINING,
 	BRF_FEEDBACK_TARGET_FAILED,
 	BRF_FEEDBACK_UNREACHABLE,
--- a/src/policy/retry_after.h
+++ b/src/policy/retry_after.h
@@ -8,17 +8,21 @@
  *
  * Problem: callers that are refused at the same moment would all retry at the
  * same moment.  Their retries are spread evenly over a part of the objective,
- * early enough that a request served then still meets it.
+ * early enough that a request served then still meets it.  Where all targets
+ * limit their rate, they begin when the limits admit another request.
  */
 
 /**
  * struct brf_retry_after - input of brf_retry_after_us().
  * @objective_us: latency objective of the request's route; 0 for none
  * @until_exit_us: time until this process exits; 0 when it is not stopping
+ * @until_permit_us: time until a target's rate limit admits another request; 0
+ *	when a target has no limit
  */
 struct brf_retry_after {
 	uint64_t objective_us;
 	uint64_t until_exit_us;
+	uint64_t until_permit_us;
 };
 
 BRF_BEGIN_DECLS
--- a/src/policy/self_report.c
+++ b/src/policy/self_report.c
@@ -36,18 +36,38 @@
 	return (true);
 }
 
+static void
+set_limit(struct brf_self_report *report, double rate, uint64_t now)
+{
+	report->rate_limit = brf_rate_limit_clamp(rate);
+	report->stated_at = now;
+	report->heard = true;
+}
+
 bool
-brf_self_report_update(
-    struct brf_self_report *report, const struct brf_self_statement *statement)
+brf_self_report_update(struct brf_self_report *report,
+    const struct brf_self_statement *statement, uint64_t now)
 {
 	struct brf_self_report previous = *report;
+	bool none =
+	    statement->limit == BRF_LIMIT_ABSENT && statement->authentic;
 
 	if (statement->limit == BRF_LIMIT_STATED)
-		report->rate_limit =
-		    brf_rate_limit_clamp(statement->rate_limit);
-	else if (statement->limit == BRF_LIMIT_ABSENT && statement->authentic)
+		set_limit(report, statement->rate_limit, now);
+	else if (none && statement->asked_at > report->stated_at)
 		report->rate_limit = 0;
 	report->leaving = report->leaving || statement->leaving;
+	report->heard = report->heard || none || statement->leaving;
 	return (report->rate_limit != previous.rate_limit ||
 		report->leaving != previous.leaving);
 }
+
+bool
+brf_self_report_adopt(
+    struct brf_self_report *report, double rate_limit, uint64_t now)
+{
+	if (rate_limit == 0 || report->heard)
+		return (false);
+	set_limit(report, rate_limit, now);
+	return (true);
+}
--- a/src/policy/slot_queues.c
+++ b/src/policy/slot_queues.c
@@ -14,6 +14,8 @@
  * @limit: tickets that may run at once
  * @service_us: exponentially weighted moving average of the time at the target
  * @granting: grant_waiting() is on the stack
+ * @rate: rate limit of the target
+ * @permit_timer: fires when the next waiting ticket has its permit
  */
 struct brf_slot_queues {
 	struct brf_timers *timers;
@@ -24,6 +26,8 @@
 	uint32_t limit;
 	double service_us;
 	bool granting;
+	struct brf_rate_limit rate;
+	struct brf_timer permit_timer;
 };
 
 static uint64_t
@@ -40,6 +44,8 @@
 	return (2 * rank + (t->nested ? 0 : 1));
 }
 
+static void permit_due(struct brf_timer *timer, void *arg);
+
 struct brf_slot_queues *
 brf_slot_queues_new(struct brf_timers *timers)
 {
@@ -47,6 +53,8 @@
 	size_t i;
 
 	queues->timers = timers;
+	queues->permit_timer.fire = permit_due;
+	queues->permit_timer.arg = queues;
 	for (i = 0; i < QUEUES; i++)
 		brf_list_init(&queues->queues[i]);
 	return (queues);
@@ -55,6 +63,7 @@
 void
 brf_slot_queues_free(struct brf_slot_queues *queues)
 {
+	brf_timer_stop(queues->timers, &queues->permit_timer);
 	free(queues);
 }
 
@@ -93,6 +102,18 @@
 	return (NULL);
 }
 
+/* Start the timer for the next permit, if a ticket waits for nothing else. */
+static void
+await_permit(struct brf_slot_queues *queues)
+{
+	if (queues->rate.rate == 0 || queues->waiting == 0 ||
+	    queues->running >= queues->limit)
+		brf_timer_stop(queues->timers, &queues->permit_timer);
+	else
+		brf_timer_start(queues->timers, &queues->permit_timer,
+		    brf_rate_limit_wait_us(&queues->rate, 1, now_of(queues)));
+}
+
 /* @grant may submit or finish tickets; the outermost call grants the rest. */
 static void
 grant_waiting(struct brf_slot_queues *queues)
@@ -103,12 +124,28 @@
 		return;
 	queues->granting = true;
 	while (queues->running < queues->limit &&
-	       (t = next_waiting(queues)) != NULL) {
+	       (t = next_waiting(queues)) != NULL &&
+	       brf_rate_limit_take(&queues->rate, now_of(queues))) {
 		stop_waiting(t);
 		run(t);
 		t->grant(t);
 	}
 	queues->granting = false;
+	await_permit(queues);
+}
+
+static void
+permit_due(struct brf_timer *timer, void *arg)
+{
+	(void)timer;
+	grant_waiting(arg);
+}
+
+void
+brf_slot_queues_set_rate(struct brf_slot_queues *queues, double rate)
+{
+	brf_rate_limit_set(&queues->rate, rate, now_of(queues));
+	grant_waiting(queues);
 }
 
 static uint32_t
@@ -133,20 +170,45 @@
 
 	(void)timer;
 	stop_waiting(t);
-	t->refuse(t, BRF_R_EXPIRED);
+	t->refuse(t, t->rate_limited ? BRF_R_RATE_LIMIT : BRF_R_EXPIRED);
 }
 
-/* Expected wait of a ticket added to @queue now, microseconds. */
+/* A ticket added to @queue now, and those that are served before it. */
 static double
-expected_wait(const struct brf_slot_queues *queues, size_t queue)
+turns(const struct brf_slot_queues *queues, size_t queue)
 {
 	double ahead = 1;
 	size_t i;
 
 	for (i = 0; i <= queue; i++)
 		ahead += queues->counts[i];
-	return (queues->limit != 0 ? ahead * queues->service_us / queues->limit
-				   : 0);
+	return (ahead);
+}
+
+/* Expected wait of a ticket added to @queue now for a slot, microseconds. */
+static double
+slot_wait(const struct brf_slot_queues *queues, size_t queue)
+{
+	return (queues->limit != 0
+		    ? turns(queues, queue) * queues->service_us / queues->limit
+		    : 0);
+}
+
+/* Its expected wait for a permit, microseconds. */
+static double
+permit_wait(const struct brf_slot_queues *queues, size_t queue)
+{
+	return ((double)brf_rate_limit_wait_us(
+	    &queues->rate, turns(queues, queue), now_of(queues)));
+}
+
+static double
+expected_wait(const struct brf_slot_queues *queues, size_t queue)
+{
+	double slot = slot_wait(queues, queue);
+	double permit = permit_wait(queues, queue);
+
+	return (slot > permit ? slot : permit);
 }
 
 /* Longest wait that @t allows and that leaves time to meet its deadline. */
@@ -166,6 +228,7 @@
 	size_t queue = queue_of(t);
 	uint64_t longest = max_wait(queues, t);
 
+	t->rate_limited = permit_wait(queues, queue) > slot_wait(queues, queue);
 	if (queues->limit == 0 || queues->waiting >= BRF_SLOT_WAITING_MAX ||
 	    expected_wait(queues, queue) > (double)longest)
 		return (BRF_SLOT_REFUSE);
@@ -176,6 +239,7 @@
 	queues->counts[queue]++;
 	queues->waiting++;
 	brf_timer_start(queues->timers, &t->timer, longest);
+	await_permit(queues);
 	return (BRF_SLOT_WAIT);
 }
 
@@ -187,7 +251,9 @@
 	t->queues = queues;
 	t->state = BRF_SLOT_IDLE;
 	t->submitted_at = now_of(queues);
-	if (queues->running >= queues->limit || queues->waiting != 0)
+	t->rate_limited = false;
+	if (queues->running >= queues->limit || queues->waiting != 0 ||
+	    !brf_rate_limit_take(&queues->rate, t->submitted_at))
 		return (wait_for_slot(queues, t));
 	run(t);
 	return (BRF_SLOT_RUN);
@@ -259,3 +325,16 @@
 {
 	return ((uint64_t)expected_wait(queues, QUEUES - 1));
 }
+
+uint64_t
+brf_slot_queues_permit_wait_us(const struct brf_slot_queues *queues)
+{
+	return ((uint64_t)permit_wait(queues, QUEUES - 1));
+}
+
+uint64_t
+brf_slot_queues_promise_us(struct brf_slot_queues *queues)
+{
+	return (brf_rate_limit_promise_us(
+	    &queues->rate, queues->waiting, now_of(queues)));
+}
--- a/src/policy/slot_queues.h
+++ b/src/policy/slot_queues.h
@@ -4,6 +4,7 @@
 #include "base/list.h"
 #include "base/outcome.h"
 #include "base/timer.h"
+#include "policy/rate_limit.h"
 
 /**
  * DOC: Priority queues for the slots of one target.
@@ -19,6 +20,9 @@
  * its maximum wait is refused then.  A few slots are never granted, since
  * targets slow down when nearly full.
  *
+ * A target may limit its rate, see policy/rate_limit.h.  A ticket then needs a
+ * permit beside its slot, in the same order.
+ *
  * A granted ticket reports how long it waited.  Long waits are the sign of
  * pressure that is sent back to where root requests begin, see
  * policy/throttle.h.
@@ -39,6 +43,8 @@
  * @refuse: called once when it is refused after having waited, never from
  *	brf_slot_queues_submit(); the ticket is the owner's again
  * @waited_us: how long it waited, microseconds; valid once it is granted
+ * @rate_limited: it had to wait, or was refused, for the target's rate limit
+ *	rather than for a slot
  *
  * The owner sets the members up to @refuse before it submits the ticket, and
  * keeps it until it was refused, withdrawn or finished.  The other members
@@ -52,6 +58,7 @@
 	void (*grant)(struct brf_slot_ticket *t);
 	void (*refuse)(struct brf_slot_ticket *t, enum brf_reason reason);
 	uint64_t waited_us;
+	bool rate_limited;
 	struct brf_list link;
 	struct brf_timer timer;
 	struct brf_slot_queues *queues;
@@ -86,6 +93,12 @@
  */
 void brf_slot_queues_set_slots(struct brf_slot_queues *queues, uint32_t slots);
 
+/**
+ * brf_slot_queues_set_rate() - set the rate limit of the target.
+ * @rate: requests a second; 0 for no limit
+ */
+void brf_slot_queues_set_rate(struct brf_slot_queues *queues, double rate);
+
 enum brf_slot_result brf_slot_queues_submit(
     struct brf_slot_queues *queues, struct brf_slot_ticket *t);
 
@@ -122,6 +135,14 @@
 /* Expected wait of a new ticket behind all waiting ones, microseconds. */
 uint64_t brf_slot_queues_backlog_us(const struct brf_slot_queues *queues);
 
+/* Expected wait of such a ticket for the rate limit, microseconds; 0 without
+ * one. */
+uint64_t brf_slot_queues_permit_wait_us(const struct brf_slot_queues *queues);
+
+/* Time after which a sender that was refused for the rate limit may ask again,
+ * see brf_rate_limit_promise_us(). */
+uint64_t brf_slot_queues_promise_us(struct brf_slot_queues *queues);
+
 BRF_END_DECLS
 
 #endif
--- a/test/balancer_test.cc
+++ b/test/balancer_test.cc
@@ -278,6 +278,96 @@
 	EXPECT_EQ(waited, 0u);
 }
 
+class limited_balancer : public balancer
+{
+      protected:
+	void
+	limit(size_t i, double rate, uint64_t wait_us)
+	{
+		struct brf_target_report r = { 0, { rate, now, false, true },
+			wait_us };
+
+		report(i, 0, 20);
+		brf_balancer_report(&targets[i], &r, now);
+	}
+
+	size_t
+	choose_with_wait(uint64_t max_wait_us, std::vector<size_t> tried = {})
+	{
+		std::vector<struct brf_balancer_target *> list;
+		bool was_tried[16] = { false };
+		struct brf_balancer_request rq = { 2, false, true, was_tried,
+			max_wait_us };
+
+		for (auto &t : targets)
+			list.push_back(&t);
+		for (size_t i : tried)
+			was_tried[i] = true;
+		return (brf_balancer_choose(
+		    list.data(), list.size(), &rq, &random.random, now));
+	}
+};
+
+TEST_F(limited_balancer, a_used_up_limit_sends_the_load_to_others)
+{
+	size_t limited = add(BRF_LOCALITY_ZONE);
+	size_t free_one = add(BRF_LOCALITY_FAR);
+
+	report(free_one, 9, 200);
+	limit(limited, 10, 100000);
+	EXPECT_EQ(choose_with_wait(500000), free_one);
+	now += 100000;
+	report(free_one, 9, 200);
+	EXPECT_EQ(choose_with_wait(500000), limited);
+}
+
+TEST_F(limited_balancer, a_hop_uses_the_permit_that_this_node_knows_of)
+{
+	size_t limited = add(BRF_LOCALITY_ZONE);
+	size_t other = add(BRF_LOCALITY_ZONE);
+
+	report(other, 9, 200);
+	limit(limited, 10, 0);
+	EXPECT_EQ(choose_with_wait(0), limited);
+	brf_balancer_hop_sent(&targets[limited], now);
+	EXPECT_EQ(choose_with_wait(0), other);
+}
+
+TEST_F(limited_balancer, with_limits_everywhere_the_shortest_wait_is_chosen)
+{
+	size_t longer = add(BRF_LOCALITY_ZONE);
+	size_t shorter = add(BRF_LOCALITY_ZONE);
+
+	limit(longer, 10, 300000);
+	limit(shorter, 10, 100000);
+	EXPECT_EQ(choose_with_wait(500000), shorter);
+	EXPECT_EQ(choose_with_wait(500000, { shorter }), longer);
+	EXPECT_EQ(choose_with_wait(50000), BRF_BALANCER_NONE);
+}
+
+TEST_F(limited_balancer, a_limit_is_no_fault)
+{
+	size_t limited = add(BRF_LOCALITY_ZONE);
+
+	for (int i = 0; i < 20; i++)
+		report(limited, 0, 20, BRF_FEEDBACK_RATE_LIMIT);
+	EXPECT_EQ(targets[limited].success_rate, 1);
+	EXPECT_EQ(targets[limited].consecutive_failures, 0u);
+	EXPECT_EQ(choose_with_wait(0), limited);
+}
+
+TEST_F(limited_balancer, a_target_that_leaves_gets_nothing)
+{
+	size_t i = add(BRF_LOCALITY_ZONE);
+	struct brf_target_report r = { 0, { 0, 0, true, true }, 0 };
+
+	report(i, 0, 20);
+	brf_balancer_report(&targets[i], &r, now);
+	r.self.leaving = false;
+	brf_balancer_report(&targets[i], &r, now);
+	EXPECT_EQ(choose(), BRF_BALANCER_NONE);
+}
+
 } // namespace
 
 /* The load: all targets have free slots, so that no request is driven to one
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -491,6 +491,9 @@
 	send.path = as_text(path);
 	send.fields = as_text(fields);
 	send.part = as_text(part);
+	send.rate_limit = *rc::gen::element<double>(0, 0.2, 14.6, 1e6);
+	if (send.rate_limit != 0)
+		send.born = *rc::gen::arbitrary<uint64_t>();
 	brf_link_send_put(&out, 17, &send);
 	struct one_record r(out);
 
@@ -511,6 +514,8 @@
 	RC_ASSERT(text_of(read.path) == path);
 	RC_ASSERT(text_of(read.fields) == fields);
 	RC_ASSERT(text_of(read.part) == part);
+	RC_ASSERT(std::abs(read.rate_limit - send.rate_limit) <= 1e-6);
+	RC_ASSERT(read.born == send.born);
 	brf_buf_free(&out);
 }
 
@@ -532,6 +537,14 @@
 	reply.retry_after_ms = *rc::gen::arbitrary<uint32_t>();
 	reply.replacement = as_text(part);
 	reply.load = { 1, 2, 3, 65535 };
+	reply.report.self.heard = *rc::gen::arbitrary<bool>();
+	reply.report.self.leaving = *rc::gen::arbitrary<bool>();
+	reply.report.self.rate_limit =
+	    *rc::gen::element<double>(0, 0.2, 14.6, 1e6);
+	if (reply.report.self.leaving || reply.report.self.rate_limit != 0)
+		reply.report.born = *rc::gen::arbitrary<uint64_t>();
+	if (reply.report.self.rate_limit != 0)
+		reply.report.permit_wait_us = *rc::gen::arbitrary<uint64_t>();
 	reply.status = 200;
 	reply.body = BRF_BODY_CHUNKED;
 	reply.end = *rc::gen::arbitrary<bool>();
@@ -546,6 +559,12 @@
 	RC_ASSERT(read.state == reply.state);
 	RC_ASSERT(read.arrived == reply.arrived);
 	RC_ASSERT(read.marked == reply.marked);
+	RC_ASSERT(read.report.self.heard == reply.report.self.heard);
+	RC_ASSERT(read.report.self.leaving == reply.report.self.leaving);
+	RC_ASSERT(std::abs(read.report.self.rate_limit -
+			   reply.report.self.rate_limit) <= 1e-6);
+	RC_ASSERT(read.report.born == reply.report.born);
+	RC_ASSERT(read.report.permit_wait_us == reply.report.permit_wait_us);
 	RC_ASSERT(read.nested_route == reply.nested_route);
 	RC_ASSERT(read.load.service_ms == 65535);
 	if (reply.state == BRF_HOP_ANSWERED) {
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -883,4 +883,160 @@
 	}
 }
 
+/* What the target says of itself in its answers. */
+class mesh_gate_report : public mesh_gate
+{
+      protected:
+	void
+	announce(const char *id, uint64_t born, bool is_new)
+	{
+		brf_copy_name(notice.id, sizeof(notice.id), id);
+		notice.born = born;
+		notice.slots = 50;
+		brf_mesh_gate_update_target(gate, &notice, is_new);
+	}
+
+	void
+	SetUp() override
+	{
+		mesh_gate::SetUp();
+		announce("t-1", 5, true);
+	}
+
+	static std::string
+	stating(const std::string &id, const std::string &fields)
+	{
+		return ("HTTP/1.1 200 OK\r\nx-id: " + id +
+			"\r\nx-seal: s\r\ncontent-length: 0\r\n" + fields +
+			"\r\n");
+	}
+
+	raw_peer *
+	peer_of(const std::string &id)
+	{
+		raw_peer *p = nullptr;
+
+		until([&] {
+			p = target.with("x-id: " + id + "\r\n");
+			return (p != nullptr);
+		});
+		return (p);
+	}
+
+	/* Send a request, answer it with @fields, and wait for the reply. */
+	void
+	exchange(
+	    struct sender &s, const std::string &id, const std::string &fields)
+	{
+		raw_peer *p;
+
+		send(s, id.c_str());
+		p = peer_of(id);
+		ASSERT_NE(p, nullptr);
+		answer(s, p, id, fields);
+	}
+
+	void
+	answer(struct sender &s, raw_peer *p, const std::string &id,
+	    const std::string &fields)
+	{
+		p->put(stating(id, fields));
+		until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+		EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED) << id;
+	}
+};
+
+TEST_F(mesh_gate_report, a_stated_limit_is_reported_and_kept)
+{
+	struct sender first, second;
+
+	exchange(first, "1", "x-limit: 0.5\r\n");
+	EXPECT_EQ(first.hop.report.self.rate_limit, 0.5);
+	EXPECT_EQ(first.hop.report.born, 5u);
+	EXPECT_TRUE(first.hop.report.self.heard);
+	second.hop.request.max_wait_us = 0;
+	send(second, "2", true, 1000000);
+	until([&] { return (second.hop.state != BRF_HOP_OPEN); });
+	EXPECT_EQ(second.hop.state, BRF_HOP_REFUSED);
+	EXPECT_EQ(second.hop.reason, BRF_R_RATE_LIMIT);
+	EXPECT_FALSE(second.hop.arrived);
+	EXPECT_FALSE(second.hop.marked);
+	EXPECT_GT(second.hop.report.permit_wait_us, 1000000u);
+}
+
+TEST_F(mesh_gate_report, a_late_answer_to_an_earlier_request_ends_no_limit)
+{
+	struct sender early, limited, later;
+	raw_peer *p;
+
+	send(early, "1");
+	p = peer_of("1");
+	ASSERT_NE(p, nullptr);
+	exchange(limited, "2", "x-limit: 1000\r\n");
+	answer(early, p, "1", "");
+	EXPECT_EQ(early.hop.report.self.rate_limit, 1000);
+	exchange(later, "3", "");
+	EXPECT_EQ(later.hop.report.self.rate_limit, 0);
+}
+
+TEST_F(mesh_gate_report, a_new_incarnation_has_neither_limit_nor_leaves)
+{
+	struct sender s, old, fresh;
+	raw_peer *p;
+
+	send(old, "1");
+	p = peer_of("1");
+	ASSERT_NE(p, nullptr);
+	exchange(s, "2", "x-limit: 0.5\r\nx-leaving: 1\r\n");
+	EXPECT_TRUE(s.hop.report.self.leaving);
+	announce("t-1", 6, true);
+	EXPECT_FALSE(brf_mesh_gate_target_leaves(gate));
+	answer(old, p, "1", "x-limit: 0.5\r\nx-leaving: 1\r\n");
+	exchange(fresh, "3", "");
+	EXPECT_FALSE(fresh.hop.report.self.leaving);
+	EXPECT_EQ(fresh.hop.report.self.rate_limit, 0);
+	EXPECT_EQ(fresh.hop.report.born, 6u);
+}
+
+TEST_F(mesh_gate_report, a_target_that_leaves_gets_nothing_more)
+{
+	struct sender s, next;
+
+	exchange(s, "1", "x-leaving: 1\r\n");
+	announce("t-1", 5, false); /* it still says that it is ready */
+	send(next, "2");
+	until([&] { return (next.hop.state != BRF_HOP_OPEN); });
+	EXPECT_EQ(next.hop.state, BRF_HOP_REFUSED);
+	EXPECT_EQ(next.hop.reason, BRF_R_DRAINING);
+	EXPECT_TRUE(next.hop.report.self.leaving);
+}
+
+TEST_F(mesh_gate_report, a_gate_without_a_word_takes_that_of_a_sender)
+{
+	struct sender foreign, knowing, next;
+
+	foreign.hop.request.rate_limit = 0.5;
+	foreign.hop.request.born = 4; /* an earlier incarnation */
+	send(foreign, "1");
+	ASSERT_NE(peer_of("1"), nullptr);
+	knowing.hop.request.rate_limit = 0.5;
+	knowing.hop.request.born = 5;
+	send(knowing, "2", true, 1000000);
+	until([&] { return (knowing.hop.state != BRF_HOP_OPEN); });
+	EXPECT_EQ(knowing.hop.reason, BRF_R_RATE_LIMIT);
+	EXPECT_EQ(knowing.hop.report.self.rate_limit, 0.5);
+}
+
+TEST_F(mesh_gate_report, a_sender_that_has_not_heard_of_the_end_changes_nothing)
+{
+	struct sender s, stale;
+
+	exchange(s, "1", "");
+	stale.hop.request.rate_limit = 0.5;
+	stale.hop.request.born = 5;
+	exchange(stale, "2", "");
+	EXPECT_EQ(stale.hop.report.self.rate_limit, 0);
+	EXPECT_TRUE(stale.hop.report.self.heard);
+}
+
 } // namespace
--- a/test/mesh_services_test.cc
+++ b/test/mesh_services_test.cc
@@ -27,6 +27,154 @@
 	brf_mesh_services_finish(&s);
 }
 
+/* What a target said binds this node until the incarnation ends. */
+class services_report : public ::testing::Test
+{
+      protected:
+	struct brf_clock_manual clock;
+	struct brf_mesh_services_config config = {};
+	struct brf_mesh_services services;
+	struct brf_random_seeded random;
+	std::unique_ptr<struct brf_directory_target> target;
+
+	void
+	SetUp() override
+	{
+		brf_clock_manual_init(&clock, 1000000);
+		brf_random_seeded_init(&random, 1);
+		config.timers = brf_timers_new(&clock.clock);
+		config.zone = config.region = "z";
+		config.retry_budget_window_us = BRF_US_PER_S;
+		brf_mesh_services_init(&services, &config);
+		services.own_target_seen =
+		    [](void *, const struct brf_directory_target *) {};
+		appear(5);
+	}
+
+	void
+	TearDown() override
+	{
+		if (target != nullptr)
+			lapse();
+		brf_mesh_services_finish(&services);
+		brf_timers_free(config.timers);
+	}
+
+	/* The entry has the address of this node, which needs no link. */
+	void
+	appear(uint64_t born)
+	{
+		bool is_new = target == nullptr;
+
+		if (is_new)
+			target.reset(new struct brf_directory_target());
+		brf_copy_name(
+		    target->entry.id, sizeof(target->entry.id), "t-1");
+		brf_copy_name(
+		    target->entry.service, sizeof(target->entry.service), "s");
+		target->entry.slots = 4;
+		target->entry.born = born;
+		services.watcher.changed(
+		    &services.watcher, target.get(), is_new);
+	}
+
+	void
+	lapse()
+	{
+		services.watcher.removed(&services.watcher, target.get());
+		target.reset();
+	}
+
+	struct brf_mesh_peer *
+	peer()
+	{
+		return (static_cast<struct brf_mesh_peer *>(target->data));
+	}
+
+	void
+	say(struct brf_mesh_peer *p, uint64_t born, double limit, bool leaving,
+	    bool heard = true)
+	{
+		struct brf_target_report r = { born,
+			{ limit, clock.now, leaving, heard }, 0 };
+
+		brf_mesh_peer_reported(p, &r, clock.now);
+	}
+
+	bool
+	is_chosen()
+	{
+		struct brf_balancer_request request = {};
+		struct brf_mesh_peer *p = brf_mesh_service_choose(
+		    brf_mesh_service_get(&services, "s"), &request, nullptr, 0,
+		    &random.random, clock.now);
+
+		if (p != nullptr)
+			brf_mesh_peer_unref(p);
+		return (p != nullptr);
+	}
+};
+
+TEST_F(services_report, a_target_that_left_stays_gone_when_its_entry_returns)
+{
+	EXPECT_TRUE(is_chosen());
+	say(peer(), 5, 0, true);
+	EXPECT_FALSE(is_chosen());
+	lapse();
+	appear(5);
+	EXPECT_FALSE(is_chosen());
+	appear(6);
+	EXPECT_TRUE(is_chosen());
+}
+
+TEST_F(services_report, a_word_of_an_incarnation_may_come_before_its_entry)
+{
+	say(peer(), 6, 0, true);
+	EXPECT_TRUE(is_chosen());
+	appear(6);
+	EXPECT_FALSE(is_chosen());
+}
+
+TEST_F(services_report, a_late_word_of_an_old_incarnation_changes_nothing)
+{
+	appear(6);
+	say(peer(), 5, 2, true);
+	EXPECT_TRUE(is_chosen());
+	EXPECT_EQ(peer()->report.rate_limit, 0);
+}
+
+TEST_F(services_report, a_limit_is_kept_for_a_gate_that_forgets)
+{
+	say(peer(), 5, 2, false);
+	EXPECT_EQ(peer()->report.rate_limit, 2);
+	say(peer(), 0, 0, false, false); /* a gate that has heard nothing */
+	EXPECT_EQ(peer()->report.rate_limit, 2);
+	lapse();
+	appear(5);
+	EXPECT_EQ(peer()->report.rate_limit, 2);
+	say(peer(), 0, 0, false);
+	EXPECT_EQ(peer()->report.rate_limit, 0);
+}
+
+TEST_F(services_report, statements_are_remembered_within_bounds)
+{
+	struct brf_report_memory m;
+	struct brf_self_report r = { 0, 0, true, true };
+	const uint64_t many = 2 * BRF_REPORT_MEMORY_MAX;
+
+	brf_report_memory_init(&m);
+	for (uint64_t i = 0; i < many; i++)
+		brf_report_memory_put(&m, "t", i, &r, 1);
+	EXPECT_EQ(m.count, BRF_REPORT_MEMORY_MAX);
+	EXPECT_FALSE(brf_report_memory_take(&m, "t", 0, &r, 1));
+	EXPECT_TRUE(brf_report_memory_take(&m, "t", many - 1, &r, 1));
+	EXPECT_FALSE(brf_report_memory_take(
+	    &m, "t", many - 2, &r, 2 + BRF_REPORT_MEMORY_US));
+	brf_report_memory_put(&m, "t", many, &r, 2 + BRF_REPORT_MEMORY_US);
+	EXPECT_EQ(m.count, 1u);
+	brf_report_memory_finish(&m);
+}
+
 /* The directory frees a target while a hop to it is open. */
 class services_change : public two_nodes,
 			public ::testing::WithParamInterface<bool>
--- a/test/retry_after_test.cc
+++ b/test/retry_after_test.cc
@@ -54,6 +54,15 @@
 	    delays({ OBJECTIVE, 3 * BRF_US_PER_S }).front(), 3 * BRF_US_PER_S);
 }
 
+TEST(retry_after, no_caller_retries_before_a_limit_admits_it)
+{
+	std::vector<uint64_t> sorted =
+	    delays({ OBJECTIVE, 0, 3 * BRF_US_PER_S });
+
+	EXPECT_GT(sorted.front(), 3 * BRF_US_PER_S);
+	EXPECT_LE(sorted.back(), 3 * BRF_US_PER_S + OBJECTIVE / 2);
+}
+
 TEST(retry_after, without_an_objective_a_default_delay_is_used)
 {
 	std::vector<uint64_t> sorted = delays({ 0, 0 });
--- a/test/slot_queues_test.cc
+++ b/test/slot_queues_test.cc
@@ -201,4 +201,59 @@
 	EXPECT_TRUE(b->granted);
 }
 
+TEST_F(slot_queues, a_rate_limit_grants_by_rank_as_permits_come)
+{
+	struct job *low, *high, *call;
+
+	brf_slot_queues_set_rate(queues, 10);
+	low = submit(2, false, BRF_SLOT_WAIT);
+	high = submit(0, false, BRF_SLOT_WAIT);
+	call = submit(0, true, BRF_SLOT_WAIT);
+	EXPECT_TRUE(low->t.rate_limited);
+	EXPECT_EQ(brf_slot_queues_permit_wait_us(queues), 400000u);
+	advance(100000);
+	EXPECT_TRUE(call->granted);
+	EXPECT_FALSE(high->granted);
+	advance(100000);
+	EXPECT_TRUE(high->granted);
+	EXPECT_FALSE(low->granted);
+	EXPECT_EQ(high->t.waited_us, 200000u);
+	advance(100000);
+	EXPECT_TRUE(low->granted);
+}
+
+TEST_F(slot_queues, what_cannot_get_its_permit_in_time_is_refused_at_once)
+{
+	brf_slot_queues_set_rate(queues, 10);
+	submit(1, false, BRF_SLOT_WAIT, 150000);
+	struct job *late = submit(1, false, BRF_SLOT_REFUSE, 150000);
+	struct job *important = submit(0, false, BRF_SLOT_WAIT, 150000);
+	struct job *first = jobs.front();
+
+	EXPECT_TRUE(late->t.rate_limited);
+	advance(150000);
+	EXPECT_TRUE(important->granted);
+	EXPECT_TRUE(first->refused);
+	EXPECT_EQ(first->reason, BRF_R_RATE_LIMIT);
+}
+
+TEST_F(slot_queues, a_wait_for_a_slot_is_not_one_for_a_permit)
+{
+	fill(90000);
+	brf_slot_queues_set_rate(queues, 1000);
+	advance(BRF_US_PER_S);
+	EXPECT_FALSE(submit(0, false, BRF_SLOT_WAIT)->t.rate_limited);
+}
+
+TEST_F(slot_queues, waiting_tickets_run_when_the_rate_limit_ends)
+{
+	struct job *j;
+
+	brf_slot_queues_set_rate(queues, 0.2);
+	j = submit(0, false, BRF_SLOT_WAIT);
+	brf_slot_queues_set_rate(queues, 0);
+	EXPECT_TRUE(j->granted);
+	submit(0, false, BRF_SLOT_RUN);
+}
+
 } // namespace
