soak: targets that state a limit or say that they leave; checks of both

The oracle applies the users' rules LIMIT and DRAIN, by the node where a request began; each check has a planted fault in test_soak.py.

--- a/test/e2e/test_soak.py
+++ b/test/e2e/test_soak.py
@@ -61,6 +61,32 @@
                          ["left at 8.000"])
         self.assertEqual(judge([sent()], [ran()], leaves=[("t", 8.1)]), [])
 
+    def test_a_target_that_gets_more_than_its_limit(self):
+        def day(count, rate=1, **more):
+            told = sent("told", at=1.0, limited=True, seal="seal-t-told")
+            rest = [sent(f"r{i}", at=4.0 + i / 10) for i in range(count)]
+            runs = [ran(s.ident, at=s.at) for s in rest]
+            return judge([told, *rest], runs, limits=[("t", rate, 0.9, 9)],
+                         **more)
+        self.assertEqual(day(12), ["over its limit of 1"])
+        self.assertEqual(day(11), [])
+        self.assertEqual(day(12, rate=1.2), [])
+        # a node that was restarted since has not been told
+        self.assertEqual(day(12, disrupted=[("n", 2.0, 3.9)]), [])
+        self.assertEqual(day(12, disrupted=[("other", 2.0, 3.9)]),
+                         ["over its limit of 1"])
+
+    def test_work_for_a_target_that_said_it_leaves(self):
+        told = sent("told", at=7.8, leaving=True, seal="seal-t-told")
+        wrong = ["said that it leaves"]
+        self.assertEqual(judge([told, sent()], [ran()]), wrong)
+        self.assertEqual(judge([told, sent(at=9.8)], [ran()]), [])
+        self.assertEqual(judge([told, sent(node="other")], [ran()]), [])
+        self.assertEqual(judge([told, sent()], [ran()],
+                               disrupted=[("n", 8.0, 9.0)]), [])
+        self.assertEqual(judge([told, sent()], [ran()],
+                               disrupted=[("n", 6.0, 7.0)]), wrong)
+
     def test_a_planned_stop_that_cuts(self):
         cut = sent(status=0)
         stop = [("n", 9.9, 12.0)]
--- a/test/soak/oracle.py
+++ b/test/soak/oracle.py
@@ -13,6 +13,11 @@
 CONFIG_S = 2.0         # after an acknowledged configuration
 DOWNGRADE_S = 0.25     # after a version was seen
 DRAIN_S = 2.0          # after an acknowledged leave
+CONTACT_S = 3.0        # after a limit was stated
+TOLD_S = 0.5           # after a node has passed on a statement
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_EXTRA = 5
 LEFT_S = 0.5           # after a caller has left
 LEFT_FEW = 3           # late cancellations that are no finding
 REPEAT_WINDOW_S = 10.0
@@ -40,6 +45,8 @@
     left: bool = False   # the caller closed its connection first
     torn: bool = False   # its answer broke off after the head
     behind: str = ""     # whose answer was the last on the connection
+    limited: bool = False  # the answer states a limit of its back end
+    leaving: bool = False  # the answer says that its back end leaves
 
 
 @dataclasses.dataclass
@@ -62,6 +69,9 @@
         self.drops = {}     # route: (version without it, when it was sent)
         self.faults = []    # (begin, end, nodes or None for all)
         self.planned = []   # (node, time of the signal, time of its end)
+        self.disrupted = []  # (node that was stopped or cut, begin, end)
+        self.limits = []    # (target, requests a second, begin, end)
+        self.stated_until = 0.0  # a target stated a limit or left until then
         self.deaths = []    # what ended or grew by itself
         self.lags = []      # (time, seconds that the soak itself was late)
 
@@ -79,7 +89,8 @@
 
     def findings(self):
         checks = (self.whole_and_own, self.once, self.true_refusals,
-                  self.drained, self.unanswered, self.configured,
+                  self.drained, self.limited, self.left_by_word,
+                  self.unanswered, self.configured,
                   self.repeats, self.cancelled, self.recovered)
         return self.deaths + [f for check in checks for f in check()]
 
@@ -116,6 +127,54 @@
                 if r.target == target and r.at > at + DRAIN_S:
                     yield f"left at {at:.3f}: {r}"
 
+    def told(self, target, field, begin, end):
+        """When the nodes passed on such answers of the target: sorted times,
+        by node."""
+        times = collections.defaultdict(list)
+        for s in self.sent.values():
+            if (getattr(s, field) and begin <= s.end <= end
+                    and s.seal == f"seal-{target}-{s.ident}"):
+                times[s.node].append(s.end)
+        return {node: sorted(t) for node, t in times.items()}
+
+    def knows(self, told, node, at, ago):
+        """Whether the node has passed on the answer so long before, and was
+        not disrupted since."""
+        broken = max((e for n, b, e in self.disrupted
+                      if n == node and b <= at), default=0.0)
+        return any(broken < t <= at - ago for t in told.get(node, ()))
+
+    def limited(self):
+        for target, rate, begin, end in self.limits:
+            told = self.told(target, "limited", begin, end)
+            times = sorted(
+                r.at for r in self.ran
+                if r.target == target and begin + CONTACT_S <= r.at <= end
+                and r.ident in self.sent
+                and self.knows(told, self.sent[r.ident].node, r.at, TOLD_S))
+            first = 0
+            for last, at in enumerate(times):
+                while times[first] <= at - LIMIT_WINDOW_S:
+                    first += 1
+                span = LIMIT_WINDOW_S + self.lag(times[first], at)
+                if last - first + 1 > LIMIT_RATIO * rate * span + LIMIT_EXTRA:
+                    yield (f"over its limit of {rate}: {target} got "
+                           f"{last - first + 1} up to {at:.3f}")
+                    break
+
+    def left_by_word(self):
+        ends = collections.defaultdict(list)
+        for s in self.sent.values():
+            if s.leaving:
+                ends[s.seal[len("seal-"):-len("-" + s.ident)]].append(s.end)
+        for target in ends:
+            told = self.told(target, "leaving", 0.0, float("inf"))
+            for r in self.ran:
+                s = self.sent.get(r.ident)
+                if (r.target == target and s is not None
+                        and self.knows(told, s.node, s.at, DRAIN_S)):
+                    yield f"said that it leaves: {r}, {s}"
+
     def behind_torn(self, s):
         """Whether an answer before it on the connection broke off because its
         back end was told so: HTTP/1.1 has no other end for the connection."""
@@ -202,7 +261,7 @@
             yield f"{len(late)} ran on after their callers left: {late[0]}"
 
     def recovered(self):
-        last = max((e for _, e, _ in self.faults), default=0.0)
+        last = max([e for _, e, _ in self.faults] + [self.stated_until])
         after = [s for s in self.sent.values()
                  if s.at > last + RECOVER_S and s.sound and not s.left
                  and not self.behind_torn(s)]
