node, policy/admission: the same limit and leaving at the gate of bulrushfordd

The second request path serves targets too, and read no more of their answers than the first. brf-target-limit and brf-target-leaving, names of the product's own, mean what the platform's fields do. The gate reads them by policy/self_report; admission grants slots by policy/rate_limit, also in observe mode, since the limit is the target's and not the operators'. The admission level on replies shows no room while there is no permit, so that senders take other nodes; the cutoff rank sheds what is less important first. A target that says it leaves is refused and told by gossip as draining, until it is withdrawn or another one is attached: its repeated announcements don't undo that.

gate.a_limit_that_the_target_states_is_kept_until_it_ends and gate.a_target_that_says_it_leaves_gets_nothing_until_it_is_replaced fail when the gate does not read the fields; admission.a_stated_rate_limit_... plays 120 requests a second against a limit of 15 in virtual time: no window of 4 s over the bound, 0.8 of the limit used, class 0 served first.

--- a/include/bulrushford.h
+++ b/include/bulrushford.h
@@ -25,6 +25,14 @@
  */
 #define BRF_H_REQUEST "brf-request"
 
+/*
+ * Response headers of a target, which are not passed on: the requests a second
+ * that it takes from all nodes together, a decimal number, for as long as it
+ * says so; "1" when it leaves.
+ */
+#define BRF_H_TARGET_LIMIT "brf-target-limit"
+#define BRF_H_TARGET_LEAVING "brf-target-leaving"
+
 /* Response headers that a node adds. */
 #define BRF_H_OUTCOME "brf-outcome" /* answered, not_run or unknown */
 #define BRF_H_REASON "brf-reason"   /* see brf_reason_name() */
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "base/log.h"
 #include "node/gate_impl.h"
 
 static uint64_t
@@ -70,6 +71,13 @@
 		    gate->config.metrics, "brf_gate_run_seconds",
 		    "Time that attempts ran on this node's target.", labels);
 	}
+	gate->rate_limit = brf_metrics_gauge(gate->config.metrics,
+	    "brf_gate_rate_limit",
+	    "Requests a second that this VM's target takes; 0 for no limit.",
+	    "");
+	gate->leaving =
+	    brf_metrics_gauge(gate->config.metrics, "brf_gate_target_leaving",
+		"1 when this VM's target says that it leaves.", "");
 	gate->useful_seconds = brf_metrics_counter(gate->config.metrics,
 	    "brf_gate_slot_useful_seconds_total",
 	    "Slot time of attempts whose answer was used.", "");
@@ -96,6 +104,74 @@
 	return (gate);
 }
 
+/* Admit attempts, unless the node or its target leaves. */
+static void
+update_draining(struct brf_gate *gate)
+{
+	bool refuse = gate->draining || brf_gate_target_leaves(gate);
+
+	brf_admission_drain(
+	    gate->admission, refuse ? BRF_R_DRAINING : BRF_R_NONE);
+}
+
+/* Apply the report of the attached target. */
+static void
+apply_report(struct brf_gate *gate)
+{
+	static const struct brf_self_report none;
+	const struct brf_self_report *report =
+	    gate->attached != NULL ? &gate->attached->report : &none;
+
+	gate->rate_limit->value = report->rate_limit;
+	gate->leaving->value = report->leaving;
+	brf_admission_set_rate(gate->admission, report->rate_limit);
+}
+
+static void
+read_statement(struct brf_self_statement *s, const struct brf_message *answer)
+{
+	const char *limit = brf_message_header(answer, BRF_H_TARGET_LIMIT);
+	const char *leaving = brf_message_header(answer, BRF_H_TARGET_LEAVING);
+
+	if (limit == NULL)
+		s->limit = BRF_LIMIT_ABSENT;
+	else if (brf_rate_limit_parse(limit, strlen(limit), &s->rate_limit))
+		s->limit = BRF_LIMIT_STATED;
+	else
+		s->limit = BRF_LIMIT_MALFORMED;
+	s->leaving = leaving != NULL && strcmp(leaving, "1") == 0;
+}
+
+void
+brf_gate_learn(struct brf_gate *gate, struct brf_gate_target *gt,
+    const struct brf_message *answer, uint64_t asked_at)
+{
+	struct brf_self_statement statement = { .authentic = true,
+		.asked_at = asked_at };
+	bool left = gt->report.leaving;
+
+	read_statement(&statement, answer);
+	if (gt != gate->attached ||
+	    !brf_self_report_update(&gt->report, &statement, now(gate)))
+		return;
+	apply_report(gate);
+	brf_log(BRF_LOG_INFO, "target_report",
+	    BRF_LS("service", gate->announcement.service),
+	    BRF_LD("rate_limit", gt->report.rate_limit),
+	    BRF_LU("leaving", gt->report.leaving));
+	if (left || !gt->report.leaving)
+		return;
+	update_draining(gate);
+	if (gate->config.target_leaves != NULL)
+		gate->config.target_leaves(gate->config.arg);
+}
+
+bool
+brf_gate_target_leaves(const struct brf_gate *gate)
+{
+	return (gate->attached != NULL && gate->attached->report.leaving);
+}
+
 static void
 detach(struct brf_gate *gate)
 {
@@ -139,8 +215,8 @@
 		brf_gate_detach(gate);
 	detach(gate);
 	gate->attached = gt;
-	brf_admission_drain(
-	    gate->admission, gate->draining ? BRF_R_DRAINING : BRF_R_NONE);
+	apply_report(gate);
+	update_draining(gate);
 	brf_gate_update(gate, announcement);
 }
 
@@ -157,14 +233,14 @@
 {
 	brf_admission_drain(gate->admission, BRF_R_NO_TARGET);
 	detach(gate);
+	apply_report(gate);
 }
 
 void
 brf_gate_set_draining(struct brf_gate *gate, bool refuse)
 {
 	gate->draining = refuse;
-	brf_admission_drain(
-	    gate->admission, refuse ? BRF_R_DRAINING : BRF_R_NONE);
+	update_draining(gate);
 }
 
 size_t
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -27,6 +27,8 @@
  * @token_key: key under which request tokens are minted and checked
  * @self: id of this node; part of each token that this gate mints
  * @incarnation: of this node; part of each token as well
+ * @target_leaves: called with @arg when the target says in an answer that it
+ *	leaves; may be NULL
  */
 struct brf_gate_config {
 	struct brf_timers *timers;
@@ -36,6 +38,8 @@
 	struct brf_token_key *token_key;
 	struct brf_id self;
 	uint64_t incarnation;
+	void (*target_leaves)(void *arg);
+	void *arg;
 };
 
 /**
@@ -125,6 +129,10 @@
  */
 void brf_gate_set_draining(struct brf_gate *gate, bool refuse);
 
+/* Whether the attached target said that it leaves; that holds until another
+ * one is attached. */
+bool brf_gate_target_leaves(const struct brf_gate *gate);
+
 /* Number of attempts that wait or run. */
 size_t brf_gate_open_attempts(const struct brf_gate *gate);
 
--- a/src/node/gate_attempt.c
+++ b/src/node/gate_attempt.c
@@ -120,13 +120,16 @@
 }
 
 static void
-run_ended(struct brf_gate_attempt *ga, struct brf_reply *reply)
+run_ended(struct brf_gate_attempt *ga, struct brf_reply *reply,
+    const struct brf_message *answer)
 {
 	struct brf_gate *gate = ga->gate;
 	uint64_t duration_us = now(gate) - ga->run_started_at;
 	bool useful = reply->outcome == BRF_ANSWERED && !ga->cancelled;
 
 	ga->running = false;
+	if (answer != NULL)
+		brf_gate_learn(gate, ga->runs_on, answer, ga->run_started_at);
 	brf_gate_target_unref(ga->runs_on);
 	brf_histogram_add(gate->metrics[ga->ticket.cls].duration, duration_us);
 	account_slot_time(ga, reply, duration_us);
@@ -168,7 +171,7 @@
 		reply.reason = BRF_R_TARGET_SHED;
 		reply.answer = NULL;
 	}
-	run_ended(ga, &reply);
+	run_ended(ga, &reply, answer);
 }
 
 static void
@@ -307,7 +310,7 @@
 {
 	const struct brf_attempt *at = &ga->x->attempt;
 
-	if (gate->draining)
+	if (gate->draining || brf_gate_target_leaves(gate))
 		return (BRF_R_DRAINING);
 	if (!serves(gate, at->service))
 		return (BRF_R_NO_TARGET);
--- a/src/node/gate_impl.h
+++ b/src/node/gate_impl.h
@@ -3,6 +3,7 @@
 
 #include "base/idmap.h"
 #include "node/gate.h"
+#include "policy/self_report.h"
 
 /**
  * DOC: Internals of the gate.
@@ -17,11 +18,13 @@
 /**
  * struct brf_gate_target - reference-counted target.
  * @release: called with @target when the last reference is dropped
+ * @report: what the target says of itself
  * @refs: one held by the gate while the target is attached, one by each run
  */
 struct brf_gate_target {
 	struct brf_target *target;
 	void (*release)(struct brf_target *target);
+	struct brf_self_report report;
 	unsigned refs;
 };
 
@@ -86,6 +89,8 @@
 	bool draining;
 	void (*abandon)(struct brf_list *call);
 	struct class_metrics metrics[BRF_CLASSES];
+	struct brf_metric *rate_limit;
+	struct brf_metric *leaving;
 	struct brf_metric *useful_seconds;
 	struct brf_metric *wasted_seconds;
 };
@@ -93,6 +98,11 @@
 /* gate.c */
 void brf_gate_target_unref(struct brf_gate_target *gt);
 
+/* Apply what the target @gt says of itself in an answer to a request that was
+ * sent at @asked_at, clock time. */
+void brf_gate_learn(struct brf_gate *gate, struct brf_gate_target *gt,
+    const struct brf_message *answer, uint64_t asked_at);
+
 /* gate_attempt.c */
 extern const struct brf_backend_vt brf_gate_vt;
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -103,6 +103,12 @@
 	node->started = now(node);
 }
 
+static void
+target_leaves(void *arg)
+{
+	brf_node_publish_state(arg);
+}
+
 static void
 create_gate(struct brf_node *node, const struct brf_member *self)
 {
@@ -110,7 +116,9 @@
 		.random = node->random,
 		.metrics = node->metrics,
 		.token_key = node->token_key,
-		.self = self->node };
+		.self = self->node,
+		.target_leaves = target_leaves,
+		.arg = node };
 
 	node->docs = brf_docs_new();
 	node->anti_entropy = brf_anti_entropy_new(node->docs);
@@ -388,7 +396,8 @@
 {
 	struct brf_member self = *brf_members_self(node->members);
 
-	if (node->phase != BRF_PHASE_SERVING || node->target_draining)
+	if (node->phase != BRF_PHASE_SERVING || node->target_draining ||
+	    brf_gate_target_leaves(node->gate))
 		self.state = BRF_MEMBER_DRAINING;
 	else if (node->announced)
 		self.state = BRF_MEMBER_READY;
--- a/src/policy/admission.c
+++ b/src/policy/admission.c
@@ -34,6 +34,7 @@
 
 /**
  * struct brf_admission - see admission.h.
+ * @rate: rate limit of the target
  * @service: time that attempts take at the target
  * @cut: cutoff rank for the level on replies
  * @refusals: refused tickets whose callback is pending
@@ -47,6 +48,7 @@
 	struct brf_timers *timers;
 	struct brf_admission_config config;
 	struct brf_limiter limiter;
+	struct brf_rate_limit rate;
 	struct brf_estimate service;
 	struct brf_cutoff cut;
 	struct brf_queue *queue;
@@ -100,10 +102,13 @@
 {
 	uint32_t limit = limit_of(a, now);
 	double turns = brf_queue_ahead(a->queue, t) + 1.0;
+	double permit = (double)brf_rate_limit_wait_us(&a->rate, turns, now);
+	double slot;
 
 	if (limit == 0)
 		return (0);
-	return (turns * brf_estimate_mean(&a->service, now) / limit);
+	slot = turns * brf_estimate_mean(&a->service, now) / limit;
+	return (slot > permit ? slot : permit);
 }
 
 static double
@@ -217,8 +222,10 @@
 	struct brf_admission_ticket *t = brf_queue_next(a->queue);
 
 	if (expired(a, t, now) &&
-	    refuse_unless_observing(a, t, BRF_R_EXPIRED, now))
+	    refuse_unless_observing(a, t, BRF_R_EXPIRED, now)) {
+		brf_rate_limit_give_back(&a->rate);
 		return;
+	}
 	brf_queue_take(a->queue, t);
 	run(a, t, now);
 	t->grant(t);
@@ -233,10 +240,12 @@
 	if (a->granting)
 		return;
 	a->granting = true;
-	while (a->in_flight < limit_of(a, now) && brf_queue_count(a->queue) > 0)
+	while (a->in_flight < limit_of(a, now) &&
+	       brf_queue_count(a->queue) > 0 &&
+	       brf_rate_limit_take(&a->rate, now))
 		grant_next(a, now);
 	a->granting = false;
-	if (a->in_flight < limit_of(a, now))
+	if (a->in_flight < limit_of(a, now) && brf_queue_count(a->queue) == 0)
 		brf_cutoff_lift(&a->cut);
 }
 
@@ -389,8 +398,10 @@
 {
 	enum brf_reason why = slot_refusal(a, t, now);
 
-	if (why != BRF_R_NONE && (!a->config.observe || t->deadline <= now))
+	if (why != BRF_R_NONE && (!a->config.observe || t->deadline <= now)) {
+		brf_rate_limit_give_back(&a->rate);
 		return (refuse_now(a, t, why, out));
+	}
 	if (why != BRF_R_NONE)
 		count_would_refuse(a, t, why);
 	run(a, t, now);
@@ -477,7 +488,8 @@
 	if (a->draining != BRF_R_NONE)
 		return (refuse_now(a, t, a->draining, reason));
 	brf_cutoff_arrival(&a->cut, t->rank);
-	if (brf_queue_count(a->queue) == 0 && a->in_flight < limit_of(a, now))
+	if (brf_queue_count(a->queue) == 0 && a->in_flight < limit_of(a, now) &&
+	    brf_rate_limit_take(&a->rate, now))
 		return (submit_to_slot(a, t, now, reason));
 	return (submit_to_queue(a, t, now, reason));
 }
@@ -505,7 +517,8 @@
     struct brf_admission *a, struct brf_admission_ticket *t, bool useful)
 {
 	uint64_t now = now_of(a), took = now - t->since, inside = took;
-	bool saturated = brf_queue_count(a->queue) > 0;
+	bool saturated =
+	    brf_queue_count(a->queue) > 0 && a->in_flight >= limit_of(a, now);
 
 	if (t->state != TICKET_RUNNING)
 		return;
@@ -522,6 +535,24 @@
 	grant_waiting(a);
 }
 
+void
+brf_admission_set_rate(struct brf_admission *a, double rate)
+{
+	brf_rate_limit_set(&a->rate, rate, now_of(a));
+	start_tick(a, 0);
+}
+
+/* Attempts that may run at once, and that have a permit now. */
+static uint32_t
+usable_limit(const struct brf_admission *a, uint64_t now)
+{
+	uint32_t limit = limit_of(a, now);
+
+	if (brf_rate_limit_wait_us(&a->rate, 1, now) == 0)
+		return (limit);
+	return (a->in_flight < limit ? a->in_flight : limit);
+}
+
 void
 brf_admission_drain(struct brf_admission *a, enum brf_reason reason)
 {
@@ -543,7 +574,7 @@
 	    a->config.observe ? BRF_RANK_END : brf_cutoff_get(&a->cut, now);
 	level->in_flight = a->in_flight;
 	level->waiting = brf_queue_count(a->queue);
-	level->limit = limit_of(a, now);
+	level->limit = usable_limit(a, now);
 }
 
 const struct brf_admission_stats *
@@ -562,10 +593,16 @@
 	uint64_t now = now_of(a);
 	uint32_t limit = limit_of(a, now);
 	double ms = brf_estimate_mean(&a->service, now) / BRF_US_PER_MS;
+	double permit_ms;
 
 	if (a->draining != BRF_R_NONE || limit == 0)
 		return (RETRY_AFTER_DRAINING_MS);
 	ms *= (double)brf_queue_count(a->queue) / limit;
+	permit_ms = (double)brf_rate_limit_wait_us(
+			&a->rate, brf_queue_count(a->queue) + 1.0, now) /
+		    BRF_US_PER_MS;
+	if (ms < permit_ms)
+		ms = permit_ms;
 	if (a->cut.ratio > 1)
 		ms *= a->cut.ratio;
 	if (ms < RETRY_AFTER_MIN_MS)
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -4,6 +4,7 @@
 #include "base/exchange.h"
 #include "base/list.h"
 #include "base/timer.h"
+#include "policy/rate_limit.h"
 
 /**
  * DOC: Admission controller of a node's own target.
@@ -136,6 +137,14 @@
 void brf_admission_set_weight(
     struct brf_admission *a, const char *workspace, uint32_t weight);
 
+/**
+ * brf_admission_set_rate() - set the rate limit that the target has stated.
+ * @rate: requests a second; 0 for no limit
+ *
+ * Attempts beyond it wait or are refused as for slots, also in observe mode.
+ */
+void brf_admission_set_rate(struct brf_admission *a, double rate);
+
 /**
  * brf_admission_submit() - ask to run @ticket.
  * @ticket: stays valid until it was refused, withdrawn or finished
--- a/src/policy/rate_limit.c
+++ b/src/policy/rate_limit.c
@@ -45,6 +45,13 @@
 	return (true);
 }
 
+void
+brf_rate_limit_give_back(struct brf_rate_limit *l)
+{
+	if (l->rate != 0)
+		l->permits += 1;
+}
+
 uint64_t
 brf_rate_limit_wait_us(
     const struct brf_rate_limit *l, double permits, uint64_t now)
--- a/src/policy/rate_limit.h
+++ b/src/policy/rate_limit.h
@@ -38,6 +38,9 @@
 /* Take a permit.  Return: false when there is none. */
 bool brf_rate_limit_take(struct brf_rate_limit *l, uint64_t now);
 
+/* Give back a permit that was taken and not used. */
+void brf_rate_limit_give_back(struct brf_rate_limit *l);
+
 /**
  * brf_rate_limit_wait_us() - time until a number of permits are at hand.
  *
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -211,6 +211,68 @@
 	EXPECT_EQ(level.cut, BRF_RANK_END) << "at once, not in the next period";
 }
 
+/* What the target runs of 120 requests a second, by class, with a limit. */
+TEST(admission, a_stated_rate_limit_is_kept_and_used_by_class)
+{
+	for (bool observe : { false, true }) {
+		struct brf_admission_config config = config_for(50);
+		std::vector<double> sums;
+		double granted = 0;
+
+		config.observe = observe;
+		simulation sim(config, { 50, 20 * MS, false, nullptr }, 3);
+		sim.add({ "w", 0, 10, S, 1 });
+		sim.add({ "w", 2, 110, S, 1 });
+		brf_admission_set_rate(sim.admission, 15);
+		for (uint64_t step = 1; step <= 120; step++) {
+			const struct brf_admission_stats *stats;
+
+			sim.run(sim.clock.now + 100 * MS);
+			stats = brf_admission_stats(sim.admission);
+			granted = 0;
+			for (uint64_t n : stats->granted)
+				granted += (double)n;
+			sums.push_back(granted);
+			if (step > 40) {
+				EXPECT_LE(
+				    granted - sums[step - 41], 1.5 * 15 * 4 + 5)
+				    << step;
+			}
+		}
+		EXPECT_GE(granted, 0.8 * 15 * 12);
+		if (!observe) {
+			EXPECT_GE(share(sim.sources[0]), 0.8);
+		}
+		EXPECT_GE(brf_admission_retry_after_ms(sim.admission), 20u);
+		brf_admission_set_rate(sim.admission, 0);
+		sim.run(sim.clock.now + 2 * S);
+		EXPECT_GE(sim.goodput(sim.clock.now - S, sim.clock.now), 100);
+	}
+}
+
+TEST(admission, the_level_shows_no_room_without_a_permit)
+{
+	struct brf_clock_manual clock;
+	struct brf_admission_config config = config_for(50);
+	struct brf_admission *a;
+	struct brf_timers *timers;
+	struct brf_level level;
+
+	brf_clock_manual_init(&clock, S);
+	timers = brf_timers_new(&clock.clock);
+	a = brf_admission_new(timers, &config);
+	brf_admission_level(a, &level);
+	EXPECT_EQ(level.limit, 50u);
+	brf_admission_set_rate(a, 10);
+	brf_admission_level(a, &level);
+	EXPECT_EQ(level.limit, 0u);
+	clock.now += 100 * MS;
+	brf_admission_level(a, &level);
+	EXPECT_EQ(level.limit, 50u);
+	brf_admission_free(a);
+	brf_timers_free(timers);
+}
+
 TEST(admission, observe_mode_counts_refusals_and_makes_none)
 {
 	struct brf_admission_config c = { 10, 4, 0, true };
--- a/test/gate_test.cc
+++ b/test/gate_test.cc
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "config/docs.h"
@@ -49,7 +50,8 @@
 }
 
 void
-finish(struct fake_target *f, size_t i, enum brf_run_end end)
+finish(struct fake_target *f, size_t i, enum brf_run_end end,
+    const std::map<std::string, std::string> &fields = {})
 {
 	struct brf_run *run = f->running[i];
 	struct brf_message *answer = nullptr;
@@ -60,6 +62,9 @@
 	if (end == BRF_RUN_ANSWERED) {
 		answer = brf_message_new();
 		answer->status = 200;
+		for (const auto &[name, value] : fields)
+			brf_message_add_header(answer, name.data(), name.size(),
+			    value.data(), value.size(), nullptr);
 	}
 	run->done(run, end, answer);
 	brf_message_unref(answer);
@@ -435,3 +440,51 @@
 		EXPECT_EQ(h.find_violation(), nullptr);
 	}
 }
+
+TEST(gate, a_limit_that_the_target_states_is_kept_until_it_ends)
+{
+	struct gate_harness h(false);
+
+	h.send_new(true);
+	finish(&h.target, 0, BRF_RUN_ANSWERED, { { BRF_H_TARGET_LIMIT, "1" } });
+	h.advance(1);
+	h.send_new(true);
+	h.advance(500 * BRF_US_PER_MS);
+	EXPECT_TRUE(h.target.running.empty());
+	EXPECT_EQ(h.sent[1]->reply.outcome, BRF_NOT_RUN);
+	h.advance(500 * BRF_US_PER_MS);
+	h.send_new(true);
+	ASSERT_EQ(h.target.running.size(), 1u);
+	finish(&h.target, 0, BRF_RUN_ANSWERED);
+	for (int i = 0; i < 3; i++)
+		h.send_new(true);
+	EXPECT_EQ(h.target.running.size(), 3u);
+	while (!h.target.running.empty())
+		finish(&h.target, 0, BRF_RUN_ANSWERED);
+}
+
+TEST(gate, a_target_that_says_it_leaves_gets_nothing_until_it_is_replaced)
+{
+	struct gate_harness h(false);
+	struct fake_target other = {};
+	struct brf_announcement announcement = {};
+
+	h.send_new(true);
+	h.send_new(true);
+	finish(
+	    &h.target, 0, BRF_RUN_ANSWERED, { { BRF_H_TARGET_LEAVING, "1" } });
+	EXPECT_TRUE(brf_gate_target_leaves(h.gate));
+	finish(&h.target, 0, BRF_RUN_ANSWERED);
+	brf_gate_set_draining(h.gate, false); /* it announces itself again */
+	h.send_new(true);
+	EXPECT_EQ(h.sent[2]->reply.reason, BRF_R_DRAINING);
+	other.target.vt = &target_vt;
+	brf_copy_name(
+	    announcement.service, sizeof(announcement.service), "factors");
+	announcement.slots = 1;
+	brf_gate_attach(h.gate, &other.target, &announcement, release_nothing);
+	EXPECT_FALSE(brf_gate_target_leaves(h.gate));
+	h.send_new(true);
+	EXPECT_EQ(other.running.size(), 1u);
+	finish(&other, 0, BRF_RUN_ANSWERED);
+}
