--- a/src/node/gate_attempt.c
+++ b/src/node/gate_attempt.c
@@ -120,16 +120,13 @@
 }
 
 static void
-run_ended(struct brf_gate_attempt *ga, struct brf_reply *reply,
-    const struct brf_message *answer)
+run_ended(struct brf_gate_attempt *ga, struct brf_reply *reply)
 {
 	struct brf_gate *gate = ga->gate;
 	uint64_t duration_us = now(gate) - ga->run_started_at;
 	bool useful = reply->outcome == BRF_ANSWERED && !ga->cancelled;
 
 	ga->running = false;
-	if (answer != NULL)
-		brf_gate_learn(gate, ga->runs_on, answer, ga->run_started_at);
 	brf_gate_target_unref(ga->runs_on);
 	brf_histogram_add(gate->metrics[ga->ticket.cls].duration, duration_us);
 	account_slot_time(ga, reply, duration_us);
@@ -163,6 +160,9 @@
 		.reason = run_end_replies[end].reason,
 		.answer = answer };
 
+	if (end == BRF_RUN_ANSWERED)
+		brf_gate_learn(
+		    ga->gate, ga->runs_on, answer, ga->run_started_at);
 	if (end == BRF_RUN_CANCELLED && !ga->cancelled)
 		reply.reason = BRF_R_TIMEOUT;
 	if (end == BRF_RUN_ANSWERED && answer->status == 503 &&
@@ -171,7 +171,7 @@
 		reply.reason = BRF_R_TARGET_SHED;
 		reply.answer = NULL;
 	}
-	run_ended(ga, &reply, answer);
+	run_ended(ga, &reply);
 }
 
 static void
