mesh/services, policy/rate_limit: entries out of order, limits below one a second

An entry of an earlier incarnation that arrives late dropped what the present one had said, so that a target which leaves was chosen again when its own entry came back (services_report.an_entry_of_the_past_does_not_undo_leaving). A sender refused by a limit of one request in 5 s was told to ask after 2 s, for nothing.

--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -141,6 +141,14 @@
 		    BRF_LU("leaving", report->self.leaving));
 }
 
+/* Entries may come out of order, so that an incarnation may return. */
+static void
+remember_report(const struct brf_mesh_peer *peer)
+{
+	brf_report_memory_put(&peer->services->reports, peer->id, peer->born,
+	    &peer->report, now_of(peer->services));
+}
+
 /* Begin with what is remembered of this incarnation. */
 static void
 begin_incarnation(struct brf_mesh_peer *peer, uint64_t born)
@@ -170,8 +178,10 @@
 	peer->balancer.warmup_end = t->received_at + e->warmup_us;
 	peer->balancer.draining = e->state != BRF_TARGET_READY;
 	peer->balancer.drain_backoff_until = 0;
-	if (peer->born != e->born)
+	if (peer->born != e->born) {
+		remember_report(peer);
 		begin_incarnation(peer, e->born);
+	}
 	if (peer->service != service) {
 		remove_from_service(peer);
 		add_to_service(peer, service);
@@ -219,8 +229,7 @@
 	struct brf_mesh_peer *peer = t->data;
 
 	peer->target = NULL;
-	brf_report_memory_put(
-	    &s->reports, peer->id, peer->born, &peer->report, now_of(s));
+	remember_report(peer);
 	remove_from_service(peer);
 	update_bits(s);
 	set_link(peer, NULL);
--- a/src/policy/rate_limit.c
+++ b/src/policy/rate_limit.c
@@ -70,7 +70,7 @@
 brf_rate_limit_promise_us(
     struct brf_rate_limit *l, uint32_t waiting, uint64_t now)
 {
-	uint64_t first, limit = now + PROMISE_MAX_US;
+	uint64_t first, latest = now + PROMISE_MAX_US;
 
 	if (l->rate == 0)
 		return (0);
@@ -79,7 +79,9 @@
 		l->promised_until = first;
 	else
 		l->promised_until += (uint64_t)(BRF_US_PER_S / l->rate);
-	if (l->promised_until > limit)
-		l->promised_until = limit;
+	if (latest < first)
+		latest = first;
+	if (l->promised_until > latest)
+		l->promised_until = latest;
 	return (l->promised_until - now);
 }
--- a/src/policy/rate_limit.h
+++ b/src/policy/rate_limit.h
@@ -54,8 +54,9 @@
  * behind the senders that were refused before.
  * @waiting: requests that wait for permits at the gate
  *
- * Return: microseconds, bounded so that each sender asks again every few
- * seconds and learns when the limit has ended; 0 without a limit.
+ * Return: microseconds, not much above the time of the next free permit, so
+ * that each sender learns within seconds when the limit has ended; 0 without
+ * a limit.
  */
 uint64_t brf_rate_limit_promise_us(
     struct brf_rate_limit *l, uint32_t waiting, uint64_t now);
--- a/test/mesh_services_test.cc
+++ b/test/mesh_services_test.cc
@@ -127,6 +127,15 @@
 	EXPECT_TRUE(is_chosen());
 }
 
+TEST_F(services_report, an_entry_of_the_past_does_not_undo_leaving)
+{
+	appear(6);
+	say(peer(), 6, 0, true);
+	appear(5);
+	appear(6);
+	EXPECT_FALSE(is_chosen());
+}
+
 TEST_F(services_report, a_word_of_an_incarnation_may_come_before_its_entry)
 {
 	say(peer(), 6, 0, true);
--- a/test/rate_limit_test.cc
+++ b/test/rate_limit_test.cc
@@ -131,6 +131,8 @@
 	for (int i = 0; i < 100; i++)
 		brf_rate_limit_promise_us(&l, 1, START);
 	EXPECT_LE(brf_rate_limit_promise_us(&l, 1, START), 2 * SECOND);
+	brf_rate_limit_set(&l, 0.2, START);
+	EXPECT_EQ(brf_rate_limit_promise_us(&l, 0, START), 5 * SECOND);
 }
 
 } // namespace
