mesh/services: a word heard by a hop that outlived its target's entry

The directory may drop a target and read it again while a hop to it is open; what the reply said of the target went to the memory of reports, which the new peer had read already, so that a target which leaves was chosen again. services_report.a_word_may_come_by_a_hop_that_outlived_the_entry failed before. mesh/gate: leaving no longer depends on the gauge of a metric.

--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -402,19 +402,20 @@
 	    BRF_LU("leaving", report->leaving));
 }
 
-/* Apply a change of the report. */
 static void
-apply_report(struct brf_mesh_gate *gate, const char *source)
+apply_report(struct brf_mesh_gate *gate)
 {
 	const struct brf_self_report *report = &gate->report;
-	bool leaves = report->leaving && gate->leaving->value == 0;
 
 	gate->rate_limit->value = report->rate_limit;
 	gate->leaving->value = report->leaving;
-	log_report(gate, source);
 	brf_slot_queues_set_rate(gate->queues, report->rate_limit);
-	if (!leaves)
-		return;
+}
+
+/* The target has said that it leaves. */
+static void
+begin_leaving(struct brf_mesh_gate *gate)
+{
 	brf_mesh_gate_refuse(gate, BRF_R_DRAINING);
 	if (gate->config.target_leaves != NULL)
 		gate->config.target_leaves(gate->config.arg);
@@ -434,14 +435,19 @@
 {
 	struct brf_mesh_gate *gate = gh->gate;
 	struct brf_self_statement statement = gh->run.answer.statement;
+	bool was_leaving = gate->report.leaving;
 
 	if (gh->learned || !is_by_target(gh))
 		return;
 	gh->learned = true;
 	statement.authentic = gh->run.answer.sealed;
 	statement.asked_at = gh->run.sent_at;
-	if (brf_self_report_update(&gate->report, &statement, now(gate)))
-		apply_report(gate, "answer");
+	if (!brf_self_report_update(&gate->report, &statement, now(gate)))
+		return;
+	log_report(gate, "answer");
+	apply_report(gate);
+	if (gate->report.leaving && !was_leaving)
+		begin_leaving(gate);
 }
 
 static void
@@ -665,10 +671,12 @@
 static void
 learn_from_sender(struct brf_mesh_gate *gate, const struct brf_hop_request *rq)
 {
-	if (rq->born == gate->notice.born &&
-	    strcmp(rq->target, gate->notice.id) == 0 &&
-	    brf_self_report_adopt(&gate->report, rq->rate_limit, now(gate)))
-		apply_report(gate, "sender");
+	if (rq->born != gate->notice.born ||
+	    strcmp(rq->target, gate->notice.id) != 0 ||
+	    !brf_self_report_adopt(&gate->report, rq->rate_limit, now(gate)))
+		return;
+	log_report(gate, "sender");
+	apply_report(gate);
 }
 
 static void
@@ -789,9 +797,7 @@
 	brf_flow_target_close_idle(gate->target);
 	gate->incarnation++;
 	memset(&gate->report, 0, sizeof(gate->report));
-	gate->rate_limit->value = 0;
-	gate->leaving->value = 0;
-	brf_slot_queues_set_rate(gate->queues, 0);
+	apply_report(gate);
 }
 
 void
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -387,22 +387,41 @@
 		    BRF_LS("target", peer->id));
 }
 
+/*
+ * The peer that the directory has for the target of @peer, which it may have
+ * dropped and read again during a hop; NULL for none.
+ */
+static struct brf_mesh_peer *
+current_peer(struct brf_mesh_peer *peer)
+{
+	const struct brf_mesh_service *service = peer->service;
+	size_t i;
+
+	if (peer->target != NULL)
+		return (peer);
+	for (i = 0; i < service->count; i++) {
+		if (strcmp(service->peers[i]->id, peer->id) == 0)
+			return (service->peers[i]);
+	}
+	return (NULL);
+}
+
 void
 brf_mesh_peer_reported(struct brf_mesh_peer *peer,
     const struct brf_target_report *report, uint64_t now)
 {
+	struct brf_mesh_peer *current = current_peer(peer);
+	struct brf_target_report own = *report;
 	bool names_incarnation =
 	    report->self.rate_limit != 0 || report->self.leaving;
-	struct brf_target_report own = *report;
 
 	if (!report->self.heard)
 		return;
-	if (names_incarnation &&
-	    (peer->target == NULL || report->born != peer->born)) {
+	if (current != NULL &&
+	    (!names_incarnation || report->born == current->born)) {
+		own.self.leaving = own.self.leaving || current->report.leaving;
+		set_report(current, &own, now);
+	} else if (names_incarnation)
 		brf_report_memory_put(&peer->services->reports, peer->id,
 		    report->born, &report->self, now);
-		return;
-	}
-	own.self.leaving = own.self.leaving || peer->report.leaving;
-	set_report(peer, &own, now);
 }
--- a/test/balancer_test.cc
+++ b/test/balancer_test.cc
@@ -44,12 +44,13 @@
 
 	size_t
 	choose(uint32_t rank = 2, bool nested = false,
-	    std::vector<size_t> tried = {}, bool repeatable = true)
+	    std::vector<size_t> tried = {}, bool repeatable = true,
+	    uint64_t max_wait_us = 0)
 	{
 		std::vector<struct brf_balancer_target *> list;
 		bool was_tried[16] = { false };
 		struct brf_balancer_request rq = { rank, nested, repeatable,
-			was_tried };
+			was_tried, max_wait_us };
 
 		for (auto &t : targets)
 			list.push_back(&t);
@@ -294,17 +295,7 @@
 	size_t
 	choose_with_wait(uint64_t max_wait_us, std::vector<size_t> tried = {})
 	{
-		std::vector<struct brf_balancer_target *> list;
-		bool was_tried[16] = { false };
-		struct brf_balancer_request rq = { 2, false, true, was_tried,
-			max_wait_us };
-
-		for (auto &t : targets)
-			list.push_back(&t);
-		for (size_t i : tried)
-			was_tried[i] = true;
-		return (brf_balancer_choose(
-		    list.data(), list.size(), &rq, &random.random, now));
+		return (choose(2, false, tried, true, max_wait_us));
 	}
 };
 
--- a/test/mesh_services_test.cc
+++ b/test/mesh_services_test.cc
@@ -144,6 +144,19 @@
 	EXPECT_FALSE(is_chosen());
 }
 
+TEST_F(services_report, a_word_may_come_by_a_hop_that_outlived_the_entry)
+{
+	struct brf_mesh_peer *before = peer();
+
+	before->refs++;
+	lapse();
+	appear(5);
+	EXPECT_TRUE(is_chosen());
+	say(before, 5, 0, true);
+	EXPECT_FALSE(is_chosen());
+	brf_mesh_peer_unref(before);
+}
+
 TEST_F(services_report, a_late_word_of_an_old_incarnation_changes_nothing)
 {
 	appear(6);
