policy/admission: a level without a permit is not a level of 0

The level on replies showed a limit of 0 where nothing ran and no permit was left; senders take 0 for a limit that is not known, and saw all of the target's slots as free. It shows one attempt now.

--- a/src/policy/admission.c
+++ b/src/policy/admission.c
@@ -542,15 +542,19 @@
 	start_tick(a, 0);
 }
 
-/* Attempts that may run at once, and that have a permit now. */
+/*
+ * Attempts that may run at once, and that have a permit now; at least 1, since
+ * senders take 0 for a limit that they don't know.
+ */
 static uint32_t
 usable_limit(const struct brf_admission *a, uint64_t now)
 {
 	uint32_t limit = limit_of(a, now);
+	uint32_t usable = a->in_flight != 0 ? a->in_flight : 1;
 
 	if (brf_rate_limit_wait_us(&a->rate, 1, now) == 0)
 		return (limit);
-	return (a->in_flight < limit ? a->in_flight : limit);
+	return (usable < limit ? usable : limit);
 }
 
 void
