--- a/review/shared/kit.py
+++ b/review/shared/kit.py
@@ -29,14 +29,17 @@
 sys.dont_write_bytecode = True
 
 import standin  # noqa: E402  the project's own
+from names import N  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 HOST = "hulo84.example"
-BOUNDS = {"graceS": 6, "drainS": 2, "retryBudgetRatio": 0.2,
-          "retryWindowS": 10, "contactS": 3, "reuseAfterS": 2}
-LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
-          "headerTimeoutS": 3, "idleTimeoutS": 15}
+# Bounds of the site, seconds but for the ratio.
+GRACE_S, DRAIN_S, CONTACT_S, REUSE_AFTER_S = 6, 2, 3, 2
+RETRY_RATIO, RETRY_WINDOW_S = 0.2, 10
+# Limits as in the pages' example of a configuration.
+LIMITS = {N.MAX_HEADER_BYTES: 16384, N.MAX_BODY_BYTES: 67108864,
+          N.HEADER_TIMEOUT: 3, N.IDLE_TIMEOUT: 15}
 
 
 class CannotRun(Exception):
@@ -110,14 +113,13 @@
 standin.StoreHandler = RenewingHandler
 
 
-def fill(template, fields):
-    """The settings template, with {{a}}, {{a.b}} and {{a.0}} filled in."""
-    def value(match):
-        v = fields
-        for name in match[1].split("."):
-            v = v[int(name)] if isinstance(v, list) else v[name]
-        return str(v)
-    return re.sub(r"\{\{([^}]+)\}\}", value, template)
+def fill(template, values):
+    """The settings template, each setting with its value."""
+    lines = []
+    for line in template.splitlines():
+        name, equals, _ = line.partition("=")
+        lines.append(f"{name}={values[name]}" if equals else line)
+    return "\n".join(lines) + "\n"
 
 
 class Deployment:
@@ -167,12 +169,11 @@
 
     def configure(self, routes, services, **limits):
         self.version += 7
-        self.store.write("op/config", json.dumps({
-            "version": self.version, "routes": routes,
-            "services": [{"name": s, "healthCheckPath": "/healthz",
-                          "maxConnections": 256, "protocol": "h1",
-                          "tls": False} for s in services],
-            "limits": {**LIMITS, **limits}}))
+        self.store.write(N.CONFIG_KEY, json.dumps({
+            N.CONFIG_VERSION: self.version, N.ROUTES: routes,
+            N.SERVICES: [{N.NAME: s, N.MAX_CONNECTIONS: 256}
+                         for s in services],
+            N.LIMITS: {**LIMITS, **limits}}))
         self.record.add("config", version=self.version, routes=routes)
 
     def node(self, service, zone="zg-a"):
@@ -227,24 +228,27 @@
 
     def write_settings(self):
         p = self.d.ports
-        fields = {
-            "nodeId": self.name, "zone": self.zone, "region": "hr-north",
-            "service": self.service, "ip": self.ip, "internalPorts": [p[3]],
-            "listenAddrs": {"outbound": f"{self.ip}:{p[0]}",
-                            "ready": f"{self.ip}:{p[1]}",
-                            "admin": f"{self.ip}:{p[2]}",
-                            "inbound": f"{self.ip}:{p[4]}"},
-            "appAddr": f"{self.ip}:{p[5]}", "bounds": BOUNDS,
-            "platform": {"address": f"127.0.0.1:{self.d.store.port}"},
+        values = {
+            "BRF_NODE": self.name, "BRF_ZONE": self.zone,
+            "BRF_REGION": "hr-north", "BRF_SERVICE": self.service,
+            "BRF_CALLERS": f"{self.ip}:{p[0]}",
+            "BRF_READY": f"{self.ip}:{p[1]}",
+            "BRF_ADMIN": f"{self.ip}:{p[2]}",
+            "BRF_PEERS": f"{self.ip}:{p[3]}",
+            "BRF_TARGET": f"{self.ip}:{p[5]}",
+            "BRF_STORE": f"127.0.0.1:{self.d.store.port}",
+            "BRF_GRACE_S": GRACE_S, "BRF_DRAIN_S": DRAIN_S,
+            "BRF_RETRY_RATIO": RETRY_RATIO,
+            "BRF_RETRY_WINDOW_S": RETRY_WINDOW_S,
         }
         template = (ROOT / self.d.role["template"]).read_text()
         fresh = self.path.with_suffix(".new")
-        fresh.write_text(fill(template, fields))
+        fresh.write_text(fill(template, values))
         fresh.rename(self.path)
 
     def start(self):
         env = {"PATH": os.environ["PATH"], "LANG": "C",
-               "BULRUSHFORD_SETTINGS": str(self.path)}
+               N.SETTINGS_ENV: str(self.path)}
         with open(self.out, "ab") as out:
             try:
                 self.popen = subprocess.Popen(
@@ -267,7 +271,7 @@
             raise CannotRun(f"{self.name} has ended: {self.log()[-300:]}")
         try:
             c = http.client.HTTPConnection(self.ip, self.d.ports[1], timeout=1)
-            c.request("GET", "/bulrushford/ready")
+            c.request("GET", N.READY_PATH)
             return c.getresponse().status == 200
         except OSError:
             return False
@@ -288,7 +292,8 @@
     def send(self, method, path, ident, timeout_ms=5000, body=None,
              chunked=False):
         head = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-                f"Attempt-Id: {ident}\r\nTimeout-Ms: {timeout_ms}\r\n")
+                f"{N.H_REQUEST_ID}: {ident}\r\n"
+                f"{N.H_TIMEOUT_MS}: {timeout_ms}\r\n")
         data = b""
         if body is not None and chunked:
             head += "Transfer-Encoding: chunked\r\n"
@@ -317,7 +322,7 @@
         except (OSError, http.client.HTTPException, ValueError) as e:
             why = f"{type(e).__name__}: {e}"[:100]
         self.record.add("answered", id=self.ident, status=status,
-                        seal=fields.get("upstream-seal", ""),
+                        seal=fields.get(N.H_SEAL, ""),
                         body_bytes=len(body), complete=complete, why=why)
         return status, fields, body, complete
 
@@ -403,9 +408,9 @@
 
 
 def route(name, prefix, service, kind="safe", timeout_s=5.0, **more):
-    return {"name": name, "host": HOST, "prefix": prefix, "routeType": kind,
-            "timeoutS": timeout_s, "targetLatencyS": 1.5, "priority": 0,
-            "service": service, "maxAttempts": 2, **more}
+    return {N.NAME: name, N.HOST: HOST, N.PREFIX: prefix, N.ROUTE_TYPE: kind,
+            N.TIMEOUT: timeout_s, N.LATENCY_OBJECTIVE: 1.5, N.PRIORITY: 0,
+            N.SERVICE: service, N.MAX_ATTEMPTS: 2, **more}
 
 
 def main(folder, case):
--- a/review/shared/upstream.py
+++ b/review/shared/upstream.py
@@ -29,6 +29,8 @@
 import time
 import urllib.parse
 
+from names import N
+
 RESET_SHARE = 0.55  # the largest x of reset_conns at the site
 
 silent = threading.Event()
@@ -101,17 +103,19 @@
         name, value = text.split(":", 1)
         fields[name.lower()] = value.strip()
     query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(path).query))
-    ident = fields.get("attempt-id", "")
-    head = (f"Attempt-Id: {ident}\r\nUpstream-Seal: {args.id}.{ident}\r\n")
-    if fields.get("target-instance", args.id) != args.id:
+    ident = fields.get(N.H_REQUEST_ID, "")
+    head = (f"{N.H_REQUEST_ID}: {ident}\r\n"
+            f"{N.H_SEAL}: {args.id}.{ident}\r\n")
+    if fields.get(N.H_TARGET, args.id) != args.id:
         record(args, "rejected_421", id=ident)
-        conn.sendall(f"HTTP/1.1 421 Misdirected\r\nAttempt-Id: {ident}\r\n"
-                     "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+        conn.sendall("HTTP/1.1 421 Misdirected\r\n"
+                     f"{N.H_REQUEST_ID}: {ident}\r\n{N.H_NOT_EXECUTED}: 1\r\n"
+                     "Content-Length: 0\r\n\r\n".encode())
         return "content-length" not in fields
     record(args, "run", id=ident, method=method, path=path,
-           caller=fields.get("caller-service"),
-           target=fields.get("target-instance"),
-           timeout_ms=fields.get("timeout-ms"),
+           caller=fields.get(N.H_CALLER),
+           target=fields.get(N.H_TARGET),
+           timeout_ms=fields.get(N.H_TIMEOUT_MS),
            framing=fields.get("transfer-encoding",
                               fields.get("content-length")))
     time.sleep(int(query.get("read", 0)) / 1000)
@@ -161,15 +165,15 @@
     while True:
         stall()
         sequence += 1
-        body = {"address": args.address, "born": born,
-                "info": {"service": args.service, "version": "v1",
-                         "zone": args.zone, "slots": args.slots},
-                "status": {"state": "ready", "sequence": sequence,
-                           "warmupLeftS": 0}}
+        body = {N.ADDRESS: args.address, N.START_TIME: born,
+                N.INFO: {N.SERVICE: args.service, N.SOFTWARE_VERSION: "v1",
+                         N.ZONE: args.zone, N.SLOTS: args.slots},
+                N.STATUS: {N.STATE: N.STATE_READY, N.SEQUENCE: sequence,
+                           N.WARMUP_LEFT: 0}}
         status = 0
         try:
             c = http.client.HTTPConnection(host, int(port), timeout=1)
-            c.request("PUT", f"/bulrushford/instances/{args.id}",
+            c.request("PUT", N.INSTANCES_PATH + args.id,
                       json.dumps(body), {"Content-Type": "application/json"})
             status = c.getresponse().status
             c.close()
@@ -186,6 +190,7 @@
                  "record"):
         p.add_argument(f"--{name}", required=True)
     p.add_argument("--slots", type=int, default=50)
+    p.add_argument("--quiet", action="store_true", help="sends no heartbeats")
     args = p.parse_args()
     signal.signal(signal.SIGUSR1, lambda *a: threading.Thread(
         target=reset_idle, args=(args,)).start())
@@ -195,7 +200,8 @@
     s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     s.bind((host, int(port)))
     s.listen(512)
-    threading.Thread(target=heartbeats, args=(args,), daemon=True).start()
+    if not args.quiet:
+        threading.Thread(target=heartbeats, args=(args,), daemon=True).start()
     while True:
         conn, _ = s.accept()
         threading.Thread(target=serve, args=(args, conn), daemon=True).start()
