--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
 """Connections are reset while clients lodge returns: is each body whole?"""
 
+import hashlib
 import os
 import signal
 import sys
@@ -11,6 +12,7 @@
 import kit  # noqa: E402
 
 BODY = b"certified levy return " * 20
+LONG = b"certified levy return " * 600
 CLIENTS = 16
 LOAD_S = 20
 RESET_EVERY_S = 0.5
@@ -23,8 +25,13 @@
         i += 1
         closed = True
         try:
-            client.send("POST", f"/lodge/{number}-{i}?ms=5",
-                        f"a{number}-{i}", body=BODY, chunked=i % 2 == 0)
+            if i % 4 == 0:
+                client.send("POST", f"/lodge/{number}-{i}?how=early&read=2",
+                            f"long-{number}-{i}", body=LONG)
+            else:
+                client.send("POST", f"/lodge/{number}-{i}?ms=5",
+                            f"short-{number}-{i}", body=BODY,
+                            chunked=i % 2 == 1)
             status, fields, _, _ = client.answer()
             closed = not status or fields.get("connection") == "close"
         except OSError:
@@ -58,10 +65,14 @@
     answers = {a["id"]: a["status"] for a in d.record.lines("answered")}
     read = d.record.lines("body_read")
     resets = d.record.lines("idle_connections_reset")
-    print(f"{len(answers)} requests, {len(read)} run, {len(resets)} resets")
-    return [f"UNASKED: {r['id']} was run with a body of {r['bytes']} bytes; "
-            f"{len(BODY)} were sent; the client got {answers.get(r['id'])}"
-            for r in read if r["bytes"] != len(BODY)]
+    print(f"{len(answers)} requests, {len(read)} bodies read, "
+          f"{len(resets)} resets")
+    whole = {kind: hashlib.sha256(body).hexdigest()[:16]
+             for kind, body in (("short", BODY), ("long", LONG))}
+    return [f"UNASKED: {r['id']} was run with another body, of {r['bytes']} "
+            f"bytes, that begins with {r['begins']!r}; the client got "
+            f"{answers.get(r['id'])}"
+            for r in read if r["sha"] != whole[r["id"].split("-")[0]]]
 
 
 kit.main(FOLDER, case)
--- a/review/shared/kit.py
+++ b/review/shared/kit.py
@@ -21,7 +21,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 
 SHARED = pathlib.Path(__file__).resolve().parent
 ROOT = SHARED.parent.parent
@@ -128,8 +127,10 @@
     def __init__(self, folder):
         self.record = Record(folder)
         self.tmp = pathlib.Path(tempfile.mkdtemp(prefix="brf-review-"))
-        self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        self.role = next(iter(self.deploy["roles"].values()))
+        # the one role of the deploy file
+        self.role = dict(re.findall(
+            r'^(run|template) = "([^"]+)"',
+            (ROOT / "deploy" / "system.toml").read_text(), re.M))
         self.processes = []
         self.nodes = []
         self.store = Store()
@@ -432,9 +433,9 @@
                 deployment.record.add("BROKEN", why=b)
                 print("broken:", b)
             code = BROKEN if broken else HELD
-        except (CannotRun, OSError, subprocess.SubprocessError) as e:
-            deployment.record.add("not_run", why=str(e))
-            print("could not run:", e, file=sys.stderr)
+        except Exception as e:  # also a fault of the case itself
+            deployment.record.add("not_run", why=f"{type(e).__name__}: {e}")
+            print(f"could not run: {type(e).__name__}: {e}", file=sys.stderr)
         deployment.record.add("end", trouble=TROUBLE, exit=code)
     watchdog.cancel()
     sys.exit(code)
--- a/review/shared/upstream.py
+++ b/review/shared/upstream.py
@@ -6,6 +6,7 @@
 
 ms=N       milliseconds of work after the body was read
 size=N     bytes of the answer's body
+how=early  it answers at once, keeps the connection and reads the body then
 how=unframed   the answer has no length and ends with the connection
 part=N     bytes of the body after which it pauses for pause=N milliseconds
 read=N     milliseconds before it begins to read the body
@@ -33,6 +34,7 @@
 
 RESET_SHARE = 0.55  # the largest x of reset_conns at the site
 
+EARLY = "early"
 silent = threading.Event()
 wake_read, wake_write = socket.socketpair()
 
@@ -90,8 +92,10 @@
     return read_exactly(rfile, int(fields.get("content-length", 0)))
 
 
-def serve_one(args, conn, rfile):
-    if not wait_for_request(conn):
+def serve_one(args, conn, rfile, waits):
+    """Return whether to read on; EARLY behind an early answer, when the next
+    request may have been read already."""
+    if waits and not wait_for_request(conn):
         return False
     line = rfile.readline()
     if not line.strip():
@@ -104,6 +108,12 @@
         fields[name.lower()] = value.strip()
     query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(path).query))
     ident = fields.get(N.H_REQUEST_ID, "")
+    if not ident:
+        record(args, "rejected_400", line=line[:60].decode("latin-1"))
+        conn.sendall(f"HTTP/1.1 400 Bad Request\r\n{N.H_NOT_EXECUTED}: 1\r\n"
+                     "Connection: close\r\nContent-Length: 0\r\n\r\n"
+                     .encode())
+        return False
     head = (f"{N.H_REQUEST_ID}: {ident}\r\n"
             f"{N.H_SEAL}: {args.id}.{ident}\r\n")
     if fields.get(N.H_TARGET, args.id) != args.id:
@@ -118,10 +128,18 @@
            timeout_ms=fields.get(N.H_TIMEOUT_MS),
            framing=fields.get("transfer-encoding",
                               fields.get("content-length")))
+    early = query.get("how") == "early"
+    if early:
+        conn.sendall(f"HTTP/1.1 200 OK\r\n{head}Content-Length: 5\r\n\r\n"
+                     "early".encode())
+        record(args, "answer_sent", id=ident, bytes=5)
     time.sleep(int(query.get("read", 0)) / 1000)
     body = read_body(rfile, fields)
     record(args, "body_read", id=ident, bytes=len(body),
-           sha=hashlib.sha256(body).hexdigest()[:16])
+           sha=hashlib.sha256(body).hexdigest()[:16],
+           begins=body[:40].decode("latin-1"))
+    if early:
+        return EARLY
     time.sleep(int(query.get("ms", 0)) / 1000)
     stall()
     out = (args.id.encode() + b" ") * (int(query.get("size", 20)))
@@ -147,8 +165,9 @@
     conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     rfile = conn.makefile("rb")
     try:
-        while serve_one(args, conn, rfile):
-            pass
+        more = True
+        while more:
+            more = serve_one(args, conn, rfile, more != EARLY)
     except (OSError, ValueError) as e:
         record(args, "connection_lost", why=str(e)[:80])
     finally:
