--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec python3 case.py
+cd "$(dirname "$0")" && PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
