--- a/review/shared/kit.py
+++ b/review/shared/kit.py
@@ -414,18 +414,17 @@
             N.SERVICE: service, N.MAX_ATTEMPTS: 2, **more}
 
 
-def main(folder, case):
-    """Run case(deployment), which returns a list of what broke the rule."""
-    def too_long():
-        print("the case took over 110 s", file=sys.stderr)
-        for p in deployment.processes:
-            Deployment.end(p)
-        os._exit(NOT_RUN)
-
-    watchdog = threading.Timer(110, too_long)
-    watchdog.daemon = True
+def run(folder, case):
     code = NOT_RUN
     with Deployment(folder) as deployment:
+        def too_long():
+            print("the case took over 110 s", file=sys.stderr)
+            for p in deployment.processes:
+                Deployment.end(p)
+            os._exit(NOT_RUN)
+
+        watchdog = threading.Timer(110, too_long)
+        watchdog.daemon = True
         watchdog.start()
         try:
             broken = case(deployment)
@@ -438,4 +437,14 @@
             print(f"could not run: {type(e).__name__}: {e}", file=sys.stderr)
         deployment.record.add("end", trouble=TROUBLE, exit=code)
     watchdog.cancel()
+    return code
+
+
+def main(folder, case):
+    """Run case(deployment), which returns a list of what broke the rule."""
+    try:
+        code = run(folder, case)
+    except Exception as e:
+        print(f"could not run: {type(e).__name__}: {e}", file=sys.stderr)
+        code = NOT_RUN
     sys.exit(code)
