flow/target: a request's body is taken only by a connection that accepts it

What callers saw: an unsafe request with a chunked body was run with an empty one and answered with 200; one with a length reached the target without its body, and where the target answered early, other callers' requests were read as that body.

Cause: a run tries one idle connection after the other. Each attempt moved the body out of the pipe before the write said that the connection is dead, so that the next one got the head and what was left of the body. It needs a body that is in the pipe already, as over a link, and a reset that the loop has not read yet.

Ruled out: the links (a lost connection is either begun again from the sender's copy, or fails), and bulrushfordd, whose pool sends from a whole message that each connection reads anew.

Why it works: the body stays in the pipe until the kernel has taken the head, which goes out in the same write as before. Until then the run is unchanged and may begin again; from then on the connection alone has the bytes, and its loss ends the run as one that may have run. A connection counts the body as sent only if it has itself sent the end of it, and is not kept otherwise. A run that no connection took refers to none any more; before, it kept a pointer to the last one, which was being closed.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -427,32 +427,52 @@
 		fail_conn(c, c->read_state != READ_HEAD || c->input.len != 0);
 }
 
-static void
-send_body(struct brf_flow_target_conn *c)
+/*
+ * Add what the pipe holds of the request's body to the output.  The bytes stay
+ * in the pipe until commit_body().
+ *
+ * Return: their number
+ */
+static size_t
+add_body(struct brf_flow_target_conn *c)
 {
-	struct brf_pipe *body = c->run->body;
+	const struct brf_pipe *body = c->run->body;
 	struct brf_buf *out = &c->writer.out;
 	bool chunked = c->run->framing == BRF_BODY_CHUNKED;
-	size_t len;
+	size_t len = brf_pipe_len(body);
 
-	if (c->body_sent || c->stop_sending)
-		return;
-	len = brf_pipe_len(body);
-	if (len != 0 && !brf_writer_full(&c->writer)) {
-		if (chunked)
-			brf_buf_printf(out, "%zx\r\n", len);
+	if (len != 0 && chunked)
+		brf_buf_printf(out, "%zx\r\n", len);
+	if (len != 0)
 		brf_buf_add(out, brf_pipe_data(body), len);
-		brf_body_hash_add(&c->run->body_hash, brf_pipe_data(body), len);
-		if (chunked)
-			brf_buf_add(out, "\r\n", 2);
-		brf_pipe_consume(body, len);
+	if (len != 0 && chunked)
+		brf_buf_add(out, "\r\n", 2);
+	if (chunked && body->state == BRF_PIPE_ENDED)
+		brf_buf_puts(out, "0\r\n\r\n");
+	return (len);
+}
+
+/* The @len bytes of add_body() belong to this connection alone from now on. */
+static void
+commit_body(struct brf_flow_target_conn *c, size_t len)
+{
+	struct brf_flow_run *run = c->run;
+
+	if (len != 0) {
+		brf_body_hash_add(
+		    &run->body_hash, brf_pipe_data(run->body), len);
+		brf_pipe_consume(run->body, len);
 	}
-	if (!brf_pipe_finished(body))
+	c->body_sent = brf_pipe_finished(run->body);
+	run->body_sent = c->body_sent;
+}
+
+static void
+send_body(struct brf_flow_target_conn *c)
+{
+	if (c->body_sent || c->stop_sending || brf_writer_full(&c->writer))
 		return;
-	if (chunked)
-		brf_buf_puts(out, "0\r\n\r\n");
-	c->body_sent = true;
-	c->run->body_sent = true;
+	commit_body(c, add_body(c));
 }
 
 /* A target may close its receiving side after an early answer, so a failed
@@ -550,19 +570,25 @@
 	brf_task_post(c->target->config.tasks, &c->work);
 }
 
-/* Return: false if the write failed; the caller closes @c then. */
+/*
+ * Send the head and the first part of the body in one write.
+ *
+ * Return: false if the connection took no byte of them.  Then the run is as it
+ * was before, and may begin on another connection; the caller closes @c.
+ */
 static bool
 send_head(struct brf_flow_target_conn *c, struct brf_flow_run *run)
 {
+	size_t len = 0;
+
 	brf_buf_add(&c->writer.out, run->head.data, run->head.len);
+	if (run->body != NULL)
+		len = add_body(c);
+	if (brf_writer_flush(&c->writer) != 0)
+		return (false);
 	if (run->body != NULL) {
 		run->body->reader = &c->work;
-		send_body(c);
-	}
-	if (brf_writer_flush(&c->writer) != 0) {
-		if (run->body != NULL)
-			run->body->reader = NULL;
-		return (false);
+		commit_body(c, len);
 	}
 	run->state = BRF_FLOW_RUN_SENT;
 	run->sent_at = now(c->target);
@@ -618,6 +644,15 @@
 	c->body_sent = run->body == NULL;
 }
 
+/* Undo assign() for a run that the connection has sent nothing of. */
+static void
+unassign(struct brf_flow_target_conn *c)
+{
+	c->run->conn = NULL;
+	c->run->out->writer = NULL;
+	c->run = NULL;
+}
+
 static void
 open_conn(struct brf_flow_target *t, struct brf_flow_run *run)
 {
@@ -663,7 +698,7 @@
 		run->reused = true;
 		if (send_head(c, run))
 			return (true);
-		c->run = NULL;
+		unassign(c);
 		conn_close(c);
 		run->reused = false;
 	}
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -487,6 +487,73 @@
 	}
 }
 
+/* A request body is lost when the idle connection chosen first was reset. */
+TEST_F(mesh_gate, a_body_outlives_a_reset_idle_connection)
+{
+	const struct {
+		enum brf_body_kind framing;
+		std::string body, sent;
+	} cases[] = {
+		{ BRF_BODY_CHUNKED, "return", "6\r\nreturn\r\n0\r\n\r\n" },
+		{ BRF_BODY_CHUNKED, "", "0\r\n\r\n" },
+		{ BRF_BODY_LENGTH, "return", "return" },
+		{ BRF_BODY_LENGTH, std::string(30000, 'x'),
+		    std::string(30000, 'x') },
+	};
+
+	for (const auto &c : cases) {
+		struct sender first[2], s;
+		struct brf_pipe body;
+		std::string want;
+		raw_peer *p;
+
+		/* two idle connections, both of which are reset */
+		send(first[0], "1");
+		send(first[1], "2");
+		until([&] { return (target.requests() == 2); });
+		for (const char *id : { "1", "2" })
+			target.with(std::string("x-id: ") + id + "\r\n")
+			    ->put(complete_answer(id, ""));
+		until([&] {
+			return (first[0].hop.state != BRF_HOP_OPEN &&
+				first[1].hop.state != BRF_HOP_OPEN);
+		});
+		brf_hop_release(&first[0].hop);
+		brf_hop_release(&first[1].hop);
+		for (auto *peer : target.peers) {
+			reset_on_drop(*peer);
+			delete peer;
+		}
+		target.peers.clear();
+
+		brf_pipe_init(&body, &bench.scheduler.tasks);
+		brf_pipe_write(&body, c.body.data(), c.body.size());
+		brf_pipe_end(&body);
+		s.hop.request_body = &body;
+		s.hop.request.body = c.framing;
+		s.hop.request.length = c.body.size();
+		send(s, "3", false);
+		until([&] {
+			p = target.with("\r\n\r\n");
+			return (p != nullptr &&
+				p->got.size() >= p->got.find("\r\n\r\n") + 4 +
+						     c.sent.size());
+		});
+		ASSERT_NE(p, nullptr);
+		EXPECT_EQ(p->got.substr(p->got.find("\r\n\r\n") + 4), c.sent);
+		EXPECT_TRUE(brf_pipe_finished(&body));
+		p->put(complete_answer("3", "ok"));
+		until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+		EXPECT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+		brf_hop_release(&s.hop);
+		brf_pipe_free(&body);
+		for (auto *peer : target.peers)
+			delete peer;
+		target.peers.clear();
+		bench.turns(20);
+	}
+}
+
 TEST_F(mesh_gate, unexpected_bytes_close_an_idle_connection)
 {
 	struct sender s, next;
