mesh: an answer that its target owes ends at its deadline

What callers saw: a target fell silent after the head and half of the body. The caller had no end of the answer at the route's timeout, nor by its own patience, and the request held a slot of the target until 60 s after its deadline.

Cause: two timers were given up when the head was forwarded. The call stopped its own; the gate replaced its deadline by a check that looked only whether bytes were read, first at the deadline and then each minute, and did not ask whether the target still owed some.

A frozen node between caller and target ended such an answer before, by the 2 s of silence after which a link is closed; now by the deadline.

Why it works: from the deadline on, a module of its own decides by samples each 50 ms. Only the time counts in which the reader has taken all that came: 100 ms of it end the answer at the gate, which frees the slot. The caller's node gives up after 150 ms without a byte, so that a silent link holds nobody, and what is on its way still arrives. A caller that reads slowly gets a ready answer whole, at any time.

--- a/src/flow/pipe.h
+++ b/src/flow/pipe.h
@@ -83,6 +83,13 @@
 	return (p->buf.len - p->pos);
 }
 
+/* Return: total bytes consumed. */
+static inline uint64_t
+brf_pipe_read(const struct brf_pipe *p)
+{
+	return (p->written - brf_pipe_len(p));
+}
+
 static inline const char *
 brf_pipe_data(const struct brf_pipe *p)
 {
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -4,6 +4,7 @@
 #include "mesh/call.h"
 #include "mesh/gate.h"
 #include "mesh/trace.h"
+#include "policy/answer_watch.h"
 #include "policy/retry_after.h"
 
 #define REPLAY_MAX 65536u /* bytes of a body that are kept for another hop */
@@ -14,6 +15,11 @@
 
 /* Time after the deadline in which a gate may still report. */
 #define DEADLINE_GRACE_US (30 * BRF_US_PER_MS)
+/* Bounds of a forwarded answer after that, see policy/answer_watch.h: time
+ * without a byte of the gate, which itself ends what its target owes, and time
+ * without a byte read. */
+#define SILENT_MAX_US (150 * BRF_US_PER_MS)
+#define UNREAD_MAX_US (60 * BRF_US_PER_S)
 /*
  * Shares of the objective, or of a shorter timeout, that a root request and a
  * nested call may wait for a slot.
@@ -34,7 +40,10 @@
  * @hop: the latest hop
  * @work: posted when @hop or the body changes
  * @timer: fires DEADLINE_GRACE_US after @deadline; ends a held answer that is
- *	incomplete then
+ *	incomplete then.  From that time on, a forwarded one is checked each
+ *	BRF_ANSWER_CHECK_US
+ * @watch: of a forwarded answer, from its deadline on
+ * @overdue: the forwarded answer was ended for its deadline
  * @peers: targets to which the request was sent; @hop_count of them
  * @parent: request of this VM's target that makes the call, if @has_parent
  * @full_gates: gates that refused the request for lack of capacity
@@ -72,6 +81,7 @@
 	struct brf_hop hop;
 	struct brf_task work;
 	struct brf_timer timer;
+	struct brf_answer_watch watch;
 	struct brf_mesh_peer *peers[HOPS_MAX];
 	struct brf_mesh_parent parent;
 	uint32_t hop_count;
@@ -94,6 +104,7 @@
 	bool admitted;
 	bool hop_open;
 	bool answered;
+	bool overdue;
 	bool nested;
 	bool has_parent;
 	bool marked;
@@ -722,6 +733,52 @@
 	    &call->hop.report, now(call->calls));
 }
 
+static void
+check_answer(struct brf_timer *timer, void *arg)
+{
+	struct call *call = arg;
+	struct brf_pipe *body = &call->hop.answer_body;
+
+	if (body->state != BRF_PIPE_OPEN)
+		return;
+	if (brf_answer_watch_check(&call->watch, now(call->calls),
+		body->written, brf_pipe_read(body)) == BRF_ANSWER_GOES_ON) {
+		brf_timer_start(
+		    call->calls->timers, timer, BRF_ANSWER_CHECK_US);
+		return;
+	}
+	call->overdue = true;
+	brf_pipe_break(body);
+}
+
+static void
+watch_answer(struct brf_timer *timer, void *arg)
+{
+	struct call *call = arg;
+	const struct brf_pipe *body = &call->hop.answer_body;
+
+	call->watch = (struct brf_answer_watch){ .max_wait_us = SILENT_MAX_US,
+		.max_unread_us = UNREAD_MAX_US,
+		.renewed = true };
+	brf_answer_watch_start(
+	    &call->watch, now(call->calls), body->written, brf_pipe_read(body));
+	timer->fire = check_answer;
+	brf_timer_start(call->calls->timers, timer, BRF_ANSWER_CHECK_US);
+}
+
+static void start_timer(struct call *call);
+
+/* The answer goes to the caller; watch it from its deadline on. */
+static void
+keep_deadline(struct call *call)
+{
+	brf_timer_stop(call->calls->timers, &call->timer);
+	if (call->hop.answer_body.state != BRF_PIPE_OPEN)
+		return;
+	call->timer.fire = watch_answer;
+	start_timer(call);
+}
+
 static void
 hop_answered(struct call *call)
 {
@@ -732,7 +789,7 @@
 	take_report(call);
 	call->hop_open = false;
 	call->answered = true;
-	brf_timer_stop(call->calls->timers, &call->timer);
+	keep_deadline(call);
 	end_trace_hop(call);
 	brf_mesh_peer_ended(peer, BRF_FEEDBACK_ANSWERED,
 	    call->hop.has_load ? &call->hop.load : NULL, t);
@@ -1025,6 +1082,16 @@
 	[BRF_FLOW_ABORTED] = BRF_R_ABORTED,
 };
 
+static enum brf_reason
+unanswered_reason(const struct call *call, enum brf_flow_end end)
+{
+	if (end == BRF_FLOW_BROKEN && call->overdue)
+		return (BRF_R_TIMEOUT);
+	if (end == BRF_FLOW_BROKEN && call->hop.reason != BRF_R_NONE)
+		return (call->hop.reason);
+	return (unanswered_reasons[end]);
+}
+
 static bool
 is_targets_answer(enum brf_request_end end)
 {
@@ -1037,6 +1104,7 @@
     enum brf_flow_end end)
 {
 	struct call *call = rq->data;
+	enum brf_reason reason;
 
 	(void)handler;
 	if (end == BRF_FLOW_SENT && is_targets_answer(call->end))
@@ -1051,9 +1119,10 @@
 		set_end(call, BRF_REQUEST_REJECTED, BRF_R_MALFORMED);
 		log_end(call, "request_failed", 0, BRF_R_MALFORMED, 0);
 	} else if (end != BRF_FLOW_SENT) {
+		reason = unanswered_reason(call, end);
 		release_hop(call, BRF_FEEDBACK_NONE);
-		set_end(call, BRF_REQUEST_UNKNOWN, unanswered_reasons[end]);
-		log_end(call, "request_failed", 0, unanswered_reasons[end], 0);
+		set_end(call, BRF_REQUEST_UNKNOWN, reason);
+		log_end(call, "request_failed", 0, reason, 0);
 	}
 	call_free(call);
 }
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -4,6 +4,7 @@
 #include "flow/target.h"
 #include "mesh/gate.h"
 #include "mesh/trace.h"
+#include "policy/answer_watch.h"
 #include "policy/slot_queues.h"
 #include "policy/throttle.h"
 
@@ -13,12 +14,9 @@
 #define HOLD_MAX_US (50 * BRF_US_PER_MS)
 /* Time after the deadline in which the target may still answer. */
 #define DEADLINE_GRACE_US (5 * BRF_US_PER_MS)
-/*
- * Bounds a forwarded answer once its deadline has passed: it is cut when no
- * byte of it was read for this time, because nobody reads it or the target
- * sends nothing.  While it is read, however slowly, it is never cut: it may
- * have been complete at the target in time.
- */
+/* Bounds of a forwarded answer after its deadline, see policy/answer_watch.h:
+ * time that the target may take for the rest, and time without a byte read. */
+#define OWED_MAX_US (100 * BRF_US_PER_MS)
 #define UNREAD_MAX_US (60 * BRF_US_PER_S)
 
 /**
@@ -31,9 +29,8 @@
  * @work: posted when @run or the answer's body changes
  * @timer: fires DEADLINE_GRACE_US after the deadline; while an answer is held,
  *	HOLD_MAX_US after its head; once it is forwarded, at the deadline and
- *	each UNREAD_MAX_US after it
- * @read: bytes of a forwarded answer that were read when @timer fired last;
- *	UINT64_MAX before
+ *	each BRF_ANSWER_CHECK_US after it
+ * @watch: of a forwarded answer, from its deadline on
  * @arrived_at: clock time
  * @serial: identifies the hop at this gate
  * @incarnation: of the target that runs it
@@ -56,7 +53,7 @@
 	struct brf_timer timer;
 	uint64_t arrived_at;
 	uint64_t serial;
-	uint64_t read;
+	struct brf_answer_watch watch;
 	uint64_t incarnation;
 	uint64_t permit_wait_us;
 	enum brf_reason lost;
@@ -347,32 +344,46 @@
 	log_hop(gh, "hop_failed", BRF_R_TIMEOUT, ran_us(gh));
 	gh->gate->failures->value++;
 	gh->gate->counts.failed++;
+	gh->hop->reason = BRF_R_TIMEOUT;
 	brf_pipe_break(&gh->hop->answer_body);
 	gate_hop_free(gh);
 }
 
 static void
-check_reading(struct brf_timer *timer, void *arg)
+check_answer(struct brf_timer *timer, void *arg)
 {
 	struct gate_hop *gh = arg;
 	const struct brf_pipe *body = &gh->hop->answer_body;
-	uint64_t read = body->written - brf_pipe_len(body);
 
-	if (read == gh->read) {
+	if (brf_answer_watch_check(&gh->watch, now(gh->gate), body->written,
+		brf_pipe_read(body)) != BRF_ANSWER_GOES_ON) {
 		cut_answer(gh);
 		return;
 	}
-	gh->read = read;
-	brf_timer_start(gh->gate->config.timers, timer, UNREAD_MAX_US);
+	brf_timer_start(gh->gate->config.timers, timer, BRF_ANSWER_CHECK_US);
+}
+
+static void
+watch_answer(struct brf_timer *timer, void *arg)
+{
+	struct gate_hop *gh = arg;
+	const struct brf_pipe *body = &gh->hop->answer_body;
+
+	gh->watch.max_wait_us = OWED_MAX_US;
+	gh->watch.max_unread_us = UNREAD_MAX_US;
+	brf_answer_watch_start(
+	    &gh->watch, now(gh->gate), body->written, brf_pipe_read(body));
+	timer->fire = check_answer;
+	brf_timer_start(gh->gate->config.timers, timer, BRF_ANSWER_CHECK_US);
 }
 
+/* The answer goes to the hop's sender; watch it from its deadline on. */
 static void
-watch_reading(struct gate_hop *gh)
+keep_deadline(struct gate_hop *gh)
 {
 	uint64_t t = now(gh->gate), deadline = gh->hop->request.deadline;
 
-	gh->read = UINT64_MAX;
-	gh->timer.fire = check_reading;
+	gh->timer.fire = watch_answer;
 	brf_timer_start(gh->gate->config.timers, &gh->timer,
 	    deadline > t ? deadline - t : 0);
 }
@@ -577,7 +588,7 @@
 		return (false);
 	}
 	if (can_forward(gh)) {
-		watch_reading(gh);
+		keep_deadline(gh);
 		forward_answer(gh);
 		return (true);
 	}
--- a/test/flow_fake.h
+++ b/test/flow_fake.h
@@ -59,6 +59,41 @@
 	}
 };
 
+/* Clock of the bench that the test moves forward. */
+struct moved_clock {
+	static inline uint64_t moved_us;
+	static inline const struct brf_clock_vt *original;
+	struct flow_bench &bench;
+
+	static uint64_t
+	now(struct brf_clock *clock)
+	{
+		return (original->now(clock) + moved_us);
+	}
+
+	explicit moved_clock(struct flow_bench &bench) : bench(bench)
+	{
+		static const struct brf_clock_vt vt = { now };
+
+		moved_us = 0;
+		original = bench.scheduler.clock.vt;
+		bench.scheduler.clock.vt = &vt;
+	}
+
+	void
+	move(uint64_t us)
+	{
+		moved_us += us;
+		brf_timers_run(bench.scheduler.timers);
+		bench.turns(20);
+	}
+
+	~moved_clock()
+	{
+		bench.scheduler.clock.vt = original;
+	}
+};
+
 static const struct brf_field_names test_names = {
 	"x-id",
 	"x-timeout",
--- a/test/mesh_call_test.cc
+++ b/test/mesh_call_test.cc
@@ -1,6 +1,6 @@
 #include <sstream>
 
-#include "flow_fake.h"
+#include "link_fake.h"
 #include "mesh/call.h"
 #include "mesh/gate.h"
 #include "store_fake.h"
@@ -108,10 +108,11 @@
 
 	/* Its address is that of the node, so that it is reached directly. */
 	void
-	add_target()
+	add_target(struct brf_links *links = nullptr)
 	{
 		struct brf_mesh_services_config config = {};
 
+		config.links = links;
 		config.timers = bench.scheduler.timers;
 		config.zone = config.region = "z";
 		config.retry_budget_ratio = 1;
@@ -324,6 +325,116 @@
 	EXPECT_FALSE(client.ended);
 }
 
+/* A node whose only target is beside another node. */
+class mesh_call_remote : public mesh_call
+{
+      protected:
+	linked_node own, other;
+	struct moved_clock clock;
+	int links_closed = 0;
+
+	mesh_call_remote()
+	    : own(bench, "a", "s"), other(bench, "b", "s"), clock(bench)
+	{
+	}
+
+	static void
+	flush(void *arg)
+	{
+		auto *t = static_cast<mesh_call_remote *>(arg);
+
+		brf_links_flush(t->own.links);
+		brf_links_flush(t->other.links);
+	}
+
+	void
+	SetUp() override
+	{
+		bench.scheduler.after_tasks = flush;
+		bench.scheduler.arg = this;
+		entry.entry.gate = other.addr;
+		brf_random_seeded_init(&random, 1);
+		brf_mesh_tables_init(&tables, &bench.scheduler.clock,
+		    read_table, ignore, nullptr);
+		put_table("1 1 /a/ /b/");
+		start_gate();
+		add_target(own.links);
+		start_entry();
+		client.connect_to(port);
+	}
+
+	void
+	TearDown() override
+	{
+		mesh_call::TearDown();
+		for (auto *links : { own.links, other.links })
+			brf_links_close(
+			    links,
+			    [](void *arg) { ++*static_cast<int *>(arg); },
+			    &links_closed);
+		EXPECT_TRUE(bench.until([&] { return (links_closed == 2); }));
+		bench.scheduler.after_tasks = nullptr;
+		brf_links_free(own.links);
+		brf_links_free(other.links);
+	}
+
+	/* A request whose answer begins, and is read as far as it came. */
+	struct brf_hop *
+	begin_answer(const std::string &timeout_ms)
+	{
+		struct brf_hop *hop;
+
+		client.put("GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
+			   "X-Timeout: " +
+			   timeout_ms + "\r\n\r\n");
+		until([&] { return (!other.gate.open.empty()); });
+		if (other.gate.open.empty())
+			return (nullptr);
+		hop = other.gate.open.front();
+		other.gate.answer(hop, 200, "");
+		brf_pipe_write(&hop->answer_body, "part", 4);
+		until([&] {
+			return (client.got.find("part") != std::string::npos);
+		});
+		return (hop);
+	}
+};
+
+/* The other node stops in the middle of the answer. */
+TEST_F(mesh_call_remote, an_answer_that_another_gate_owes_ends_at_its_deadline)
+{
+	ASSERT_NE(begin_answer("1000"), nullptr);
+	clock.move(BRF_US_PER_S * 9 / 10);
+	until([&, n = 50]() mutable { return (n-- <= 0); });
+	EXPECT_FALSE(client.ended);
+	for (int i = 0; i < 12; i++)
+		clock.move(50 * BRF_US_PER_MS);
+	until([&] { return (client.ended); });
+	EXPECT_TRUE(client.ended);
+	EXPECT_TRUE(until([&] { return (other.gate.open.empty()); }));
+}
+
+/* The gate ends what its target owes, so that what still comes is ready. */
+TEST_F(mesh_call_remote, an_answer_on_its_way_is_delivered_after_its_deadline)
+{
+	struct brf_hop *hop = begin_answer("1000");
+
+	ASSERT_NE(hop, nullptr);
+	clock.move(BRF_US_PER_S);
+	for (int i = 0; i < 20; i++) {
+		brf_pipe_write(&hop->answer_body, "more", 4);
+		until([&, n = 20]() mutable { return (n-- <= 0); });
+		clock.move(50 * BRF_US_PER_MS);
+	}
+	brf_pipe_end(&hop->answer_body);
+	until([&] {
+		return (client.ended ||
+			client.got.find("0\r\n\r\n") != std::string::npos);
+	});
+	EXPECT_NE(client.got.find("0\r\n\r\n"), std::string::npos);
+	EXPECT_FALSE(client.ended);
+}
+
 TEST_F(mesh_call, a_long_answer_is_passed_on)
 {
 	std::string rest = head("1", 300000) + std::string(300000, 'x');
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -840,44 +840,6 @@
 	{ "of a length", ok + "content-length: 99999999999999\r\n\r\n", "x" },
 };
 
-/* Clock of the bench that the test moves forward. */
-struct moved_clock {
-	static uint64_t moved_us;
-	static const struct brf_clock_vt *original;
-	struct flow_bench &bench;
-
-	static uint64_t
-	now(struct brf_clock *clock)
-	{
-		return (original->now(clock) + moved_us);
-	}
-
-	explicit moved_clock(struct flow_bench &bench) : bench(bench)
-	{
-		static const struct brf_clock_vt vt = { now };
-
-		moved_us = 0;
-		original = bench.scheduler.clock.vt;
-		bench.scheduler.clock.vt = &vt;
-	}
-
-	void
-	move(uint64_t us)
-	{
-		moved_us += us;
-		brf_timers_run(bench.scheduler.timers);
-		bench.turns(20);
-	}
-
-	~moved_clock()
-	{
-		bench.scheduler.clock.vt = original;
-	}
-};
-
-uint64_t moved_clock::moved_us;
-const struct brf_clock_vt *moved_clock::original;
-
 TEST_F(mesh_gate_endless, a_body_that_nobody_reads_ends_after_the_deadline)
 {
 	struct moved_clock clock(bench);
@@ -907,6 +869,49 @@
 	}
 }
 
+/* The target stops, or sends byte by byte, in the middle of its answer. */
+TEST_F(mesh_gate_endless, an_answer_that_its_target_owes_ends_at_its_deadline)
+{
+	struct moved_clock clock(bench);
+
+	for (bool sends : { false, true }) {
+		for (const auto &c : endless_bodies) {
+			{
+				struct sender s;
+				raw_peer *p;
+
+				send(s, "7", true, BRF_US_PER_S);
+				p = arrived("7");
+				ASSERT_NE(p, nullptr) << c.name;
+				p->put(c.start + c.unit);
+				until([&] {
+					return (
+					    s.hop.state == BRF_HOP_ANSWERED);
+				});
+				ASSERT_EQ(s.hop.state, BRF_HOP_ANSWERED);
+				clock.move(BRF_US_PER_S * 9 / 10);
+				EXPECT_EQ(
+				    s.hop.answer_body.state, BRF_PIPE_OPEN)
+				    << c.name;
+				for (int i = 0; i < 12; i++) {
+					if (sends)
+						p->put(c.unit);
+					bench.turns(20);
+					brf_pipe_consume(&s.hop.answer_body,
+					    brf_pipe_len(&s.hop.answer_body));
+					clock.move(50 * BRF_US_PER_MS);
+				}
+				EXPECT_EQ(
+				    s.hop.answer_body.state, BRF_PIPE_BROKEN)
+				    << c.name;
+				EXPECT_EQ(s.hop.reason, BRF_R_TIMEOUT);
+				expect_given_back(p, c.name);
+			}
+			forget_peers();
+		}
+	}
+}
+
 /* Neither side moves, though the target keeps the connection open. */
 TEST_F(mesh_gate_endless, a_body_that_stops_ends_after_the_deadline)
 {
