flow/server: a body that stops is no proof that the request did not run

What a caller would see: its body stops for idleTimeoutS, and it gets 408, which says "not run, and never will be", though the head and the first bytes of the body have been at the target for as long. Only where the idle timeout is shorter than the deadline; otherwise the deadline ends the request with 504.

Cause: the server's timer refused a dispatched request like one that nobody has seen.

Why it works: a request that was passed to its handler gets 504, which promises nothing; 408 stays for one that was not.

--- a/src/flow/server_conn.c
+++ b/src/flow/server_conn.c
@@ -443,7 +443,8 @@
 		refuse(request_new(c), 408);
 	else if (c->state == BRF_FLOW_CONN_OPEN && last != NULL &&
 		 !last->body_read)
-		refuse_body(last, 408);
+		/* a handler may have begun to run it: 408 would deny that */
+		refuse_body(last, last->dispatched ? 504 : 408);
 	else {
 		brf_flow_conn_close(c, BRF_FLOW_ABORTED);
 		return;
--- a/test/mesh_call_test.cc
+++ b/test/mesh_call_test.cc
@@ -435,6 +435,20 @@
 	EXPECT_FALSE(client.ended);
 }
 
+/* The target may work on what it has of a body that stops: 408 says that it
+ * did not run. */
+TEST_F(mesh_call, a_body_that_stops_is_no_proof_that_nothing_ran)
+{
+	struct moved_clock clock(bench);
+
+	client.put("POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
+		   "X-Timeout: 50000\r\nContent-Length: 9\r\n\r\nabc");
+	ASSERT_NE(arrived("1"), nullptr);
+	clock.move(31 * BRF_US_PER_S);
+	until([&] { return (client.got.find("HTTP/1.1 ") == 0); });
+	EXPECT_EQ(answers("504"), 1u);
+}
+
 TEST_F(mesh_call, a_long_answer_is_passed_on)
 {
 	std::string rest = head("1", 300000) + std::string(300000, 'x');
