fleet: that a target leaves outlives the process that acknowledged it

What callers saw: a target's DELETE was acknowledged, its node was killed and started again, and a heartbeat from before the DELETE arrived late. The new process took the target for a ready one and went on to send it requests, up to 11 s after the acknowledgement.

Cause: that a target drains or has left was known to the process alone. Its entry in the store said so, but under the lease of that process; the next one did not read it before it believed an announcement, replaced it, and the directories took the older word over the newer one. A planned stop of the node revoked the lease, with the same end. A DELETE that met a process without knowledge of the target was recorded nowhere. The acknowledgement was sent before the write had even begun.

Ruled out: the order of announcements inside a process, which holds.

The first write of the next process is conditional on there being no entry; it meets this one, compares, and takes over what it tells before the gate opens. A directory lets an incarnation only move forward, and remembers apart who has left from who has only lapsed. A DELETE of an unknown target bars the incarnations that started by then, and no longer the id for good.

Cost: one lease and no further read for each target that leaves. Open, see docs/platform.md: a target that leaves while the store is away, with a kill of its node and a late heartbeat in the same outage. bulrushfordd's interface has neither incarnations nor sequence numbers; not changed.

--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -19,12 +19,14 @@
  * struct departed - a target that was removed.
  * @born: of its last known entry
  * @since: clock time of the removal
+ * @left: it has announced that it leaves; otherwise it may come back
  */
 struct departed {
 	struct brf_list link;
 	char id[BRF_ENTRY_ID_MAX + 1];
 	uint64_t born;
 	uint64_t since;
+	bool left;
 };
 
 /**
@@ -97,6 +99,7 @@
 
 	brf_copy_name(gone->id, sizeof(gone->id), entry->id);
 	gone->born = entry->born;
+	gone->left = entry->announced == BRF_TARGET_LEFT;
 	gone->since = now(d);
 	brf_list_append(&d->departed, &gone->link);
 	d->departed_count++;
@@ -119,6 +122,22 @@
 	return (false);
 }
 
+/* Whether this incarnation of the target has announced that it leaves. */
+static bool
+has_left(const struct brf_directory *d, const struct brf_entry *entry)
+{
+	const struct departed *gone;
+	struct brf_list *l;
+
+	brf_list_foreach (l, &d->departed) {
+		gone = brf_list_entry(l, struct departed, link);
+		if (gone->left && strcmp(gone->id, entry->id) == 0 &&
+		    gone->born >= entry->born)
+			return (true);
+	}
+	return (false);
+}
+
 static void
 remove_target(struct brf_directory_target *t, const char *reason)
 {
@@ -142,6 +161,19 @@
 	remove_target(arg, "lapsed");
 }
 
+/* The target of @entry has left; @t is NULL when it is not known. */
+static void
+take_departure(struct brf_directory *d, struct brf_directory_target *t,
+    const struct brf_entry *entry)
+{
+	if (t == NULL && !has_left(d, entry))
+		remember_departed(d, entry);
+	if (t == NULL)
+		return;
+	t->entry = *entry;
+	remove_target(t, "left");
+}
+
 static struct brf_directory_target *
 add_target(struct brf_directory *d)
 {
@@ -183,6 +215,13 @@
 	return (entry->epoch != 0 && entry->epoch < brf_store_epoch(d->store));
 }
 
+static void
+log_stays_gone(const struct brf_entry *entry, uint64_t revision)
+{
+	brf_log(BRF_LOG_INFO, "target_stays_gone", BRF_LS("target", entry->id),
+	    BRF_LU("epoch", entry->epoch), BRF_LU("revision", revision));
+}
+
 /* Whether @entry, of an earlier epoch, is newer than that of its target. */
 static bool
 is_newer(const struct brf_entry *entry, const struct brf_entry *known)
@@ -203,9 +242,7 @@
 
 	if (is_new &&
 	    (entry->state == BRF_TARGET_LEFT || has_departed(d, entry))) {
-		brf_log(BRF_LOG_INFO, "target_stays_gone",
-		    BRF_LS("target", entry->id), BRF_LU("epoch", entry->epoch),
-		    BRF_LU("revision", revision));
+		log_stays_gone(entry, revision);
 		return;
 	}
 	if (is_new)
@@ -279,14 +316,17 @@
 	t = find_target(d, entry.id);
 	is_new = t == NULL;
 	if (entry.state == BRF_TARGET_LEFT) {
-		if (t != NULL)
-			remove_target(t, "left");
-		else if (!has_departed(d, &entry))
-			remember_departed(d, &entry);
+		take_departure(d, t, &entry);
+		return;
+	}
+	if (has_left(d, &entry)) {
+		log_stays_gone(&entry, kv->revision);
 		return;
 	}
 	if (is_new)
 		t = add_target(d);
+	else if (brf_entry_supersedes(&t->entry, &entry))
+		entry.announced = entry.state = t->entry.announced;
 	t->entry = entry;
 	t->revision = kv->revision;
 	t->received_at = now(d);
--- a/src/fleet/entry.c
+++ b/src/fleet/entry.c
@@ -17,6 +17,12 @@
 	return (state_names[state]);
 }
 
+bool
+brf_entry_supersedes(const struct brf_entry *e, const struct brf_entry *other)
+{
+	return (e->born >= other->born && e->announced > other->announced);
+}
+
 bool
 brf_entry_id_is_valid(const char *id)
 {
@@ -50,6 +56,9 @@
 	    "version", e->version, "node", e->node, "gate", gate, "slots",
 	    (int)e->slots, "born", (json_int_t)e->born, "warmup_us",
 	    (json_int_t)e->warmup_us, "state", state_names[e->state]);
+	if (e->announced != BRF_TARGET_READY)
+		json_object_set_new(
+		    root, "announced", json_string(state_names[e->announced]));
 	if (e->epoch != 0)
 		json_object_set_new(
 		    root, "epoch", json_integer((json_int_t)e->epoch));
@@ -71,9 +80,9 @@
 }
 
 static bool
-read_state(const json_t *root, enum brf_target_state *state)
+read_state(const json_t *root, const char *name, enum brf_target_state *state)
 {
-	const char *s = json_string_value(json_object_get(root, "state"));
+	const char *s = json_string_value(json_object_get(root, name));
 	size_t i;
 
 	for (i = 0; s != NULL && i < brf_nitems(state_names); i++) {
@@ -109,8 +118,15 @@
 	    !brf_json_count(root, "slots", BRF_ENTRY_SLOTS_MAX, &slots) ||
 	    !brf_json_count(root, "born", INT64_MAX, &e->born) ||
 	    !brf_json_count(root, "warmup_us", INT64_MAX, &e->warmup_us) ||
-	    !read_state(root, &e->state))
+	    !read_state(root, "state", &e->state))
+		return (false);
+	if (e->state == BRF_TARGET_LEFT)
+		e->announced = BRF_TARGET_LEFT;
+	else if (json_object_get(root, "announced") != NULL &&
+		 !read_state(root, "announced", &e->announced))
 		return (false);
+	if (e->state < e->announced)
+		e->state = e->announced;
 	e->slots = (uint32_t)slots;
 	return (slots != 0 && e->service[0] != '\0');
 }
--- a/src/fleet/entry.h
+++ b/src/fleet/entry.h
@@ -43,6 +43,8 @@
  * @epoch: of the store when the entry was written; 0 when not known
  * @warmup_us: rest of the warm-up, during which the target is slow, when the
  *	entry was written; microseconds
+ * @announced: state that the target itself has announced; an incarnation only
+ *	moves forward in it.  @state may be later, while the node stops.
  */
 struct brf_entry {
 	char id[BRF_ENTRY_ID_MAX + 1];
@@ -57,10 +59,18 @@
 	uint64_t epoch;
 	uint64_t warmup_us;
 	enum brf_target_state state;
+	enum brf_target_state announced;
 };
 
 BRF_BEGIN_DECLS
 
+/**
+ * brf_entry_supersedes() - whether @e has a later announcement of @other's
+ * incarnation, or of a later one, so that @other is out of date.
+ */
+bool brf_entry_supersedes(
+    const struct brf_entry *e, const struct brf_entry *other);
+
 /* Whether @id is a valid target id: 1 to BRF_ENTRY_ID_MAX bytes of visible
  * ASCII without a slash. */
 bool brf_entry_id_is_valid(const char *id);
--- a/src/fleet/local.c
+++ b/src/fleet/local.c
@@ -14,7 +14,7 @@
 	return (false);
 }
 
-static void
+static const struct brf_incarnation *
 remember_left(struct brf_local_target *l, const char *id, uint64_t born)
 {
 	struct brf_incarnation *incarnation =
@@ -22,6 +22,7 @@
 
 	brf_copy_name(incarnation->id, sizeof(incarnation->id), id);
 	incarnation->born = born;
+	return (incarnation);
 }
 
 static bool
@@ -36,6 +37,7 @@
 {
 	bool same = is_current(l, announcement->id) &&
 		    announcement->born == l->current.born;
+	enum brf_target_state state = announcement->state;
 
 	if (has_left(l, announcement->id, announcement->born))
 		return (BRF_ANNOUNCE_STALE);
@@ -45,19 +47,33 @@
 		return (BRF_ANNOUNCE_STALE);
 	if (l->known && !same)
 		remember_left(l, l->current.id, l->current.born);
+	if (same && l->current.state > state)
+		state = l->current.state;
 	l->current = *announcement;
+	l->current.state = state;
 	l->known = true;
 	return (same ? BRF_ANNOUNCE_UPDATED : BRF_ANNOUNCE_REPLACED);
 }
 
-bool
-brf_local_target_leave(struct brf_local_target *l, const char *id)
+const struct brf_incarnation *
+brf_local_target_leave(
+    struct brf_local_target *l, const char *id, uint64_t now_ms)
 {
-	bool current = is_current(l, id);
+	if (!is_current(l, id))
+		return (remember_left(l, id, now_ms));
+	l->current.state = BRF_TARGET_LEFT;
+	return (remember_left(l, id, l->current.born));
+}
 
-	/* an incarnation not yet known may still be announced late */
-	remember_left(l, id, current ? l->current.born : UINT64_MAX);
-	if (current)
-		l->current.state = BRF_TARGET_LEFT;
-	return (current);
+bool
+brf_local_target_adopt(struct brf_local_target *l,
+    const struct brf_incarnation *incarnation, enum brf_target_state state)
+{
+	if (state == BRF_TARGET_LEFT)
+		remember_left(l, incarnation->id, incarnation->born);
+	if (!is_current(l, incarnation->id) ||
+	    l->current.born > incarnation->born || l->current.state >= state)
+		return (false);
+	l->current.state = state;
+	return (true);
 }
--- a/src/fleet/local.h
+++ b/src/fleet/local.h
@@ -9,7 +9,11 @@
  * Announcements may arrive late, also those of an incarnation that has ended.
  * Incarnations are ordered by their start time, announcements of an
  * incarnation by their sequence number.  An incarnation that has left does not
- * come back.
+ * come back, and one that drains is not ready again.
+ *
+ * A process that starts knows nothing of what was announced before.  What an
+ * earlier process of this node has recorded in the store is taken over by
+ * brf_local_target_adopt().
  */
 
 #define BRF_LOCAL_TARGET_LEFT_MAX 16u /* incarnations remembered as left */
@@ -78,10 +82,23 @@
 
 /**
  * brf_local_target_leave() - apply the withdrawal of target @id.
+ * @now_ms: milliseconds since 1970; when nothing is known of @id, all its
+ *	incarnations that started by then have left
+ *
+ * Return: the latest incarnation that has left, valid until the next call.
+ */
+const struct brf_incarnation *brf_local_target_leave(
+    struct brf_local_target *l, const char *id, uint64_t now_ms);
+
+/**
+ * brf_local_target_adopt() - apply what an earlier process of this node was
+ * told of an incarnation and those before it.
+ * @state: draining or left
  *
- * Return: whether @id is the current incarnation.
+ * Return: whether the state of the current incarnation has changed.
  */
-bool brf_local_target_leave(struct brf_local_target *l, const char *id);
+bool brf_local_target_adopt(struct brf_local_target *l,
+    const struct brf_incarnation *incarnation, enum brf_target_state state);
 
 BRF_END_DECLS
 
--- a/src/fleet/register.c
+++ b/src/fleet/register.c
@@ -7,6 +7,8 @@
 
 /* A lease is renewed three times within its time to live. */
 #define RENEW_US (BRF_REGISTRATION_TTL_S * BRF_US_PER_S / 3)
+/* How long a departure lease is used for further entries. */
+#define DEPARTURE_REUSE_US (BRF_REGISTRATION_DEPARTURE_TTL_S * BRF_US_PER_S / 4)
 #define BACKOFF_FIRST_US (50 * BRF_US_PER_MS)
 #define BACKOFF_MOST_US (800 * BRF_US_PER_MS)
 
@@ -36,6 +38,8 @@
  * @sent_is_last: @current was not set again since it was sent
  * @key: key that it reads or writes
  * @lease: 0 for none
+ * @departure_lease: of entries of targets that drain or have left; 0 for none
+ * @departure_granted: clock time at which it was asked for
  * @sent_at: clock time at which the last call was started
  * @renewed: clock time at which the lease was asked for or last renewed
  * @probing: see brf_registration_probe()
@@ -44,6 +48,7 @@
 struct brf_registration {
 	struct brf_store *store;
 	struct brf_store_observer observer;
+	struct brf_registration_listener listener;
 	struct brf_timers *timers;
 	struct brf_random *random;
 	struct brf_list records;
@@ -55,6 +60,8 @@
 	bool sent_is_last;
 	char key[BRF_ENTRY_KEY_MAX];
 	uint64_t lease;
+	uint64_t departure_lease;
+	uint64_t departure_granted;
 	uint64_t sent_at;
 	uint64_t renewed;
 	bool probing;
@@ -114,17 +121,34 @@
 	r->backoff.failures = 0;
 }
 
+/* Whether the entry has to outlive this process. */
+static bool
+is_departure(const struct record *rec)
+{
+	return (rec->entry.announced != BRF_TARGET_READY);
+}
+
+static uint64_t
+lease_of(const struct brf_registration *r, const struct record *rec)
+{
+	return (is_departure(rec) ? r->departure_lease : r->lease);
+}
+
 static void
 lose_lease(struct brf_registration *r)
 {
+	struct record *rec;
 	struct brf_list *l;
 
 	if (r->lease != 0)
 		brf_log(
 		    BRF_LOG_WARN, "lease_lapsed", BRF_LU("lease", r->lease));
 	r->lease = 0;
-	brf_list_foreach (l, &r->records)
-		brf_list_entry(l, struct record, link)->written = false;
+	brf_list_foreach (l, &r->records) {
+		rec = brf_list_entry(l, struct record, link);
+		if (!is_departure(rec))
+			rec->written = false;
+	}
 }
 
 static void
@@ -167,6 +191,22 @@
 	start_next_call(r);
 }
 
+static void
+departure_lease_granted(
+    struct brf_store_call *call, const struct brf_store_response *answer)
+{
+	struct brf_registration *r = call_ended(call);
+
+	if (answer->outcome != BRF_STORE_DONE) {
+		back_off(r, &answer->err);
+		return;
+	}
+	reset_backoff(r);
+	r->departure_lease = answer->lease;
+	r->departure_granted = r->sent_at;
+	start_next_call(r);
+}
+
 static void
 renewed(struct brf_store_call *call, const struct brf_store_response *answer)
 {
@@ -184,19 +224,40 @@
 	start_next_call(r);
 }
 
+/* Compare the entry in the store with the one to be written. */
+static void
+check_found(struct brf_registration *r, const struct record *rec,
+    const struct brf_store_kv *kv)
+{
+	struct brf_entry found;
+	struct brf_error err;
+
+	if (!brf_entry_read(&found, kv->key, kv->value, kv->len, &err)) {
+		brf_log(BRF_LOG_WARN, "entry_unreadable", BRF_LE(&err),
+		    BRF_LU("revision", kv->revision));
+		return;
+	}
+	if (brf_entry_supersedes(&found, &rec->entry) &&
+	    r->listener.superseded != NULL)
+		r->listener.superseded(r->listener.arg, &found);
+}
+
 /* Takes over the revision that the store has under the current key. */
 static void
 update_revision(struct brf_registration *r, struct record *rec,
     const struct brf_store_response *answer)
 {
+	const struct brf_store_kv *kv;
 	size_t i;
 
 	rec->revision = 0;
 	rec->uncertain = false;
 	for (i = 0; i < answer->count; i++) {
-		if (strcmp(answer->kvs[i].key, r->key) == 0 &&
-		    !answer->kvs[i].deleted)
-			rec->revision = answer->kvs[i].revision;
+		kv = &answer->kvs[i];
+		if (strcmp(kv->key, r->key) != 0 || kv->deleted)
+			continue;
+		rec->revision = kv->revision;
+		check_found(r, rec, kv);
 	}
 }
 
@@ -222,6 +283,7 @@
 	if (rec->seen <= rec->revision)
 		return;
 	rec->revision = rec->seen_missing ? 0 : rec->seen;
+	rec->uncertain = !rec->seen_missing;
 	rec->seen = 0;
 	rec->written = false;
 }
@@ -231,7 +293,10 @@
     struct brf_registration *r, const struct brf_store_response *answer)
 {
 	if (answer->err.code == BRF_E_NOT_FOUND) {
-		lose_lease(r);
+		if (is_departure(r->current))
+			r->departure_lease = 0;
+		else
+			lose_lease(r);
 		start_next_call(r);
 		return;
 	}
@@ -254,6 +319,8 @@
 		    BRF_LS("target", rec->entry.id),
 		    BRF_LU("revision", rec->revision),
 		    BRF_LU("epoch", rec->entry.epoch));
+		if (rec->written && r->listener.written != NULL)
+			r->listener.written(r->listener.arg, rec->entry.id);
 		start_next_call(r);
 		return;
 	case BRF_STORE_CONFLICT:
@@ -292,7 +359,7 @@
 		.len = r->sent.len,
 		.compare = true,
 		.expect = rec->revision,
-		.lease = r->lease };
+		.lease = lease_of(r, rec) };
 	start_call(r, rec, write_done);
 }
 
@@ -317,6 +384,34 @@
 	    r->renewed + (r->probing ? BRF_REGISTRATION_PROBE_US : RENEW_US));
 }
 
+static void
+grant_lease(struct brf_registration *r, uint32_t ttl_s,
+    void (*done)(
+	struct brf_store_call *call, const struct brf_store_response *answer))
+{
+	r->call.request = (struct brf_store_request){
+		.op = BRF_STORE_LEASE_GRANT,
+		.ttl_s = ttl_s,
+	};
+	start_call(r, NULL, done);
+}
+
+static bool
+needs_departure_lease(
+    const struct brf_registration *r, const struct record *rec)
+{
+	return (rec != NULL && is_departure(rec) &&
+		(r->departure_lease == 0 ||
+		    now(r) - r->departure_granted > DEPARTURE_REUSE_US));
+}
+
+static bool
+needs_lease(const struct brf_registration *r, const struct record *rec)
+{
+	return (r->lease == 0 &&
+		(r->probing || (rec != NULL && !is_departure(rec))));
+}
+
 /* Starts the next call that is due; at most one is in progress at a time. */
 static void
 start_next_call(struct brf_registration *r)
@@ -325,11 +420,11 @@
 
 	if (r->busy || r->ending)
 		return;
-	if ((rec != NULL || r->probing) && r->lease == 0) {
-		r->call.request =
-		    (struct brf_store_request){ .op = BRF_STORE_LEASE_GRANT,
-			    .ttl_s = BRF_REGISTRATION_TTL_S };
-		start_call(r, NULL, lease_granted);
+	if (needs_departure_lease(r, rec)) {
+		grant_lease(r, BRF_REGISTRATION_DEPARTURE_TTL_S,
+		    departure_lease_granted);
+	} else if (needs_lease(r, rec)) {
+		grant_lease(r, BRF_REGISTRATION_TTL_S, lease_granted);
 	} else if (rec != NULL) {
 		write_record(r, rec);
 	} else if (r->lease != 0 && now(r) >= renewal_due_at(r)) {
@@ -367,8 +462,10 @@
 		brf_store_cancel(r->store, &r->call);
 	r->busy = false;
 	lose_lease(r);
+	r->departure_lease = 0;
 	brf_list_foreach (l, &r->records) {
 		rec = brf_list_entry(l, struct record, link);
+		rec->written = false;
 		rec->revision = 0;
 		rec->seen = 0;
 		rec->uncertain = false;
@@ -415,6 +512,21 @@
 	free(r);
 }
 
+void
+brf_registration_listen(struct brf_registration *r,
+    const struct brf_registration_listener *listener)
+{
+	r->listener = *listener;
+}
+
+bool
+brf_registration_is_pending(const struct brf_registration *r, const char *id)
+{
+	const struct record *rec = find_record(r, id);
+
+	return (rec != NULL && !rec->written);
+}
+
 void
 brf_registration_set(struct brf_registration *r, const struct brf_entry *entry)
 {
--- a/src/fleet/register.h
+++ b/src/fleet/register.h
@@ -15,6 +15,11 @@
  * newer one.  When the lease has lapsed, or the store was restored from an
  * older copy, a new lease is granted and all entries are written again, each
  * with the epoch in which it was written.
+ *
+ * That a target drains or has left must outlive this process.  Such an entry is
+ * written under a longer lease that is neither renewed nor revoked.  An entry
+ * that is found in the store is read before it is replaced: when it tells more
+ * of the incarnation than the one to be written, the listener is told.
  */
 
 #define BRF_REGISTRATION_TTL_S \
@@ -23,8 +28,24 @@
 /* Time between renewals while probing. */
 #define BRF_REGISTRATION_PROBE_US BRF_US_PER_S
 
+/* Time to live of the entry of a target that drains or has left. */
+#define BRF_REGISTRATION_DEPARTURE_TTL_S 120u
+
 struct brf_registration;
 
+/**
+ * struct brf_registration_listener - callbacks about entries; may call
+ * brf_registration_set().
+ * @written: the store has the entry of @id as it was last set
+ * @superseded: the store has @found, of another writer, which supersedes the
+ *	entry that was set
+ */
+struct brf_registration_listener {
+	void (*written)(void *arg, const char *id);
+	void (*superseded)(void *arg, const struct brf_entry *found);
+	void *arg;
+};
+
 BRF_BEGIN_DECLS
 
 /**
@@ -36,6 +57,14 @@
     struct brf_timers *timers, struct brf_random *random);
 void brf_registration_free(struct brf_registration *r);
 
+/* @listener is copied. */
+void brf_registration_listen(struct brf_registration *r,
+    const struct brf_registration_listener *listener);
+
+/* Whether the store does not have the entry of @id as it was last set. */
+bool brf_registration_is_pending(
+    const struct brf_registration *r, const char *id);
+
 /* Write @entry, which is copied, under its id; retried until it succeeds. */
 void brf_registration_set(
     struct brf_registration *r, const struct brf_entry *entry);
@@ -57,8 +86,8 @@
     uint64_t revision, bool missing);
 
 /**
- * brf_registration_end() - revoke the lease, and so delete the entries, before
- * the process ends.
+ * brf_registration_end() - revoke the lease, and so delete the entries of
+ * targets that are ready, before the process ends.
  *
  * Not retried: when the store can't be reached, the entries lapse.
  */
--- a/src/mesh/admin.c
+++ b/src/mesh/admin.c
@@ -8,15 +8,6 @@
 
 #define CRASHES_PATH "/crashes"
 
-static void
-answer_json(struct brf_http_request *http, int status, const char *text)
-{
-	struct brf_buf body = { .data = NULL };
-
-	brf_buf_puts(&body, text);
-	brf_respond_json(http, status, &body);
-}
-
 static void
 answer_ready(struct brf_mesh_node *node, struct brf_http_request *http)
 {
@@ -73,6 +64,17 @@
 		answer_metrics(node, http, m->path);
 }
 
+static void
+acknowledge(struct brf_mesh_node *node, struct brf_http_request *http,
+    const struct brf_target_announcement *notice)
+{
+	if (notice->state != BRF_TARGET_READY &&
+	    brf_registration_is_pending(node->registration, notice->id))
+		brf_mesh_acks_add(&node->acks, http, notice->id);
+	else
+		brf_mesh_acknowledge(http);
+}
+
 static void
 answer_request(struct brf_mesh_node *node, struct brf_http_request *http)
 {
@@ -86,11 +88,12 @@
 		break;
 	case BRF_MESH_REQUEST_ANNOUNCE:
 		brf_mesh_node_announce(node, &notice);
-		answer_json(http, 200, "{}");
+		acknowledge(node, http, &notice);
 		break;
 	case BRF_MESH_REQUEST_WITHDRAW:
 		brf_mesh_node_withdraw(node, notice.id);
-		answer_json(http, 200, "{}");
+		notice.state = BRF_TARGET_LEFT;
+		acknowledge(node, http, &notice);
 		break;
 	case BRF_MESH_REQUEST_MALFORMED:
 		brf_log(BRF_LOG_WARN, "announcement_refused", BRF_LE(&err));
@@ -119,20 +122,33 @@
 }
 
 static void
-disconnected(struct brf_http_handler *handler, struct brf_http_request *http)
+ready_disconnected(
+    struct brf_http_handler *handler, struct brf_http_request *http)
+{
+	struct brf_mesh_node *node =
+	    brf_container_of(handler, struct brf_mesh_node, ready_handler);
+
+	brf_mesh_acks_disconnected(&node->acks, http);
+}
+
+static void
+admin_disconnected(
+    struct brf_http_handler *handler, struct brf_http_request *http)
 {
-	(void)handler; /* every request is answered before handle() returns */
-	(void)http;
+	struct brf_mesh_node *node =
+	    brf_container_of(handler, struct brf_mesh_node, admin_handler);
+
+	brf_mesh_acks_disconnected(&node->acks, http);
 }
 
 static const struct brf_http_handler_vt ready_vt = {
 	.handle = ready_handle,
-	.disconnected = disconnected,
+	.disconnected = ready_disconnected,
 };
 
 static const struct brf_http_handler_vt admin_vt = {
 	.handle = admin_handle,
-	.disconnected = disconnected,
+	.disconnected = admin_disconnected,
 };
 
 void
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -15,6 +15,8 @@
  * tables in quick succession are taken as one; doubled while tables change. */
 #define TABLE_PAUSE_INITIAL_US (40 * BRF_US_PER_MS)
 #define TABLE_PAUSE_MAX_US (320 * BRF_US_PER_MS)
+/* Longest wait for the store before the first announcement is believed. */
+#define CONFIRM_MAX_US (500 * BRF_US_PER_MS)
 /* Interval at which a stopping node checks for open requests. */
 #define STOP_POLL_US (50 * BRF_US_PER_MS)
 /* Levels of calling services that a request passes.  Retries of the callers
@@ -130,6 +132,7 @@
 	e->born = n->born;
 	e->warmup_us = n->warmup_us;
 	e->state = n->state;
+	e->announced = n->state;
 	if ((node->stop.refusing || brf_mesh_gate_target_leaves(node->gate)) &&
 	    e->state == BRF_TARGET_READY)
 		e->state = BRF_TARGET_DRAINING;
@@ -178,11 +181,69 @@
 	    BRF_LU("warmup_ms", n->warmup_us / BRF_US_PER_MS));
 }
 
+/* The target beside this node may get requests. */
+static void
+open_gate(struct brf_mesh_node *node, bool is_new)
+{
+	if (!node->stop.refusing)
+		brf_mesh_gate_update_target(
+		    node->gate, &node->local.current, is_new);
+}
+
+static void
+confirm(struct brf_mesh_node *node)
+{
+	if (!node->unconfirmed)
+		return;
+	node->unconfirmed = false;
+	brf_timer_stop(node->scheduler.timers, &node->confirm);
+	open_gate(node, true);
+}
+
+static void
+confirm_timed_out(struct brf_timer *timer, void *arg)
+{
+	struct brf_mesh_node *node = arg;
+
+	(void)timer;
+	brf_log(BRF_LOG_WARN, "target_unconfirmed",
+	    BRF_LS("target", node->local.current.id),
+	    BRF_LU("waited_ms", CONFIRM_MAX_US / BRF_US_PER_MS));
+	confirm(node);
+}
+
+static void
+entry_written(void *arg, const char *id)
+{
+	struct brf_mesh_node *node = arg;
+
+	brf_mesh_acks_recorded(&node->acks, id);
+	if (node->local.known && strcmp(id, node->local.current.id) == 0)
+		confirm(node);
+}
+
+/* An earlier process of this node has recorded that the target leaves. */
+static void
+entry_superseded(void *arg, const struct brf_entry *found)
+{
+	struct brf_mesh_node *node = arg;
+	struct brf_incarnation incarnation = { .born = found->born };
+
+	brf_copy_name(incarnation.id, sizeof(incarnation.id), found->id);
+	if (!brf_local_target_adopt(
+		&node->local, &incarnation, found->announced))
+		return;
+	log_announcement(&node->local.current, "announcement_superseded");
+	brf_mesh_gate_refuse(node->gate, BRF_R_DRAINING);
+	publish(node);
+}
+
 void
 brf_mesh_node_announce(
     struct brf_mesh_node *node, const struct brf_target_announcement *notice)
 {
 	struct brf_target_announcement previous = node->local.current;
+	bool is_first = !node->local.known;
 	enum brf_announce_result result =
 	    brf_local_target_announce(&node->local, notice);
 
@@ -194,17 +255,56 @@
 	    previous.slots == notice->slots)
 		return;
 	log_announcement(notice, "target_announced");
-	if (!node->stop.refusing)
-		brf_mesh_gate_update_target(
-		    node->gate, notice, result == BRF_ANNOUNCE_REPLACED);
+	if (is_first) {
+		node->unconfirmed = true;
+		brf_timer_start(
+		    node->scheduler.timers, &node->confirm, CONFIRM_MAX_US);
+	}
+	if (!node->unconfirmed)
+		open_gate(node, result == BRF_ANNOUNCE_REPLACED);
 	publish(node);
 }
 
+static uint64_t
+unix_ms(void)
+{
+	uv_timeval64_t tv;
+
+	if (uv_gettimeofday(&tv) != 0)
+		return (0);
+	return ((uint64_t)tv.tv_sec * 1000 + (uint64_t)tv.tv_usec / 1000);
+}
+
+/* Record that a target of which this process knows nothing has left. */
+static void
+publish_departure(
+    struct brf_mesh_node *node, const struct brf_incarnation *incarnation)
+{
+	const struct brf_mesh_settings *s = &node->settings;
+	struct brf_entry e = { .gate = s->advertised,
+		.slots = 1,
+		.born = incarnation->born,
+		.state = BRF_TARGET_LEFT,
+		.announced = BRF_TARGET_LEFT };
+
+	brf_copy_name(e.id, sizeof(e.id), incarnation->id);
+	brf_copy_name(e.service, sizeof(e.service), s->service);
+	brf_copy_name(e.zone, sizeof(e.zone), s->zone);
+	brf_copy_name(e.region, sizeof(e.region), s->region);
+	brf_copy_name(e.node, sizeof(e.node), s->node);
+	brf_registration_set(node->registration, &e);
+}
+
 void
 brf_mesh_node_withdraw(struct brf_mesh_node *node, const char *id)
 {
-	if (!brf_local_target_leave(&node->local, id))
+	const struct brf_incarnation *left =
+	    brf_local_target_leave(&node->local, id, unix_ms());
+
+	if (!node->local.known || strcmp(id, node->local.current.id) != 0) {
+		publish_departure(node, left);
 		return;
+	}
 	log_announcement(&node->local.current, "target_leaves");
 	brf_mesh_gate_refuse(node->gate, BRF_R_DRAINING);
 	publish(node);
@@ -293,6 +393,7 @@
 	node->pending_closes = 5;
 	brf_failure_log_flush(&node->callers.failure_log);
 	brf_timer_stop(node->scheduler.timers, &node->stop_poll);
+	brf_timer_stop(node->scheduler.timers, &node->confirm);
 	brf_timer_stop(node->scheduler.timers, &node->watch_settings);
 	brf_timer_stop(node->scheduler.timers, &node->log_load);
 	brf_timer_stop(node->scheduler.timers, &node->flush_log);
@@ -386,6 +487,9 @@
 	node->started = now(node);
 	node->watch_settings.fire = poll_settings;
 	node->watch_settings.arg = node;
+	node->confirm.fire = confirm_timed_out;
+	node->confirm.arg = node;
+	brf_mesh_acks_init(&node->acks, node->scheduler.timers);
 	node->stop_poll.fire = poll_stop;
 	node->stop_poll.arg = node;
 	node->flush_log.fire = flush_log;
@@ -491,12 +595,18 @@
 		.retry_budget_ratio = s->retry_ratio / RETRY_LEVELS,
 		.retry_budget_window_us = s->retry_window_us,
 	};
+	struct brf_registration_listener listener = {
+		.written = entry_written,
+		.superseded = entry_superseded,
+		.arg = node,
+	};
 
 	brf_mesh_services_init(&node->services, &config);
 	node->services.own_target_seen = own_target_seen;
 	node->services.arg = node;
 	node->registration = brf_registration_new(
 	    node->store, node->scheduler.timers, node->random);
+	brf_registration_listen(node->registration, &listener);
 	node->directory = brf_directory_new(brf_mesh_relay_store(node->relay),
 	    node->scheduler.timers, node->random, &node->services.watcher);
 	brf_directory_receive_records(node->directory, &node->crashes->records);
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -5,6 +5,7 @@
 
 #include "flow/scheduler.h"
 #include "http/server.h"
+#include "mesh/acks.h"
 #include "mesh/adapter.h"
 #include "mesh/call.h"
 #include "mesh/gate.h"
@@ -45,6 +46,10 @@
  * @registration: the entry of this VM's target in the store
  * @table_follow: watch of the routing table in the store
  * @local: last announcement of this VM's target
+ * @unconfirmed: the first announcement to this process was not compared yet
+ *	with what an earlier one has recorded; the gate refuses until then
+ * @confirm: bounds how long that may take
+ * @acks: announcements of a leaving target, until they are recorded
  * @entry: HTTP server for callers on this VM
  * @ready: HTTP server for readiness checks
  * @admin: HTTP server for the target's announcements and for metrics
@@ -82,6 +87,9 @@
 	struct brf_registration *registration;
 	struct brf_store_mirror *table_follow;
 	struct brf_local_target local;
+	bool unconfirmed;
+	struct brf_timer confirm;
+	struct brf_mesh_acks acks;
 	struct brf_mesh_calls callers;
 	struct brf_flow_server *entry;
 	struct brf_http_server *ready;
@@ -138,6 +146,10 @@
 /**
  * brf_mesh_node_announce() - handle an announcement of this VM's target.
  * @notice: copied; ignored when it is older than the last one
+ *
+ * The first one to this process takes effect once the target's entry is in the
+ * store, so that it undoes nothing that an earlier process has recorded; after
+ * a short time without the store, it takes effect all the same.
  */
 void brf_mesh_node_announce(
     struct brf_mesh_node *node, const struct brf_target_announcement *notice);
