mesh: a request begins late in a stop only if it ends before the exit

Cause: from 2.5 s on, root requests that might outlast the process were refused, but nested calls were taken, since their parents need them. Whether a request is a nested call is judged for its route: one to which only the VMs of some services ever send counts as one of nested calls. So all late requests of such a route were taken, whatever their deadline, though nothing that this VM's target ran had made them. The time was compared with the arrival on the connection, too, which is earlier than the beginning of a request that waits behind another or for its body.

Ruled out: the links, the queue and the time that the process keeps for closing; the requests that were cut were running at sound targets.

Why it works: the decision is one of policy/stop, taken when the request begins, and follows from the time that is left: the deadline has to lie before the exit. The exemption is only for a call that has the very deadline of a request that runs at this VM's target, and ends when the call's objective no longer fits. A refusal is true, and asks the caller to come back after the exit.

--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -6,6 +6,7 @@
 #include "mesh/trace.h"
 #include "policy/answer_watch.h"
 #include "policy/retry_after.h"
+#include "policy/stop.h"
 
 #define REPLAY_MAX 65536u /* bytes of a body that are kept for another hop */
 /* Most bytes of an incomplete answer that are held for the requests behind. */
@@ -936,15 +937,24 @@
 	return (call->admitted);
 }
 
-/* Whether a root request might still be open when this process exits. */
+/* Whether the request might still be open when this process exits. */
 static bool
 outlives_process(const struct call *call)
 {
 	const struct brf_mesh_calls *calls = call->calls;
+	uint64_t t = now(calls);
+	struct brf_stop_request rq = {
+		.objective_us = call->route->objective_us,
+		.is_call_of_running = call->has_parent && call->parent.sure,
+	};
 
-	return (calls->exit_at != 0 && !call->nested &&
-		call->arrived_at >= calls->refuse_long_from &&
-		call->deadline > calls->exit_at);
+	if (calls->exit_at == 0 || t < calls->refuse_long_from)
+		return (false);
+	if (calls->exit_at > t)
+		rq.until_exit_us = calls->exit_at - t;
+	if (call->deadline > t)
+		rq.until_deadline_us = call->deadline - t;
+	return (!brf_stop_may_begin(&rq));
 }
 
 static void
@@ -1027,21 +1037,21 @@
 	find_parent(call);
 	call->service =
 	    brf_mesh_service_get(calls->services, choose_service(call));
-	if (outlives_process(call)) {
-		answer_locally(call, 503, BRF_R_DRAINING);
-		return;
-	}
 	start_timer(call);
 	if (awaits_body(call))
 		return;
 	begin(call);
 }
 
-/* Begin a request that may be refused because of its body. */
+/* Begin a request, whose body may have been waited for. */
 static void
 begin(struct call *call)
 {
 	call->awaits_body = false;
+	if (outlives_process(call)) {
+		answer_locally(call, 503, BRF_R_DRAINING);
+		return;
+	}
 	if (is_refused(call)) {
 		answer_locally(call, 503, BRF_R_CRASH_SUSPECT);
 		return;
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -32,9 +32,9 @@
  * @service: name of the service of this VM's target; the text may change
  * @exit_at: clock time at which the process exits, microseconds; 0 unless it
  *	is stopping
- * @refuse_long_from: clock time from which root requests whose deadline is
- *	after @exit_at are refused; earlier, clients may not have learned yet
- *	that this node is not ready
+ * @refuse_long_from: clock time from which requests that might outlast the
+ *	process are refused; earlier, clients may not have learned yet that
+ *	this node is not ready
  * @open_count: calls that have not ended
  * @unrouted_metrics: requests for which no service was found
  * @failure_log: failed requests that were not logged one by one
--- a/src/policy/stop.c
+++ b/src/policy/stop.c
@@ -20,6 +20,15 @@
 		s->refuse_us = REFUSE_US;
 }
 
+bool
+brf_stop_may_begin(const struct brf_stop_request *rq)
+{
+	if (rq->until_deadline_us <= rq->until_exit_us)
+		return (true);
+	return (
+	    rq->is_call_of_running && rq->objective_us <= rq->until_exit_us);
+}
+
 enum brf_stop_step
 brf_stop_check(struct brf_stop *s, uint64_t since_us, size_t open)
 {
--- a/src/policy/stop.h
+++ b/src/policy/stop.h
@@ -14,6 +14,10 @@
  * work for a while, because the service goes without its slots from the moment
  * it gets none until the node is back.  Then the gate refuses new work, and
  * what is running is finished.
+ *
+ * Some callers go on to send.  Once all have had the time to learn that the
+ * node stops, a request begins only if it must have ended before the process
+ * exits, since one that is running then is cut off.
  */
 
 /**
@@ -44,8 +48,31 @@
 	BRF_STOP_END
 };
 
+/**
+ * struct brf_stop_request - a request that comes to a node that stops.
+ * @until_exit_us: time until the process exits, microseconds
+ * @until_deadline_us: longest time that the request may take, microseconds
+ * @objective_us: latency objective of its route, microseconds
+ * @is_call_of_running: it is surely a nested call of a request that this VM's
+ *	target runs, which fails without it
+ */
+struct brf_stop_request {
+	uint64_t until_exit_us;
+	uint64_t until_deadline_us;
+	uint64_t objective_us;
+	bool is_call_of_running;
+};
+
 BRF_BEGIN_DECLS
 
+/**
+ * brf_stop_may_begin() - whether a request may begin at a node that stops,
+ * after the time in which callers learn of it.
+ *
+ * A call for a running request is taken as long as it can meet its objective.
+ */
+bool brf_stop_may_begin(const struct brf_stop_request *rq);
+
 /* @grace_us: time from the signal until the process is killed, microseconds */
 void brf_stop_init(struct brf_stop *s, uint64_t grace_us);
 
--- a/test/stop_test.cc
+++ b/test/stop_test.cc
@@ -38,6 +38,28 @@
 
 } // namespace
 
+/* What begins late in the grace period is cut when the process exits. */
+TEST(stop, a_request_begins_only_if_it_ends_before_the_exit)
+{
+	const uint64_t s = BRF_US_PER_S;
+	const struct {
+		struct brf_stop_request rq;
+		bool begins;
+	} cases[] = {
+		{ { 3 * s, 5 * s, s, false }, false },
+		{ { 3 * s, 3 * s, s, false }, true },
+		{ { 3 * s, 3 * s + 1, s, false }, false },
+		{ { 0, 1, 0, false }, false },
+		{ { 3 * s, 5 * s, s, true }, true },
+		{ { s, 5 * s, s + 1, true }, false },
+		{ { s, s, 2 * s, true }, true },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(brf_stop_may_begin(&c.rq), c.begins)
+		    << c.rq.until_exit_us << " " << c.rq.until_deadline_us;
+}
+
 TEST(stop, target_gets_work_until_callers_stop_sending)
 {
 	uint64_t refused, ended;
