mesh/gate: a hop that waits ends with the target that it names

What callers saw: unsafe requests to one service were run by a target of another, which had taken over the address of a silent one.

Cause: hops that wait for a slot stayed in the queue when another target was announced, and got its id in the field that names the only target that may run the request.

--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -655,7 +655,7 @@
 	brf_field_put(b, "host", rq->host);
 	brf_buf_add(b, rq->fields, rq->fields_len);
 	put_uint_field(b, names->timeout, left / BRF_US_PER_MS);
-	brf_field_put(b, names->target, gh->gate->notice.id);
+	brf_field_put(b, names->target, rq->target);
 	brf_field_put(b, names->caller, rq->caller);
 	if (rq->body == BRF_BODY_LENGTH)
 		put_uint_field(b, "content-length", rq->length);
@@ -952,6 +952,21 @@
 	apply_report(gate);
 }
 
+/* Refuse waiting hops that name another target than the present one. */
+static void
+refuse_misdirected(struct brf_mesh_gate *gate)
+{
+	struct brf_list *l, *next;
+	struct gate_hop *gh;
+
+	brf_list_foreach_safe (l, next, &gate->hops) {
+		gh = brf_list_entry(l, struct gate_hop, link);
+		if (strcmp(gh->hop->request.target, gate->notice.id) != 0 &&
+		    brf_slot_queues_withdraw(&gh->ticket))
+			refuse(gh, BRF_R_NO_TARGET, false);
+	}
+}
+
 void
 brf_mesh_gate_update_target(struct brf_mesh_gate *gate,
     const struct brf_target_announcement *notice, bool is_new)
@@ -961,6 +976,8 @@
 		forget_incarnation(gate);
 	}
 	gate->notice = *notice;
+	if (is_new)
+		refuse_misdirected(gate);
 	brf_slot_queues_set_slots(gate->queues, notice->slots);
 	if (notice->state == BRF_TARGET_READY && !gate->report.leaving)
 		brf_mesh_gate_refuse(gate, BRF_R_NONE);
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -470,6 +470,30 @@
 	EXPECT_EQ(target.requests(), 3u);
 }
 
+/* Hops that wait must not run at a target that takes over the address. */
+TEST_F(mesh_gate, waiting_hops_end_with_the_target_that_they_name)
+{
+	struct sender s[3], next;
+	raw_peer *p;
+
+	send(s[0], "1");
+	send(s[1], "2");
+	send(s[2], "3", false); /* waits for a slot */
+	until([&] { return (target.requests() == 2); });
+	brf_copy_name(notice.id, sizeof(notice.id), "t-2");
+	brf_copy_name(notice.service, sizeof(notice.service), "other");
+	brf_mesh_gate_update_target(gate, &notice, true);
+	p = target.with("x-id: 1\r\n");
+	ASSERT_NE(p, nullptr);
+	p->put(complete_answer("1", "a"));
+	until([&] { return (s[2].hop.state != BRF_HOP_OPEN); });
+	EXPECT_EQ(s[2].hop.state, BRF_HOP_REFUSED);
+	EXPECT_EQ(s[2].hop.reason, BRF_R_NO_TARGET);
+	EXPECT_FALSE(s[2].hop.arrived);
+	until([&, n = 50]() mutable { return (n-- <= 0); });
+	EXPECT_EQ(target.requests(), 2u);
+}
+
 TEST_F(mesh_gate, idle_connections_are_reused)
 {
 	for (int i = 0; i < 5; i++) {
