--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,14 +21,13 @@
     site = machine = None
 
     async def run(self, writer, method, path, ident, body):
-        arrived = time.monotonic()
-        fields = self.ran[-1][2]
+        arrived, _, fields, _ = self.ran[-1]
         query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(path).query))
         end = arrived + int(fields[kit.N.H_TIMEOUT_MS]) / 1000
         await asyncio.sleep(int(query["after"]) / 1000)
         answer = await self.site.call(
             self.machine, "POST", f"/b/pay?ms={query['call']}", b"payment",
-            round((end - time.monotonic()) * 1000))
+            until=end)
         answer.at = time.monotonic()
         self.calls.append(answer)
         good = answer.status == 200
@@ -57,7 +56,7 @@
         m.upstream.calls.clear()
         work = [asyncio.create_task(site.call(
             b, "POST", f"/a/lodge?after={after}&call={CALL_TAKES_S * 1000:.0f}",
-            timeout_ms=15000)) for after in range(3650, 4050, 50)]
+            timeout_ms=15000)) for after in range(3650, 4010, 15)]
         await asyncio.sleep(0.2)
         stopped = time.monotonic()
         if trouble:
--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -126,7 +126,9 @@
     async def call():
         reader, writer = await asyncio.open_connection(*address)
         try:
-            head = {"Host": f"{address[0]}:{address[1]}", **(fields or {})}
+            head = {"Host": f"{address[0]}:{address[1]}", **{
+                k: v() if callable(v) else v
+                for k, v in (fields or {}).items()}}
             if body:
                 head["Content-Length"] = len(body)
             writer.write(message(f"{method} {path} HTTP/1.1", head, body))
@@ -390,6 +392,7 @@
     async def serve(self, reader, writer):
         while True:
             first, fields = await read_head(reader)
+            arrived = time.monotonic()
             method, path, _ = first.split(" ")
             body = await read_body(reader, fields)
             ident = fields.get(N.H_REQUEST_ID, "")
@@ -404,7 +407,7 @@
                     N.H_REQUEST_ID: ident, N.H_NOT_EXECUTED: 1,
                     N.H_INSTANCE: self.id, "Content-Length": 0}))
                 continue
-            self.ran.append((time.monotonic(), ident, fields, path))
+            self.ran.append((arrived, ident, fields, path))
             self.record(f"{self.id}: runs {ident} {method} {path} caller "
                         f"{fields.get(N.H_CALLER)}")
             await self.run(writer, method, path, ident, body)
@@ -606,15 +609,17 @@
                 await asyncio.sleep(0.05)
 
     async def call(self, machine, method, path, body=b"", timeout_ms=5000,
-                   host="app.example"):
-        """A request of a client on the machine."""
+                   host="app.example", until=None):
+        """A request of a client on the machine.  Of an upstream's call, until
+        says when its parent's time is over."""
         self.attempts += 1
         ident = f"a{self.attempts:04x}{os.urandom(3).hex()}"
         self.record(f"client on {machine.name}: {ident} {method} {path}")
         sent = time.monotonic()
         answer = await request(machine.outbound, method, path, {
             "Host": host, N.H_REQUEST_ID: ident,
-            N.H_TIMEOUT_MS: timeout_ms},
+            N.H_TIMEOUT_MS: timeout_ms if until is None else
+            lambda: round((until - time.monotonic()) * 1000)},
             body, timeout_ms / 1000 + 1)
         self.record(f"client on {machine.name}: {ident} answered "
                     f"{answer.status or 'with a closed connection'}")
