--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -345,6 +345,17 @@
     def __init__(self, store):
         super().__init__(store.record)
         self.store = store
+        self.waiting = {}  # watches by prefix
+        self.silent = set()  # of them, those whose connection went silent
+
+    def silence(self, prefix):
+        """The open connection of the watch of prefix goes silent for good;
+        new ones work.  Return how many there were."""
+        found = {w for w, p in self.waiting.items() if p == prefix}
+        self.silent |= found
+        self.record(f"{len(found)} of {len(self.writers)} open connections to "
+                    "the store have gone silent")
+        return len(found)
 
     async def answer(self, method, path, query, body):
         while self.mode == "silent":
@@ -355,11 +366,17 @@
             return await self.store.answer(method, path, query, body)
         watch = asyncio.create_task(
             self.store.answer(method, path, query, body))
-        while not watch.done():
-            await asyncio.wait([watch], timeout=0.05)
-            if self.mode != "up":  # a watch that is waiting may be cut
-                watch.cancel()
-                raise Closed
+        self.waiting[watch] = query["prefix"]
+        try:
+            while not watch.done() or watch in self.silent:
+                if watch in self.silent:
+                    await asyncio.sleep(3600)
+                await asyncio.wait([watch], timeout=0.05)
+                if self.mode != "up":  # a watch that is waiting may be cut
+                    raise Closed
+        finally:
+            del self.waiting[watch]
+            watch.cancel()
         return watch.result()
 
 
