--- a/review/10/case.py
+++ b/review/10/case.py
@@ -28,7 +28,8 @@
         await asyncio.sleep(4)
         for x in site.machines:
             assert (await site.call(x, "GET", paths[x.service])).status == 200
-        if trouble and site.store_proxies[m.name].silence(kit.N.CONFIG_PREFIX) != 1:
+        front = site.store_proxies[m.name]
+        if trouble and front.silence(kit.N.CONFIG_PREFIX) != 1:
             raise RuntimeError("the machine does not watch the configuration")
         await asyncio.sleep(CONTACT_S + 0.3)
         site.configure([kit.route("r-a", "/a/", "beta"), beta], services)
--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -1,5 +1,5 @@
-"""Stand-ins for the cases of the second review: the platform's store, upstreams,
-clients, and machines that run the program of the deploy file.
+"""Stand-ins for the cases of the second review: the platform's store,
+upstreams, clients, and machines that run the program of the deploy file.
 
 They follow the users' pages SYSTEM, PROTOCOL and DEPLOY.  Everything listens on
 loopback; each machine has a loopback address of its own.  One asyncio loop runs
@@ -272,13 +272,16 @@
         name, _, ident = path.removeprefix(PREFIX).partition("/")
         if name == "kv-key":
             item = self.items.get(query["key"])
-            return (200, {**item, N.STORE_REVISION: self.rev}) if item else (404, {})
+            if item is None:
+                return 404, {}
+            return 200, {**item, N.STORE_REVISION: self.rev}
         if name == "kv-range":
             keys = sorted(k for k in self.items
                           if k.startswith(query["prefix"])
                           and k > query.get("after", ""))
             return 200, {"items": [self.items[k] for k in keys[:500]],
-                         N.HAS_MORE: len(keys) > 500, N.STORE_REVISION: self.rev}
+                         N.HAS_MORE: len(keys) > 500,
+                         N.STORE_REVISION: self.rev}
         if name == "kv-watch":
             return await self.watch(query)
         if name == "kv-txn":
@@ -489,6 +492,7 @@
                 stderr=out, stdin=subprocess.DEVNULL, env={
                     "PATH": os.environ["PATH"],
                     N.SETTINGS_ENV: str(self.settings)})
+        STARTED.append(self.process)
         self.site.record(f"{self.name}: started, process "
                          f"{self.process.pid}")
 
@@ -645,10 +649,22 @@
         return answer
 
 
+STARTED = []  # processes
+
+
+def give_up(number, frame):
+    """End all processes that were started, then this one."""
+    for process in STARTED:
+        if process.poll() is None:
+            process.kill()
+    os._exit(2)
+
+
 def main(case):
     """Run case(record, trouble), which returns the number of breaks."""
     record = Record(pathlib.Path(sys.argv[0]).resolve().parent / "record.txt")
     trouble = os.environ.get("TROUBLE") != "0"
+    signal.signal(signal.SIGTERM, give_up)
     try:
         breaks = asyncio.run(asyncio.wait_for(case(record, trouble), LIMIT_S))
     except (Exception, KeyboardInterrupt) as e:  # the case could not run
