--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -661,8 +661,9 @@
 
 
 def main(case):
-    """Run case(record, trouble), which returns the number of breaks."""
-    record = Record(pathlib.Path(sys.argv[0]).resolve().parent / "record.txt")
+    """Run case(record, trouble), which returns the number of breaks.  The
+    record goes to the file that the command line names."""
+    record = Record(sys.argv[1])
     trouble = os.environ.get("TROUBLE") != "0"
     signal.signal(signal.SIGTERM, give_up)
     try:
