mesh/call: a request that begins late in a planned stop ends before the exit

Cause: a call of a running request was sent when its route's objective fitted before the exit. The objective is a wish; the call was bounded by its deadline alone, which lay behind the exit, and nobody was told when the exit came.

A request whose body was awaited is no longer begun once it has been answered.

--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -73,6 +73,7 @@
  * @duration_us: time from arrival to that end
  */
 struct call {
+	struct brf_list link;
 	struct brf_mesh_calls *calls;
 	struct brf_flow_request *rq;
 	struct brf_table *table;
@@ -282,6 +283,7 @@
 	brf_pipe_free(&call->request_body);
 	brf_buf_free(&call->replay);
 	brf_body_hash_free(&call->body_hash);
+	brf_list_remove(&call->link);
 	call->calls->open_count--;
 	free(call);
 }
@@ -341,6 +343,7 @@
 
 	release_hop(call, BRF_FEEDBACK_NONE);
 	call->answered = true;
+	call->awaits_body = false;
 	report_congestion(call, true);
 	brf_timer_stop(call->calls->timers, &call->timer);
 	set_end(call, end_for_status(status), reason);
@@ -586,6 +589,42 @@
 		    calls->crashes, calls->service, &call->key);
 }
 
+static void start_timer(struct call *call);
+
+/* Whether this node, if it stops, may send the request to a target. */
+static bool
+may_send(struct call *call)
+{
+	const struct brf_mesh_calls *calls = call->calls;
+	uint64_t t = now(calls);
+	struct brf_stop_request rq = {
+		.expected_us = brf_longest_get(&call->route_state->longest, t),
+		.repeatable = call->route->repeatable,
+		.is_call_of_running = call->has_parent && call->parent.sure,
+	};
+	enum brf_stop_verdict verdict;
+
+	if (calls->exit_at == 0 || t < calls->refuse_long_from)
+		return (true);
+	if (rq.expected_us < call->route->objective_us)
+		rq.expected_us = call->route->objective_us;
+	if (calls->work_ends_at > t)
+		rq.until_end_us = calls->work_ends_at - t;
+	if (call->deadline > t)
+		rq.until_deadline_us = call->deadline - t;
+	verdict = brf_stop_judge(&rq);
+	if (verdict == BRF_STOP_LIMIT) {
+		brf_log_request(BRF_LOG_INFO, "stop_limits_request",
+		    BRF_LS("request", call->rq->head.id),
+		    BRF_LU("left_ms", rq.until_deadline_us / BRF_US_PER_MS),
+		    BRF_LU("limit_ms", rq.until_end_us / BRF_US_PER_MS),
+		    BRF_LU("expected_ms", rq.expected_us / BRF_US_PER_MS));
+		call->deadline = calls->work_ends_at;
+		start_timer(call);
+	}
+	return (verdict != BRF_STOP_KEEP);
+}
+
 /* Send the request to the next target, or give up. */
 static void
 try_next_target(struct call *call)
@@ -650,6 +689,18 @@
 		brf_directory_drop_lapsed(peer->target);
 }
 
+/* Send the request again, unless this process may exit meanwhile. */
+static void
+try_again(struct call *call)
+{
+	if (may_send(call)) {
+		try_next_target(call);
+		return;
+	}
+	call->refusal_reason = BRF_R_DRAINING;
+	give_up(call);
+}
+
 /* The target did not run the request and never will. */
 static void
 hop_refused(struct call *call)
@@ -675,7 +726,7 @@
 		    &call->service->retry_budget, call->nested, t)))
 		give_up(call);
 	else
-		try_next_target(call);
+		try_again(call);
 }
 
 /* The target may have run the request. */
@@ -698,7 +749,7 @@
 		&call->service->retry_budget, call->nested, t))
 		give_up(call);
 	else
-		try_next_target(call);
+		try_again(call);
 }
 
 static void
@@ -767,8 +818,6 @@
 	brf_timer_start(call->calls->timers, timer, BRF_ANSWER_CHECK_US);
 }
 
-static void start_timer(struct call *call);
-
 /* The answer goes to the caller; watch it from its deadline on. */
 static void
 keep_deadline(struct call *call)
@@ -796,6 +845,8 @@
 	    call->hop.has_load ? &call->hop.load : NULL, t);
 	learn_nesting(call);
 	call->marked = call->marked || call->hop.marked;
+	brf_longest_add(&call->route_state->longest,
+	    t - call->arrived_at - call->trace.hops[0].sent_after_us, t);
 	report_congestion(call, a->status >= 500);
 	log_answer(call);
 	brf_flow_answer(call->rq, a->status, a->fields.data, a->fields.len,
@@ -937,26 +988,6 @@
 	return (call->admitted);
 }
 
-/* Whether the request might still be open when this process exits. */
-static bool
-outlives_process(const struct call *call)
-{
-	const struct brf_mesh_calls *calls = call->calls;
-	uint64_t t = now(calls);
-	struct brf_stop_request rq = {
-		.objective_us = call->route->objective_us,
-		.is_call_of_running = call->has_parent && call->parent.sure,
-	};
-
-	if (calls->exit_at == 0 || t < calls->refuse_long_from)
-		return (false);
-	if (calls->exit_at > t)
-		rq.until_exit_us = calls->exit_at - t;
-	if (call->deadline > t)
-		rq.until_deadline_us = call->deadline - t;
-	return (!brf_stop_may_begin(&rq));
-}
-
 static void
 start_timer(struct call *call)
 {
@@ -1024,6 +1055,7 @@
 	struct call *call = brf_calloc(1, sizeof(*call));
 
 	calls->open_count++;
+	brf_list_append(&calls->open, &call->link);
 	call->calls = calls;
 	call->rq = rq;
 	rq->data = call;
@@ -1048,7 +1080,7 @@
 begin(struct call *call)
 {
 	call->awaits_body = false;
-	if (outlives_process(call)) {
+	if (!may_send(call)) {
 		answer_locally(call, 503, BRF_R_DRAINING);
 		return;
 	}
@@ -1152,9 +1184,40 @@
 	.refused = on_refused,
 };
 
+static void
+end_before_exit(struct call *call)
+{
+	if (call->answered)
+		return;
+	if (call->hop_open && call->hop.state == BRF_HOP_ANSWERED &&
+	    call->hop.answer_body.state != BRF_PIPE_BROKEN) {
+		hop_answered(call);
+		return;
+	}
+	call->refusal_reason = BRF_R_DRAINING;
+	if (call->hop_open)
+		call->failure_reason = BRF_R_ABORTED;
+	give_up(call);
+}
+
 void
 brf_mesh_calls_init(struct brf_mesh_calls *calls)
 {
 	calls->handler.vt = &handler_vt;
+	brf_list_init(&calls->open);
 	calls->open_count = 0;
 }
+
+void
+brf_mesh_calls_give_up(struct brf_mesh_calls *calls)
+{
+	struct brf_list *l, waiting;
+
+	/* An answer may end several requests of its connection. */
+	brf_list_init(&waiting);
+	brf_list_move(&waiting, &calls->open);
+	while ((l = brf_list_pop(&waiting)) != NULL) {
+		brf_list_append(&calls->open, l);
+		end_before_exit(brf_list_entry(l, struct call, link));
+	}
+}
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -32,10 +32,12 @@
  * @service: name of the service of this VM's target; the text may change
  * @exit_at: clock time at which the process exits, microseconds; 0 unless it
  *	is stopping
+ * @work_ends_at: clock time by which requests that begin late have to have
+ *	ended
  * @refuse_long_from: clock time from which requests that might outlast the
  *	process are refused; earlier, clients may not have learned yet that
  *	this node is not ready
- * @open_count: calls that have not ended
+ * @open: calls that have not ended; @open_count of them
  * @unrouted_metrics: requests for which no service was found
  * @failure_log: failed requests that were not logged one by one
  */
@@ -51,7 +53,9 @@
 	struct brf_mesh_crashes *crashes;
 	const char *service;
 	uint64_t exit_at;
+	uint64_t work_ends_at;
 	uint64_t refuse_long_from;
+	struct brf_list open;
 	size_t open_count;
 	struct brf_request_metrics unrouted_metrics;
 	struct brf_failure_log failure_log;
@@ -60,13 +64,16 @@
 BRF_BEGIN_DECLS
 
 /**
- * brf_mesh_calls_init() - set @handler and @open_count.
+ * brf_mesh_calls_init() - set @handler, @open and @open_count.
  *
  * The caller zeroes the struct and fills the pointers, which must stay valid
  * as long as a call is open.
  */
 void brf_mesh_calls_init(struct brf_mesh_calls *calls);
 
+/* Answer all requests that have no answer: the process is about to exit. */
+void brf_mesh_calls_give_up(struct brf_mesh_calls *calls);
+
 BRF_END_DECLS
 
 #endif
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -429,6 +429,9 @@
 		brf_mesh_gate_refuse(node->gate, BRF_R_DRAINING);
 		publish(node);
 		break;
+	case BRF_STOP_TELL:
+		brf_mesh_calls_give_up(&node->callers);
+		break;
 	case BRF_STOP_END:
 		brf_log(BRF_LOG_INFO, "stopped", BRF_LU("left", open_count),
 		    BRF_LU("after_ms", elapsed_us / BRF_US_PER_MS));
@@ -449,6 +452,7 @@
 	node->stopping_since = now(node);
 	brf_stop_init(&node->stop, node->settings.grace_us);
 	node->callers.exit_at = node->stopping_since + node->stop.max_us;
+	node->callers.work_ends_at = node->stopping_since + node->stop.work_us;
 	node->callers.refuse_long_from =
 	    node->stopping_since + node->stop.min_us;
 	brf_flow_drain(node->entry);
--- a/src/mesh/tables.h
+++ b/src/mesh/tables.h
@@ -3,6 +3,7 @@
 
 #include "base/metrics.h"
 #include "link/link.h"
+#include "policy/longest.h"
 #include "policy/nesting.h"
 #include "policy/throttle.h"
 #include "policy/split.h"
@@ -24,6 +25,7 @@
  * @split: division of its requests among services
  * @throttle: share of its requests that is admitted where they begin
  * @nesting: whether its requests are nested calls
+ * @longest: longest time from sending a request that began here to its answer
  */
 struct brf_mesh_route_state {
 	struct brf_list link;
@@ -32,6 +34,7 @@
 	struct brf_split split;
 	struct brf_throttle throttle;
 	struct brf_nesting nesting;
+	struct brf_longest longest;
 };
 
 /**
--- a/test/mesh_call_test.cc
+++ b/test/mesh_call_test.cc
@@ -256,6 +256,36 @@
 	EXPECT_EQ(answers("200"), 1u);
 }
 
+/* Open requests were closed without an answer when the process exited. */
+TEST_F(mesh_call, what_is_open_at_the_exit_is_answered)
+{
+	raw_peer *p;
+
+	client.put(get("/a/1", "1"));
+	p = arrived("1");
+	ASSERT_NE(p, nullptr);
+	brf_mesh_calls_give_up(&calls);
+	until([&] { return (answers("502") == 1); });
+	EXPECT_EQ(answers("502"), 1u);
+	until([&] { return (p->ended); });
+	EXPECT_TRUE(p->ended);
+}
+
+/* A held answer is the target's, and is not replaced. */
+TEST_F(mesh_call, a_held_answer_is_passed_on_at_the_exit)
+{
+	send_two(get("/a/1", "1") + get("/a/2", "2"));
+	first->put(head("1", 5) + "fi");
+	until([&, n = 50]() mutable { return (n-- <= 0); });
+	bench.pause(100); /* the gate no longer holds it */
+	until([&, n = 50]() mutable { return (n-- <= 0); });
+	brf_mesh_calls_give_up(&calls);
+	first->put("rst");
+	until([&] { return (answers("502") == 1); });
+	EXPECT_NE(client.got.find("first"), std::string::npos);
+	EXPECT_EQ(answers("502"), 1u);
+}
+
 /* Break the answer to request "1" after its head and some of its body. */
 struct broken_answer {
 	const char *what;
