node/call: a call that begins while the node drains ends before its limit

Cause: the limit of the drain was known to the phase alone, not to calls that begin.

Why it works: calls are judged by brf_stop_judge(), as in mesh/call. Without a limit nothing changes.

--- a/src/node/call.c
+++ b/src/node/call.c
@@ -4,6 +4,7 @@
 #include "node/burn.h"
 #include "node/call.h"
 #include "policy/ledger.h"
+#include "policy/stop.h"
 #include "policy/token.h"
 
 #define TRIED_MAX (BRF_RETRIES_MAX + 1)
@@ -528,6 +529,30 @@
 		in->open_since = call->started_at;
 }
 
+/* Whether the call may begin at this node, if it drains. */
+static bool
+may_begin(struct brf_call *call)
+{
+	const struct brf_call_context *ctx = call->ctx;
+	struct brf_stop_request rq = {
+		.until_deadline_us = call->deadline - call->started_at,
+		.expected_us =
+		    brf_router_expected_us(ctx->router, call->request.service),
+		.repeatable = call->rule->idempotent,
+		.is_call_of_running = call->request.inbound != NULL,
+	};
+	enum brf_stop_verdict verdict;
+
+	if (ctx->work_ends_at == 0)
+		return (true);
+	if (ctx->work_ends_at > call->started_at)
+		rq.until_end_us = ctx->work_ends_at - call->started_at;
+	verdict = brf_stop_judge(&rq);
+	if (verdict == BRF_STOP_LIMIT)
+		call->deadline = ctx->work_ends_at;
+	return (verdict != BRF_STOP_KEEP);
+}
+
 struct brf_call *
 brf_call_start(
     struct brf_call_context *ctx, const struct brf_call_request *request)
@@ -554,7 +579,10 @@
 		inbound_call_started(call);
 	call->timer.fire = next_attempt;
 	call->timer.arg = call;
-	first_attempt(call);
+	if (may_begin(call))
+		first_attempt(call);
+	else
+		finish(call, BRF_NOT_RUN, BRF_R_DRAINING, NULL);
 	/* call_free() spares a call that is starting; the analyzer does not
 	 * see that. */
 	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -20,6 +20,8 @@
  * struct brf_call_context - state shared by all calls of one node.
  * @burn: counts ended root requests against the services' objectives
  * @self: id of this node; attempts to it go to @gate without a hop
+ * @work_ends_at: clock time by which calls that begin while the node drains
+ *	have to have ended; 0 for no limit
  * @open_calls: calls that have not ended
  * @useful_seconds: slot time, in the whole call tree, of root requests that
  *	succeeded
@@ -41,6 +43,7 @@
 	struct brf_token_key *token_key;
 	struct brf_burn *burn;
 	struct brf_id self;
+	uint64_t work_ends_at;
 	size_t open_calls;
 	struct brf_metric *useful_seconds;
 	struct brf_metric *wasted_seconds;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -10,6 +10,8 @@
 #include "node/node.h"
 
 #define DRAIN_POLL_US (20 * BRF_US_PER_MS)
+/* Of the limit of a graceful stop, for the answers to callers. */
+#define ANSWER_US (200 * BRF_US_PER_MS)
 #define PROBE_PERIOD_US BRF_US_PER_S
 #define PEER_IDLE_US (60 * BRF_US_PER_S)
 #define PEER_CONNECT_US (1 * BRF_US_PER_S)
@@ -466,6 +468,19 @@
 	return (limit != 0 && now(node) - node->phase_since >= limit);
 }
 
+/* Return: clock time by which calls that begin now have to have ended; 0 for no
+ * limit. */
+static uint64_t
+work_end(const struct brf_node *node)
+{
+	uint64_t limit = node->settings.drain_limit_us;
+
+	if (limit == 0)
+		return (0);
+	return (node->phase_since + limit -
+		(limit < ANSWER_US ? limit : ANSWER_US));
+}
+
 /* Advances the graceful stop to its next phase. */
 static void
 poll_drain(struct brf_timer *timer, void *arg)
@@ -501,6 +516,7 @@
 	brf_log(BRF_LOG_INFO, "draining", BRF_LU("left", open_requests(node)));
 	node->phase = BRF_PHASE_DRAINING;
 	node->phase_since = now(node);
+	node->call_context.work_ends_at = work_end(node);
 	brf_gate_set_draining(node->gate, true);
 	brf_http_server_stop(node->entry);
 	brf_node_publish_state(node);
--- a/test/e2e/test_stop.py
+++ b/test/e2e/test_stop.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+import threading
 import time
 import unittest
 
@@ -99,6 +100,34 @@
             target.close()
             self.assertEqual(node.stop(), 0)
 
+    def test_calls_of_running_requests_end_before_the_limit(self):
+        """They were begun although they would outlast the process, and cut;
+        their parents' callers got no answer."""
+        with fleet.Fleet() as f:
+            caller = f.add_node("caller")
+            stops = f.add_node("stops", extra=["--drain-limit-ms", "3000"])
+            below = f.add_node("below")
+            f.add_target(stops, "factors", "--service-ms", 1500, "--call",
+                         "deep")
+            deep = f.add_target(below, "deep", "--service-ms", 2500)
+            f.wait_ready()
+            answers = []
+            threads = [threading.Thread(target=lambda: answers.append(
+                fleet.request(caller.ports["entry"], "GET", "/a", None,
+                              {"Host": "factors", "brf-timeout-ms": "9000",
+                               "x-request-tag": "outer"})))
+                for _ in range(4)]
+            for t in threads:
+                t.start()
+            time.sleep(0.4)
+            self.assertEqual(stops.stop(), 0)
+            for t in threads:
+                t.join()
+            self.assertEqual([a[1]["brf-outcome"] for a in answers],
+                             ["answered"] * 4)
+            self.assertEqual(
+                fleet.get_json(deep.port, "/ran?tag=outer")["count"], 4)
+
     def test_rolling_replacement_loses_nothing(self):
         """Each node but the callers' is replaced, one after the other."""
         with fleet.Fleet() as f:
