mesh/relay: nodes that poll the store confirm each other's polls

Cause: renewals on an older connection confirmed the poll, although they say nothing of the poll's own connection; a relay had no second way by which a change came.

Why it works: each node that polls asks the zone's other relay and one of another zone, which watch the store themselves. When they know a change that its poll has not told, the poll is sent again on a new connection. A node that nobody confirms polls with short waits, so that silence is noticed at the poll's end.

--- a/src/config/store.h
+++ b/src/config/store.h
@@ -156,6 +156,8 @@
  * @pause_us: for a store that must be polled, the time from a response
  *	with changes to the next poll, microseconds; changes made in between
  *	arrive in one event; @event may set it
+ * @wait_us: for such a store, longest time that a poll waits, microseconds; 0
+ *	for the store's own; @event may set it
  * @event: called for each event; may stop the watch
  * @confirmed: called with the clock time up to which all changes are known to
  *	have been reported, but for those made in a pause; may be NULL, and may
@@ -170,6 +172,7 @@
 	const char *prefix;
 	uint64_t from;
 	uint64_t pause_us;
+	uint64_t wait_us;
 	void (*event)(
 	    struct brf_store_watch *watch, const struct brf_store_event *event);
 	void (*confirmed)(struct brf_store_watch *watch, uint64_t at);
--- a/src/mesh/relay_query.c
+++ b/src/mesh/relay_query.c
@@ -132,6 +132,115 @@
 	return (sources->count != 0 ? BRF_RELAY_RELAYS : BRF_RELAY_STORE);
 }
 
+const struct brf_entry *
+brf_relay_choose_partner(struct brf_mesh_relay *r)
+{
+	struct visit v = { .r = r };
+	size_t i;
+
+	if (r->directory == NULL)
+		return (NULL);
+	brf_directory_visit(r->directory, rank_target, &v);
+	if (!brf_relay_is_relay(&v.ranking, r->config.node))
+		return (NULL);
+	for (i = 0; i < BRF_RELAYS_PER_ZONE; i++) {
+		if (v.ranking.best[i].name != NULL &&
+		    strcmp(v.ranking.best[i].name, r->config.node) != 0)
+			return (v.ranking.best[i].data);
+	}
+	return (NULL);
+}
+
+#define OTHER_ZONES_MAX 16u
+
+/**
+ * struct survey - the relays of all other zones.
+ * @region: of this node; empty while unknown
+ */
+struct survey {
+	struct brf_mesh_relay *r;
+	char region[BRF_NAME_MAX + 1];
+	struct {
+		const struct brf_entry *member;
+		struct brf_relay_ranking ranking;
+	} zones[OTHER_ZONES_MAX];
+	size_t count;
+};
+
+static void
+survey_target(void *arg, const struct brf_directory_target *t)
+{
+	struct survey *s = arg;
+	size_t i;
+
+	if (t->lapsed || t->entry.state != BRF_TARGET_READY)
+		return;
+	if (strcmp(t->entry.zone, s->r->config.zone) == 0) {
+		brf_copy_name(s->region, sizeof(s->region), t->entry.region);
+		return;
+	}
+	for (i = 0; i < s->count; i++) {
+		if (strcmp(s->zones[i].member->zone, t->entry.zone) == 0)
+			break;
+	}
+	if (i == OTHER_ZONES_MAX)
+		return;
+	if (i == s->count)
+		s->zones[s->count++].member = &t->entry;
+	brf_relay_rank(&s->zones[i].ranking, t->entry.node, &t->entry);
+}
+
+/* Whether the zone @a is to be asked before @b: this region first, then the
+ * names that follow this zone's, so that zones don't all ask the same one. */
+static bool
+precedes(const struct survey *s, const struct brf_entry *a,
+    const struct brf_entry *b)
+{
+	bool a_near = strcmp(a->region, s->region) == 0;
+	bool b_near = strcmp(b->region, s->region) == 0;
+	bool a_next = strcmp(a->zone, s->r->config.zone) > 0;
+	bool b_next = strcmp(b->zone, s->r->config.zone) > 0;
+
+	if (a_near != b_near)
+		return (a_near);
+	if (a_next != b_next)
+		return (a_next);
+	return (strcmp(a->zone, b->zone) < 0);
+}
+
+/* Return: number of the zones that precede zone @i. */
+static size_t
+order_of(const struct survey *s, size_t i)
+{
+	size_t j, n = 0;
+
+	for (j = 0; j < s->count; j++) {
+		if (j != i &&
+		    precedes(s, s->zones[j].member, s->zones[i].member))
+			n++;
+	}
+	return (n);
+}
+
+const struct brf_entry *
+brf_relay_choose_outside(struct brf_mesh_relay *r, unsigned turn)
+{
+	struct survey s = { .r = r };
+	const struct brf_relay_candidate *best;
+	size_t i, wanted, relay = turn % BRF_RELAYS_PER_ZONE;
+
+	if (r->directory == NULL)
+		return (NULL);
+	brf_directory_visit(r->directory, survey_target, &s);
+	if (s.count == 0)
+		return (NULL);
+	wanted = turn / BRF_RELAYS_PER_ZONE % s.count;
+	for (i = 0; order_of(&s, i) != wanted;)
+		i++;
+	best = s.zones[i].ranking.best;
+	return (best[relay].name != NULL ? best[relay].data : best[0].data);
+}
+
 const struct brf_entry *
 brf_relay_choose_one(struct brf_mesh_relay *r)
 {
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -259,6 +259,7 @@
  * @reaches_store.  All copies get the same writes. */
 struct relay_node {
 	std::string name;
+	std::string zone;
 	struct fake_store origin;
 	bool reaches_store = true;
 	uint64_t probed_at = 0;
@@ -319,13 +320,14 @@
 		config.timers = timers;
 		config.metrics = bench.metrics;
 		config.node = node->name.c_str();
-		config.zone = "z";
+		config.zone = node->zone.c_str();
 		return (brf_mesh_relay_new(&config));
 	}
 
 	relay_node(const std::string &name, struct flow_bench &bench,
-	    struct brf_timers *timers, bool is_mute)
-	    : name(name), relay(make(this, timers, bench)),
+	    struct brf_timers *timers, bool is_mute,
+	    const std::string &zone = "z")
+	    : name(name), zone(zone), relay(make(this, timers, bench)),
 	      linked(bench, this->name.c_str(), "s", &handler.handler)
 	{
 		handler.inner = brf_mesh_relay_handler(relay);
@@ -364,7 +366,7 @@
 		std::string s;
 
 		brf_copy_name(e.service, sizeof(e.service), "s");
-		brf_copy_name(e.zone, sizeof(e.zone), "z");
+		brf_copy_name(e.zone, sizeof(e.zone), zone.c_str());
 		brf_copy_name(e.region, sizeof(e.region), "r");
 		brf_copy_name(e.node, sizeof(e.node), name.c_str());
 		e.gate = linked.addr;
@@ -774,6 +776,108 @@
 	}
 }
 
+namespace
+{
+
+/* Watches of one zone's relays go silent alone; a node of another zone is well.
+ */
+struct relays_silent : public relay_zone {
+	void
+	start_zones(size_t count)
+	{
+		start(count);
+		nodes.emplace_back(
+		    new relay_node("far", bench, timers, false, "y"));
+		for (size_t i = 0; i < count; i++)
+			nodes.back()->origin.put(
+			    prefix + "t-" + nodes[i]->name, nodes[i]->entry());
+		put("t-far", nodes.back()->entry());
+		for (auto &n : nodes)
+			n->follow_tables(timers);
+		advance(8000);
+	}
+
+	void
+	silence(const std::string &zone)
+	{
+		for (auto &n : nodes) {
+			if (n->zone == zone)
+				n->origin.silence_open_watches(true);
+		}
+	}
+
+	void
+	expect_in_force()
+	{
+		for (auto &n : nodes)
+			n->origin.put(table_key, "new");
+		advance(in_force_ms);
+		for (const auto &n : nodes)
+			EXPECT_EQ(n->table, "new") << n->name;
+	}
+};
+
+} // namespace
+
+/* Both relays of a zone were late by 11 s. */
+TEST_F(relays_silent, both_of_a_zone)
+{
+	start_zones(6);
+	silence("z");
+	expect_in_force();
+}
+
+/* The only node of a zone has no other relay there. */
+TEST_F(relays_silent, the_only_node_of_a_zone)
+{
+	start_zones(2);
+	silence("y");
+	expect_in_force();
+}
+
+TEST_F(relays_silent, three_times_in_series)
+{
+	start_zones(2);
+	for (int i = 0; i < 3; i++) {
+		silence("z");
+		advance(1200);
+	}
+	expect_in_force();
+}
+
+/* A change is told once by the store, not again for those who vouch. */
+TEST_F(relays_silent, polls_that_hear_are_not_sent_again)
+{
+	start_zones(2);
+	std::map<std::string, uint64_t> opened;
+	for (const auto &n : nodes)
+		opened[n->name] = n->origin.opened;
+	for (int i = 0; i < 5; i++) {
+		for (auto &n : nodes)
+			n->origin.put(table_key, std::to_string(i));
+		advance(1000);
+	}
+	for (const auto &n : nodes)
+		EXPECT_EQ(n->origin.opened, opened[n->name]) << n->name;
+}
+
+/* Nobody can tell a node that is alone, so that its poll has to end soon. */
+TEST_F(relay_zone, a_node_that_is_alone_polls_with_short_waits)
+{
+	start(1);
+	nodes[0]->follow_tables(timers);
+	advance(8000);
+	bool found = false;
+	for (const auto &w : nodes[0]->origin.watches) {
+		if (w.prefix != "tables/")
+			continue;
+		found = true;
+		EXPECT_GT(w.watch->wait_us, 0u);
+		EXPECT_LT(w.watch->wait_us, 2 * BRF_US_PER_S);
+	}
+	EXPECT_TRUE(found);
+}
+
 /* Calls on older connections still confirm them. */
 TEST_F(relays_lost, one_whose_watches_alone_hear_nothing)
 {
