mesh/departures: other nodes keep a departure while the store is away

Cause: after 700 ms without the store a departure was acknowledged from the memory of one process, and the next process believed the first announcement that came.

Why it works: the node asks other nodes to keep the departure, and acknowledges it when two have it, or one after 700 ms; without any it answers 503. They tell it to each process at the node's address until that one has recorded it. A departure that is told before the target's first announcement counts, also when it only drains.

--- a/src/fleet/local.h
+++ b/src/fleet/local.h
@@ -42,17 +42,20 @@
 /**
  * struct brf_incarnation - identifies one run of a target.
  * @born: start time, see struct brf_entry
+ * @state: latest one that was announced
  */
 struct brf_incarnation {
 	char id[BRF_ENTRY_ID_MAX + 1];
 	uint64_t born;
+	enum brf_target_state state;
 };
 
 /**
  * struct brf_local_target - the target on this VM; zeroed before first use.
  * @known: there was an announcement
  * @current: newest announcement of the newest incarnation; valid when @known
- * @left: ring buffer of incarnations that have left
+ * @left: ring buffer of incarnations that have left, or that drain although no
+ *	announcement of them has arrived
  * @left_count: number ever added to @left
  */
 struct brf_local_target {
--- a/src/fleet/register.c
+++ b/src/fleet/register.c
@@ -527,6 +527,14 @@
 	return (rec != NULL && !rec->written);
 }
 
+const struct brf_entry *
+brf_registration_entry(const struct brf_registration *r, const char *id)
+{
+	const struct record *rec = find_record(r, id);
+
+	return (rec != NULL ? &rec->entry : NULL);
+}
+
 void
 brf_registration_set(struct brf_registration *r, const struct brf_entry *entry)
 {
--- a/src/fleet/register.h
+++ b/src/fleet/register.h
@@ -65,6 +65,10 @@
 bool brf_registration_is_pending(
     const struct brf_registration *r, const char *id);
 
+/* Return: what was set last for @id; NULL for nothing. */
+const struct brf_entry *brf_registration_entry(
+    const struct brf_registration *r, const char *id);
+
 /* Write @entry, which is copied, under its id; retried until it succeeds. */
 void brf_registration_set(
     struct brf_registration *r, const struct brf_entry *entry);
--- a/src/link/codec.c
+++ b/src/link/codec.c
@@ -660,3 +660,48 @@
 	brf_store_event_free(&reply->event);
 	return (malformed(err, "watch reply"));
 }
+
+void
+brf_link_note_put(
+    struct brf_buf *out, uint32_t xid, const struct brf_link_text *text)
+{
+	struct brf_rpc_writer w;
+
+	begin_call(&w, out, text->len, xid, BRF_LINK_NOTE);
+	put_text(&w.xdr, text);
+	brf_rpc_end(&w, true);
+}
+
+bool
+brf_link_note_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_text *text, struct brf_error *err)
+{
+	if (!get_text(xdr, record, text, BRF_LINK_NOTE_MAX) ||
+	    !brf_rpc_at_end(xdr, record))
+		return (malformed(err, "note"));
+	return (true);
+}
+
+void
+brf_link_note_result_put(
+    struct brf_buf *out, uint32_t xid, enum brf_link_note_result result)
+{
+	struct brf_rpc_writer w;
+
+	brf_rpc_begin_reply(&w, out, FIXED_MAX, xid, BRF_RPC_SUCCESS);
+	put_u64(&w.xdr, result);
+	brf_rpc_end(&w, true);
+}
+
+bool
+brf_link_note_result_get(XDR *xdr, const struct brf_record *record,
+    enum brf_link_note_result *result, struct brf_error *err)
+{
+	uint64_t value;
+
+	if (!get_u64(xdr, &value) || !brf_rpc_at_end(xdr, record) ||
+	    value < BRF_LINK_NOTE_REFUSED || value > BRF_LINK_NOTE_RECORDED)
+		return (malformed(err, "result of a note"));
+	*result = (enum brf_link_note_result)value;
+	return (true);
+}
--- a/src/link/codec.h
+++ b/src/link/codec.h
@@ -30,6 +30,9 @@
  *	WATCH		struct brf_link_watch_call; the reply, which may be
  *			delayed, is struct brf_link_watch_reply
  *
+ *	NOTE		opaque, a text for the callee; the reply is enum
+ *			brf_link_note_result
+ *
  * Procedure 9 was a WATCH without ages; it is unknown now.
  */
 
@@ -45,13 +48,29 @@
 	BRF_LINK_REVISION,
 	BRF_LINK_TABLE,
 	BRF_LINK_TARGETS,
-	BRF_LINK_WATCH = 10
+	BRF_LINK_WATCH = 10,
+	BRF_LINK_NOTE = 11
 };
 
 #define BRF_LINK_PART_MAX 16384u   /* bytes of a body in one message */
 #define BRF_LINK_TEXT_MAX 524288u  /* bytes of any other text of a hop */
 #define BRF_LINK_PREFIX_MAX 127u   /* bytes of a watched prefix */
 #define BRF_LINK_CHANGES_MAX 4096u /* changes in one reply to WATCH */
+#define BRF_LINK_NOTE_MAX 4096u	   /* bytes of a note */
+
+/**
+ * enum brf_link_note_result - what the other node did with a note.
+ * @BRF_LINK_NOTE_LOST: nothing, or it is not known; never sent
+ * @BRF_LINK_NOTE_REFUSED: it can't use the note
+ * @BRF_LINK_NOTE_KEPT: it keeps the note in its memory
+ * @BRF_LINK_NOTE_RECORDED: the store has what the note says
+ */
+enum brf_link_note_result {
+	BRF_LINK_NOTE_LOST,
+	BRF_LINK_NOTE_REFUSED,
+	BRF_LINK_NOTE_KEPT,
+	BRF_LINK_NOTE_RECORDED
+};
 
 /**
  * struct brf_link_text - bytes that it does not own, without a NUL at
@@ -271,6 +290,17 @@
 bool brf_link_watch_reply_get(XDR *xdr, const struct brf_record *record,
     struct brf_link_watch_reply *reply, struct brf_error *err);
 
+void brf_link_note_put(
+    struct brf_buf *out, uint32_t xid, const struct brf_link_text *text);
+bool brf_link_note_get(XDR *xdr, const struct brf_record *record,
+    struct brf_link_text *text, struct brf_error *err);
+
+/* The reply to BRF_LINK_NOTE. */
+void brf_link_note_result_put(
+    struct brf_buf *out, uint32_t xid, enum brf_link_note_result result);
+bool brf_link_note_result_get(XDR *xdr, const struct brf_record *record,
+    enum brf_link_note_result *result, struct brf_error *err);
+
 BRF_END_DECLS
 
 #endif
--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -309,6 +309,9 @@
 	if (!brf_link_watch_handle_reply(
 		lc, &header, &xdr, record, &handled, err))
 		return (false);
+	if (!handled && !brf_link_note_handle_reply(
+			    lc, &header, &xdr, record, &handled, err))
+		return (false);
 	if (handled)
 		return (true);
 	s = brf_link_find_stream(lc, header.xid);
@@ -387,6 +390,7 @@
 	end_queue(link);
 	link->refs++; /* the callbacks may release the last reference */
 	brf_link_watches_lost(link);
+	brf_link_notes_lost(link);
 	link->refs--;
 	brf_link_end_if_unused(link);
 }
@@ -472,8 +476,10 @@
 	lc->received_at = brf_links_now(brf_links_of(lc));
 	brf_conn_start(&lc->conn);
 	brf_link_conn_send_hello(lc, 0, false);
-	if (lc->link != NULL)
+	if (lc->link != NULL) {
 		brf_link_watches_send(lc->link);
+		brf_link_notes_send(lc->link);
+	}
 }
 
 static void
--- a/src/link/impl.h
+++ b/src/link/impl.h
@@ -123,6 +123,7 @@
  * @lc: the dialed connection; NULL for none
  * @queue: streams whose request is not written yet
  * @watches: list of struct brf_link_watch
+ * @notes: list of struct brf_link_note
  * @hops: number of hops that were sent and not yet released by their senders
  * @down_until: clock time before which no connection is attempted
  * @failures: number of consecutive failed connections
@@ -139,6 +140,8 @@
 	struct brf_list queue;
 	struct brf_list watches;
 	uint32_t next_watch_xid;
+	struct brf_list notes;
+	uint32_t next_note_xid;
 	size_t hops;
 	uint64_t down_until;
 	unsigned failures;
@@ -254,6 +257,27 @@
 /* Free the watchers of an accepted connection that is lost. */
 void brf_link_watchers_lost(struct brf_link_conn *lc);
 
+/* note.c */
+/* Send the notes of a connected link that were not sent yet. */
+void brf_link_notes_send(struct brf_link *link);
+
+/* End all notes of a link whose connection is lost. */
+void brf_link_notes_lost(struct brf_link *link);
+
+/**
+ * brf_link_note_handle_reply() - handle the reply to a note.
+ * @handled: set to whether the message was one
+ *
+ * Return: false with @err set when the connection must be closed.
+ */
+bool brf_link_note_handle_reply(struct brf_link_conn *lc,
+    const struct brf_rpc_header *header, XDR *xdr,
+    const struct brf_record *record, bool *handled, struct brf_error *err);
+
+/* Handle a note of another node. */
+bool brf_link_note_serve(struct brf_link_conn *lc, uint32_t xid, XDR *xdr,
+    const struct brf_record *record, struct brf_error *err);
+
 /* dial.c */
 /* Open a connection if there is none. Return: false while backing off. */
 bool brf_link_dial(struct brf_link *link);
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -62,6 +62,7 @@
 struct brf_link_table_handler;
 struct brf_link_targets_handler;
 struct brf_link_watch_handler;
+struct brf_link_note_handler;
 
 /**
  * struct brf_link_table_handler_vt - access of links to the routing table.
@@ -159,6 +160,37 @@
 	const struct brf_link_watch_handler_vt *vt;
 };
 
+/**
+ * struct brf_link_note - a text sent to the node of a link; owned by the
+ * caller.
+ * @text: read until @done or brf_link_note_cancel()
+ * @done: called once with the result; not after brf_link_note_cancel()
+ *
+ * The other members are private to the links.
+ */
+struct brf_link_note {
+	struct brf_link_text text;
+	void (*done)(
+	    struct brf_link_note *note, enum brf_link_note_result result);
+	struct brf_list link;
+	uint32_t xid;
+	bool sent;
+};
+
+/**
+ * struct brf_link_note_handler_vt - receives notes of other nodes.
+ * @got: called with each note, which may hold any bytes and is valid during the
+ * call only; returns the reply
+ */
+struct brf_link_note_handler_vt {
+	enum brf_link_note_result (*got)(struct brf_link_note_handler *handler,
+	    const char *text, size_t len);
+};
+
+struct brf_link_note_handler {
+	const struct brf_link_note_handler_vt *vt;
+};
+
 /**
  * struct brf_links_config - arguments of brf_links_new(); whatever they point
  * to must outlive the links.
@@ -166,6 +198,7 @@
  * @news: access to the routing table; NULL for none
  * @hints: exchange of targets; NULL for none
  * @watches: serves watches of other nodes; NULL for none
+ * @notes: receives notes of other nodes; NULL for none
  * @node: name of this node, sent to its peers
  * @service: service of this VM's target, sent to peers; read again for each
  * brf_links_announce_service()
@@ -179,6 +212,7 @@
 	struct brf_link_table_handler *news;
 	struct brf_link_targets_handler *hints;
 	struct brf_link_watch_handler *watches;
+	struct brf_link_note_handler *notes;
 	const char *node;
 	const char *service;
 };
@@ -242,6 +276,17 @@
 void brf_link_watcher_reply(
     struct brf_link_watcher *watcher, const struct brf_link_watch_reply *reply);
 
+/**
+ * brf_link_note_send() - send @note to the link's node; opens a connection when
+ * there is none.
+ *
+ * Return: false when no connection is possible now; @note is not sent.
+ */
+bool brf_link_note_send(struct brf_link *link, struct brf_link_note *note);
+
+/* Forget @note; does nothing when it is not sent. */
+void brf_link_note_cancel(struct brf_link_note *note);
+
 /* Send the revision of the table in force to all connected peers. */
 void brf_links_announce_table(struct brf_links *links);
 
--- a/src/link/links.c
+++ b/src/link/links.c
@@ -124,6 +124,7 @@
 	format_link_name(link);
 	brf_list_init(&link->queue);
 	brf_list_init(&link->watches);
+	brf_list_init(&link->notes);
 	brf_list_append(&links->links, &link->member);
 	return (link);
 }
--- a/src/link/serve.c
+++ b/src/link/serve.c
@@ -310,6 +310,8 @@
 	if (header.procedure == BRF_LINK_WATCH)
 		return (
 		    brf_link_watch_serve(lc, header.xid, &xdr, record, err));
+	if (header.procedure == BRF_LINK_NOTE)
+		return (brf_link_note_serve(lc, header.xid, &xdr, record, err));
 	if (header.procedure == BRF_LINK_SEND)
 		taken =
 		    handle_send(lc, header.xid, &xdr, record, sc->service, err);
--- a/src/mesh/acks.c
+++ b/src/mesh/acks.c
@@ -2,12 +2,18 @@
 
 #include "base/log.h"
 #include "mesh/acks.h"
+#include "mesh/departures.h"
 
+/**
+ * struct ack - one announcement.
+ * @keepers: other nodes that keep the departure
+ */
 struct ack {
 	struct brf_list link;
 	struct brf_mesh_acks *acks;
 	struct brf_http_request *http;
 	struct brf_timer timer;
+	size_t keepers;
 	char id[BRF_ENTRY_ID_MAX + 1];
 };
 
@@ -44,15 +50,42 @@
 	brf_mesh_acknowledge(http);
 }
 
+static void
+log_unrecorded(const struct ack *ack)
+{
+	brf_log(BRF_LOG_WARN, "departure_unrecorded", BRF_LS("target", ack->id),
+	    BRF_LU("keepers", ack->keepers),
+	    BRF_LU("acknowledged", ack->keepers != 0));
+}
+
 static void
 wait_ended(struct brf_timer *timer, void *arg)
 {
 	struct ack *ack = arg;
+	struct brf_http_request *http = ack->http;
 
 	(void)timer;
-	brf_log(BRF_LOG_WARN, "departure_unrecorded", BRF_LS("target", ack->id),
-	    BRF_LU("waited_ms", BRF_MESH_ACK_WAIT_US / BRF_US_PER_MS));
-	ack_send(ack);
+	log_unrecorded(ack);
+	if (ack->keepers != 0) {
+		ack_send(ack);
+		return;
+	}
+	ack_free(ack);
+	brf_respond_status(http, 503);
+}
+
+static void
+store_is_late(struct brf_timer *timer, void *arg)
+{
+	struct ack *ack = arg;
+	struct brf_mesh_acks *acks = ack->acks;
+	char id[BRF_ENTRY_ID_MAX + 1];
+
+	timer->fire = wait_ended;
+	brf_timer_start(
+	    acks->timers, timer, BRF_MESH_ACK_WAIT_US - BRF_MESH_ACK_STORE_US);
+	brf_copy_name(id, sizeof(id), ack->id);
+	acks->unrecorded(acks->arg, id);
 }
 
 void
@@ -64,10 +97,26 @@
 	ack->acks = acks;
 	ack->http = http;
 	brf_copy_name(ack->id, sizeof(ack->id), id);
-	ack->timer.fire = wait_ended;
+	ack->timer.fire = store_is_late;
 	ack->timer.arg = ack;
 	brf_list_append(&acks->waiting, &ack->link);
-	brf_timer_start(acks->timers, &ack->timer, BRF_MESH_ACK_WAIT_US);
+	brf_timer_start(acks->timers, &ack->timer, BRF_MESH_ACK_STORE_US);
+}
+
+void
+brf_mesh_acks_kept(struct brf_mesh_acks *acks, const char *id)
+{
+	struct brf_list *l, *next;
+	struct ack *ack;
+
+	brf_list_foreach_safe (l, next, &acks->waiting) {
+		ack = brf_list_entry(l, struct ack, link);
+		if (strcmp(ack->id, id) != 0 ||
+		    ++ack->keepers < BRF_MESH_KEEPERS)
+			continue;
+		log_unrecorded(ack);
+		ack_send(ack);
+	}
 }
 
 void
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -238,6 +238,54 @@
 	publish(node);
 }
 
+static void
+departure_unrecorded(void *arg, const char *id)
+{
+	struct brf_mesh_node *node = arg;
+	const struct brf_entry *e =
+	    brf_registration_entry(node->registration, id);
+
+	if (e != NULL)
+		brf_mesh_departures_tell(node->departures, e);
+}
+
+static void
+departure_kept(void *arg, const char *id)
+{
+	struct brf_mesh_node *node = arg;
+
+	brf_mesh_acks_kept(&node->acks, id);
+}
+
+/* Whether the store has @e or what is later. */
+static bool
+is_recorded(const struct brf_mesh_node *node, const struct brf_entry *e)
+{
+	const struct brf_entry *own =
+	    brf_registration_entry(node->registration, e->id);
+
+	if (own == NULL || own->born < e->born)
+		return (false);
+	if (own->born > e->born)
+		return (true);
+	return (own->announced >= e->announced &&
+		!brf_registration_is_pending(node->registration, e->id));
+}
+
+/* Another node has kept what an earlier process of this node was told. */
+static enum brf_link_note_result
+departure_told(void *arg, const struct brf_entry *e)
+{
+	struct brf_mesh_node *node = arg;
+
+	if (is_recorded(node, e))
+		return (BRF_LINK_NOTE_RECORDED);
+	entry_superseded(node, e);
+	if (brf_registration_entry(node->registration, e->id) == NULL)
+		brf_registration_set(node->registration, e);
+	return (BRF_LINK_NOTE_KEPT);
+}
+
 void
 brf_mesh_node_announce(
     struct brf_mesh_node *node, const struct brf_target_announcement *notice)
@@ -254,7 +302,7 @@
 	if (result == BRF_ANNOUNCE_UPDATED && previous.state == notice->state &&
 	    previous.slots == notice->slots)
 		return;
-	log_announcement(notice, "target_announced");
+	log_announcement(&node->local.current, "target_announced");
 	if (is_first) {
 		node->unconfirmed = true;
 		brf_timer_start(
@@ -397,6 +445,8 @@
 	brf_timer_stop(node->scheduler.timers, &node->watch_settings);
 	brf_timer_stop(node->scheduler.timers, &node->log_load);
 	brf_timer_stop(node->scheduler.timers, &node->flush_log);
+	brf_mesh_departures_free(node->departures);
+	node->departures = NULL;
 	brf_flow_server_close(node->entry, component_closed, node);
 	brf_http_server_close(node->ready, component_closed, node);
 	brf_http_server_close(node->admin, component_closed, node);
@@ -494,6 +544,8 @@
 	node->confirm.fire = confirm_timed_out;
 	node->confirm.arg = node;
 	brf_mesh_acks_init(&node->acks, node->scheduler.timers);
+	node->acks.unrecorded = departure_unrecorded;
+	node->acks.arg = node;
 	node->stop_poll.fire = poll_stop;
 	node->stop_poll.arg = node;
 	node->flush_log.fire = flush_log;
@@ -544,6 +596,21 @@
 	node->crashes = brf_mesh_crashes_new(&config);
 }
 
+static void
+make_departures(struct brf_mesh_node *node)
+{
+	struct brf_mesh_departures_config config = {
+		.timers = node->scheduler.timers,
+		.metrics = node->metrics,
+		.node = node->settings.node,
+		.kept = departure_kept,
+		.adopt = departure_told,
+		.arg = node,
+	};
+
+	node->departures = brf_mesh_departures_new(&config);
+}
+
 static void
 make_gate(struct brf_mesh_node *node)
 {
@@ -567,6 +634,7 @@
 		.news = &node->tables.news,
 		.hints = &node->hints.hints,
 		.watches = brf_mesh_relay_handler(node->relay),
+		.notes = brf_mesh_departures_handler(node->departures),
 		.node = node->settings.node,
 		.service = node->settings.service };
 
@@ -616,6 +684,8 @@
 	brf_directory_receive_records(node->directory, &node->crashes->records);
 	node->hints.directory = node->directory;
 	brf_mesh_relay_connect(node->relay, node->links, node->directory);
+	brf_mesh_departures_connect(
+	    node->departures, node->links, node->directory);
 	follow_table(node);
 }
 
@@ -695,6 +765,7 @@
 	make_loop(node);
 	make_store(node);
 	make_crashes(node);
+	make_departures(node);
 	make_gate(node);
 	make_fleet(node);
 	make_callers(node);
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -10,6 +10,7 @@
 #include "mesh/call.h"
 #include "mesh/gate.h"
 #include "mesh/gauges.h"
+#include "mesh/departures.h"
 #include "mesh/hints.h"
 #include "mesh/relay.h"
 #include "mesh/settings.h"
@@ -82,6 +83,7 @@
 	struct brf_mesh_gate *gate;
 	struct brf_links *links;
 	struct brf_mesh_hints hints;
+	struct brf_mesh_departures *departures;
 	struct brf_mesh_services services;
 	struct brf_directory *directory;
 	struct brf_registration *registration;
--- a/test/e2e/test_soak.py
+++ b/test/e2e/test_soak.py
@@ -91,6 +91,13 @@
         self.assertEqual(judge([sent()], [ran()], leaves=[("t", 8.0)]),
                          ["left at 8.000"])
         self.assertEqual(judge([sent()], [ran()], leaves=[("t", 8.1)]), [])
+        elsewhere = ran(did=False)
+        elsewhere.misdirected = True
+        self.assertEqual(judge([sent()], [elsewhere], leaves=[("t", 8.0)]), [])
+        self.assertEqual(judge([sent()], [ran()], leaves=[("t", 8.0)],
+                               unsettled=[("t", 10.5, 11.0)]), ["left at 8.000"])
+        self.assertEqual(judge([sent()], [ran()], leaves=[("t", 8.0)],
+                               unsettled=[("t", 9.0, 11.0)]), [])
 
     def test_a_target_that_gets_more_than_its_limit(self):
         def day(count, rate=1, **more):
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -692,6 +692,26 @@
 	}
 }
 
+/* Another node may tell of a departure before the target's late announcement
+ * from before it arrives. */
+TEST(local_target, adopts_a_departure_before_any_announcement)
+{
+	const struct brf_incarnation first = { "a", 10 };
+	struct brf_target_announcement n = announcement("a", 10, 5);
+	struct brf_local_target l = {};
+
+	brf_local_target_adopt(&l, &first, BRF_TARGET_DRAINING);
+	brf_local_target_announce(&l, &n);
+	EXPECT_EQ(l.current.state, BRF_TARGET_DRAINING);
+	l = {};
+	brf_local_target_adopt(&l, &first, BRF_TARGET_DRAINING);
+	brf_local_target_adopt(&l, &first, BRF_TARGET_LEFT);
+	EXPECT_EQ(brf_local_target_announce(&l, &n), BRF_ANNOUNCE_STALE);
+	n = announcement("a", 11, 1);
+	EXPECT_EQ(brf_local_target_announce(&l, &n), BRF_ANNOUNCE_REPLACED);
+	EXPECT_EQ(l.current.state, BRF_TARGET_READY);
+}
+
 /* Its id may be used again by an incarnation that starts later. */
 TEST(local_target, an_unknown_target_that_left_bars_no_later_incarnation)
 {
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -656,6 +656,62 @@
 	brf_record_reader_free(&reader);
 }
 
+namespace
+{
+
+struct sent_note {
+	struct brf_link_note note = {};
+	bool ended = false;
+	enum brf_link_note_result result = BRF_LINK_NOTE_LOST;
+
+	static void
+	done(struct brf_link_note *n, enum brf_link_note_result result)
+	{
+		auto *s = (struct sent_note *)(void *)n;
+
+		s->ended = true;
+		s->result = result;
+	}
+};
+
+} // namespace
+
+/* A node of an older version does not know notes, so that it keeps none. */
+TEST_F(two_nodes, a_note_that_the_node_does_not_know_is_lost)
+{
+	struct sent_note s;
+
+	s.note.text = { "note", 4 };
+	s.note.done = sent_note::done;
+	s.result = BRF_LINK_NOTE_KEPT;
+	ASSERT_TRUE(brf_link_note_send(link_to_b(), &s.note));
+	EXPECT_TRUE(bench.until([&] { return (s.ended); }));
+	EXPECT_EQ(s.result, BRF_LINK_NOTE_LOST);
+	close();
+}
+
+/* Results out of range, and cut short, are no acknowledgements. */
+TEST(link_codec, a_result_of_a_note_is_one_of_the_known_ones)
+{
+	for (uint64_t value = 0; value < 6; value++) {
+		enum brf_link_note_result result = BRF_LINK_NOTE_LOST;
+		struct brf_buf out = {};
+
+		brf_link_note_result_put(
+		    &out, 7, (enum brf_link_note_result)value);
+		struct one_record r(out);
+		struct brf_rpc_header header;
+
+		ASSERT_TRUE(r.whole);
+		EXPECT_TRUE(brf_rpc_read(&r.xdr, &r.record, &header, &r.err));
+		EXPECT_EQ(brf_link_note_result_get(
+			      &r.xdr, &r.record, &result, &r.err),
+		    value >= BRF_LINK_NOTE_REFUSED &&
+			value <= BRF_LINK_NOTE_RECORDED);
+		brf_buf_free(&out);
+	}
+}
+
 /* A node of an older version does not know watches. */
 TEST_F(two_nodes, a_watch_that_the_node_does_not_know_ends)
 {
