http/call: bound interim answers and chunk metadata as flow/target does

Callers saw: nothing yet.

Cause: the two programs had each their own rule.

Why it works: http/chunks (moved from flow/) and the constants of http/framing.h are used by both. The check that slow bytes are no progress of a streamed body stays, with bytes sent below the bounds.

--- a/src/flow/server_impl.h
+++ b/src/flow/server_impl.h
@@ -1,7 +1,7 @@
 #ifndef BRF_FLOW_SERVER_IMPL_H
 #define BRF_FLOW_SERVER_IMPL_H
 
-#include "flow/chunks.h"
+#include "http/chunks.h"
 #include "flow/server.h"
 #include "flow/writer.h"
 
--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -1,13 +1,12 @@
 #include <stdlib.h>
 
 #include "base/tcp.h"
-#include "flow/chunks.h"
 #include "flow/target.h"
 #include "flow/writer.h"
+#include "http/chunks.h"
+#include "http/framing.h"
 
 #define INPUT_MAX 65536u	    /* unused bytes; reading pauses above */
-#define HEAD_MAX 65536u		    /* maximum bytes of an answer's head */
-#define SKIPPED_MAX 32u		    /* answers before a run's own */
 #define CONNECT_US BRF_US_PER_S	    /* timeout of connecting */
 #define IDLE_US (8 * BRF_US_PER_S)  /* idle time if the target states none */
 #define IDLE_MARGIN_US BRF_US_PER_S /* close this long before the target */
@@ -260,7 +259,7 @@
 		c->target->dropped->value++;
 		begin_reading(c, h);
 	}
-	if (++c->skipped <= SKIPPED_MAX && h->body != BRF_BODY_CLOSE)
+	if (++c->skipped <= BRF_HTTP_SKIPPED_MAX && h->body != BRF_BODY_CLOSE)
 		return (true);
 	fail_conn(c, true);
 	return (false);
@@ -291,9 +290,10 @@
 	result = brf_answer_head_parse(&h, c->input.data, c->input.len,
 	    c->last_len, c->run->to_head, c->target->config.names, &used);
 	c->last_len = c->input.len;
-	if (result != BRF_HEAD_COMPLETE || used > HEAD_MAX) {
+	if (result != BRF_HEAD_COMPLETE || used > BRF_HTTP_ANSWER_HEAD_MAX) {
 		brf_answer_head_free(&h);
-		if (result != BRF_HEAD_INCOMPLETE || c->input.len >= HEAD_MAX)
+		if (result != BRF_HEAD_INCOMPLETE ||
+		    c->input.len >= BRF_HTTP_ANSWER_HEAD_MAX)
 			fail_conn(c, true);
 		return (false);
 	}
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -3,8 +3,7 @@
 #include "http/fields.h"
 #include "http/framing.h"
 
-#define FIELDS_MAX 128	/* including hop-by-hop fields */
-#define HEAD_MAX 65536u /* limit of an answer's head, bytes */
+#define FIELDS_MAX 128 /* including hop-by-hop fields */
 
 /*
  * The connection is released before @done is called, so that a call started in
@@ -66,20 +65,22 @@
 static void
 read_chunked_body(struct brf_http_call *call, struct brf_buf *in)
 {
-	size_t len = in->len;
-	ssize_t remaining = phr_decode_chunked(&call->decoder, in->data, &len);
+	size_t len, used;
+	enum brf_chunks_result result =
+	    brf_chunks_decode(&call->chunks, in, in->len, &len, &used);
 
-	if (remaining == -1) {
+	if (result == BRF_CHUNKS_INVALID) {
 		brf_http_call_end(call, BRF_RUN_BROKEN);
 		return;
 	}
 	if (!add_body(call, in->data, len))
 		return;
-	brf_buf_clear(in);
-	if (remaining == -2)
+	brf_buf_consume(in, used);
+	if (result == BRF_CHUNKS_INCOMPLETE)
 		return;
-	if (remaining != 0)
+	if (in->len != 0)
 		call->reusable = false; /* excess bytes after the answer */
+	brf_buf_clear(in);
 	brf_http_call_end(call, BRF_RUN_ANSWERED);
 }
 
@@ -101,7 +102,7 @@
 	}
 	if (f->chunked) {
 		call->state = BRF_HTTP_CALL_CHUNKED;
-		call->decoder.consume_trailer = 1;
+		brf_chunks_init(&call->chunks);
 		return (BRF_RUN_ANSWERED);
 	}
 	if (!f->has_length)
@@ -136,6 +137,12 @@
 	return (start_body(call, status, &f));
 }
 
+static bool
+is_interim(int status)
+{
+	return (status >= 100 && status <= 199 && status != 101);
+}
+
 /* Return: whether a head was complete and the call continues. */
 static bool
 read_head(struct brf_http_call *call, struct brf_buf *in)
@@ -149,13 +156,14 @@
 	len = phr_parse_response(in->data, in->len, &minor_version, &status,
 	    &msg, &msg_len, fields, &count, call->parsed);
 	call->parsed = in->len;
-	if (len == -2 && in->len <= HEAD_MAX)
+	if (len == -2 && in->len <= BRF_HTTP_ANSWER_HEAD_MAX)
 		return (false);
-	if (len == -2)
+	if (len == -2 || (len >= 0 && is_interim(status) &&
+			     ++call->interim > BRF_HTTP_SKIPPED_MAX))
 		end = BRF_RUN_TOO_LARGE;
 	else if (len == -1)
 		end = BRF_RUN_BROKEN;
-	else if (status < 100 || status > 199 || status == 101)
+	else if (!is_interim(status))
 		end = process_head(call, minor_version, status, fields, count);
 	if (end != BRF_RUN_ANSWERED) {
 		brf_http_call_end(call, end);
--- a/src/http/call.h
+++ b/src/http/call.h
@@ -1,8 +1,8 @@
 #ifndef BRF_HTTP_CALL_H
 #define BRF_HTTP_CALL_H
 
+#include "http/chunks.h"
 #include "http/client.h"
-#include "http/parser.h"
 #include "http/pool.h"
 
 /**
@@ -60,11 +60,12 @@
 		BRF_HTTP_CALL_CHUNKED
 	} state;
 	uint64_t body_left; /* bytes to come, with a content-length */
-	struct phr_chunked_decoder decoder;
-	size_t parsed; /* length of an incomplete head when last parsed */
-	bool reusable; /* the connection may be kept alive */
-	bool sent;     /* a byte of the request may have been sent */
-	bool in_chunk; /* @chunk is running */
+	struct brf_chunks chunks;
+	size_t parsed;	  /* length of an incomplete head when last parsed */
+	unsigned interim; /* answers before the final one */
+	bool reusable;	  /* the connection may be kept alive */
+	bool sent;	  /* a byte of the request may have been sent */
+	bool in_chunk;	  /* @chunk is running */
 	bool cancelled;
 };
 
--- a/src/flow/chunks.c
+++ b/src/http/chunks.c
@@ -1,4 +1,4 @@
-#include "flow/chunks.h"
+#include "http/chunks.h"
 
 void
 brf_chunks_init(struct brf_chunks *chunks)
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -3,6 +3,10 @@
 
 #include "http/parser.h"
 
+#define BRF_HTTP_ANSWER_HEAD_MAX 65536u /* bytes of an answer's head */
+/* Most answers before a request's own: interim ones, and copies of others'. */
+#define BRF_HTTP_SKIPPED_MAX 32u
+
 /**
  * struct brf_http_framing - body framing declared by a message's fields.
  * @length: content-length in bytes; set with @has_length
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -806,6 +806,31 @@
 }
 
 /* Five of six bytes are metadata, but each chunk has little of it. */
+/* The body of a refusal is not read. */
+TEST_F(mesh_gate_endless, a_refusal_whose_body_does_not_end_is_one)
+{
+	for (const char *framing : { "content-length: 99999999999",
+		 "transfer-encoding: chunked", "connection: close" }) {
+		{
+			struct sender s;
+			raw_peer *p;
+
+			send(s, "7");
+			p = arrived("7");
+			ASSERT_NE(p, nullptr) << framing;
+			EXPECT_TRUE(flood(p,
+			    "HTTP/1.1 503 S\r\nx-id: 7\r\nx-not-run: 1\r\n" +
+				std::string(framing) + "\r\n\r\n",
+			    "4\r\nabcd\r\n",
+			    [&] { return (s.hop.state != BRF_HOP_OPEN); }))
+			    << framing;
+			EXPECT_EQ(s.hop.state, BRF_HOP_REFUSED) << framing;
+			expect_given_back(p, framing);
+		}
+		forget_peers();
+	}
+}
+
 TEST_F(mesh_gate_endless, many_chunks_of_one_byte_are_an_answer)
 {
 	const size_t length = 200000;
