mesh/relay: the nodes that confirm a poll are witnesses

Renamed from voucher, no term of the field; the page of relay.h says that relays tell each other of changes.

--- a/src/mesh/relay.c
+++ b/src/mesh/relay.c
@@ -55,7 +55,7 @@
 	f->polling = false;
 	f->direct = false;
 	brf_timer_stop(r->config.timers, &f->first_poll);
-	brf_relay_vouch_stop(f);
+	brf_relay_witness_stop(f);
 }
 
 static void
@@ -189,7 +189,7 @@
 	struct brf_feed *f = brf_container_of(inner, struct brf_feed, inner);
 
 	f->polling = false;
-	brf_relay_vouch_stop(f);
+	brf_relay_witness_stop(f);
 	feed_end(f, err);
 }
 
@@ -220,7 +220,7 @@
 	f->inner.prefix = f->outer->prefix;
 	f->inner.from = f->revision + 1;
 	f->inner.pause_us = f->outer->pause_us;
-	brf_relay_vouch_begin(f);
+	brf_relay_witness_begin(f);
 	f->inner.wait_us = brf_relay_poll_wait(f);
 	f->inner.event = on_direct_event;
 	f->inner.confirmed = on_direct_confirmed;
@@ -502,7 +502,7 @@
 		f = brf_list_entry(l, struct brf_feed, member);
 		if (!f->direct)
 			continue;
-		brf_relay_vouch(f);
+		brf_relay_ask_witnesses(f);
 		review(f);
 	}
 }
@@ -534,7 +534,7 @@
 		brf_query_init(&f->queries[i], r, query_done);
 		f->queries[i].data = f;
 	}
-	brf_relay_vouch_init(f);
+	brf_relay_witness_init(f);
 	f->proved_at =
 	    brf_relay_take_read(r, outer->prefix, f->revision, &f->log);
 	outer->impl = f;
--- a/src/mesh/relay.h
+++ b/src/mesh/relay.h
@@ -13,7 +13,8 @@
  * (policy/relay.h), watches to all of them, and both to the store when this
  * node is a relay itself, knows none, or when no relay answers.  A node passes
  * on only what it receives from the store itself, so that relays can't depend
- * on each other.
+ * on each other; they do tell each other that there is a change, see
+ * relay_witness.c.
  *
  * A change has to be known to each node within a bound of its
  * acknowledgement, whichever relays are lost.  Silence does not show that there
--- a/src/mesh/relay_impl.h
+++ b/src/mesh/relay_impl.h
@@ -9,8 +9,8 @@
  * DOC: Declarations that the files of relays share.
  *
  * relay_query.c chooses a relay and asks it, relay_read.c reads keys, relay.c
- * keeps the watches of this node, relay_vouch.c checks those on the store, and
- * relay_serve.c replies to other nodes.
+ * keeps the watches of this node, relay_witness.c checks those on the store,
+ * and relay_serve.c replies to other nodes.
  */
 
 /**
@@ -51,16 +51,16 @@
 	    const struct brf_link_watch_reply *reply);
 };
 
-#define BRF_RELAY_VOUCHERS 2u
+#define BRF_RELAY_WITNESSES 2u
 
 /**
- * struct brf_voucher - a node that is asked whether this one has all changes.
+ * struct brf_witness - a node that is asked whether this one has all changes.
  * @after: revision after which it is asked for changes
  * @proved_at: clock time up to which it had all changes; 0 before it replies
  * @turn: counts the nodes that failed; chooses the next one
  * @retry_at: clock time from which another one may be asked
  */
-struct brf_voucher {
+struct brf_witness {
 	struct brf_query query;
 	uint64_t after;
 	uint64_t proved_at;
@@ -73,10 +73,10 @@
  * @outer: the watch of the feed's owner
  * @inner: on the store, while @direct
  * @queries: one to each relay; while @direct, to those that may take over
- * @vouchers: the zone's other relay, and one of another zone, while @polling
+ * @witnesses: the zone's other relay, and one of another zone, while @polling
  * @recheck: sends the poll again when it has missed @known_elsewhere
- * @known_elsewhere: newest revision that a voucher has told
- * @vouched_until: clock time until which the vouchers' last proofs count
+ * @known_elsewhere: newest revision that a witness has told
+ * @confirmed_until: clock time until which the witnesses' last proofs count
  * @source: name of the relay that told the last changes; empty for the store
  * @first_poll: delays the first poll of the store
  * @expiry: fires when the proof may have become too old
@@ -98,10 +98,10 @@
 	struct brf_store_watch *outer;
 	struct brf_store_watch inner;
 	struct brf_query queries[BRF_RELAYS_PER_ZONE];
-	struct brf_voucher vouchers[BRF_RELAY_VOUCHERS];
+	struct brf_witness witnesses[BRF_RELAY_WITNESSES];
 	struct brf_timer recheck;
 	uint64_t known_elsewhere;
-	uint64_t vouched_until;
+	uint64_t confirmed_until;
 	char source[BRF_NAME_MAX + 1];
 	struct brf_timer first_poll;
 	struct brf_timer expiry;
@@ -280,15 +280,15 @@
     uint64_t revision, struct brf_watch_log *log);
 void brf_relay_reads_free(struct brf_mesh_relay *r);
 
-/* relay_vouch.c */
-void brf_relay_vouch_init(struct brf_feed *f);
+/* relay_witness.c */
+void brf_relay_witness_init(struct brf_feed *f);
 
 /* The first poll of @f is sent. */
-void brf_relay_vouch_begin(struct brf_feed *f);
+void brf_relay_witness_begin(struct brf_feed *f);
 
-/* Ask the vouchers that are due; called at each BRF_RELAY_TICK_US. */
-void brf_relay_vouch(struct brf_feed *f);
-void brf_relay_vouch_stop(struct brf_feed *f);
+/* Ask the witnesses that are due; called at each BRF_RELAY_TICK_US. */
+void brf_relay_ask_witnesses(struct brf_feed *f);
+void brf_relay_witness_stop(struct brf_feed *f);
 
 /* Send the poll again, on a new connection. */
 void brf_relay_repoll(struct brf_feed *f, const char *why);
--- a/src/mesh/relay_vouch.c
+++ b/src/mesh/relay_witness.c
@@ -24,8 +24,8 @@
 #define NEXT_US (500 * BRF_US_PER_MS)
 /* Age of the newest proof of another node from which on waits are short, and
  * the time that nodes which start together have to find each other. */
-#define VOUCHED_US (2500 * BRF_US_PER_MS)
-#define START_US (2 * VOUCHED_US)
+#define CONFIRMED_US (2500 * BRF_US_PER_MS)
+#define START_US (2 * CONFIRMED_US)
 /* A poll that goes silent is noticed at its end, at most a second later. */
 #define SHORT_WAIT_US (1500 * BRF_US_PER_MS)
 /* Asked for to learn the revision of another node that lacks older changes. */
@@ -38,9 +38,9 @@
 }
 
 static bool
-is_vouched(const struct brf_feed *f)
+is_confirmed(const struct brf_feed *f)
 {
-	return (brf_mesh_relay_now(f->owner) < f->vouched_until);
+	return (brf_mesh_relay_now(f->owner) < f->confirmed_until);
 }
 
 void
@@ -61,7 +61,7 @@
 uint64_t
 brf_relay_poll_wait(const struct brf_feed *f)
 {
-	return (is_vouched(f) || is_of_targets(f) ? 0 : SHORT_WAIT_US);
+	return (is_confirmed(f) || is_of_targets(f) ? 0 : SHORT_WAIT_US);
 }
 
 static void
@@ -87,7 +87,7 @@
 }
 
 static void
-ask(struct brf_voucher *v)
+ask(struct brf_witness *v)
 {
 	struct brf_feed *f = v->query.data;
 	uint64_t age = brf_mesh_relay_now(f->owner) - v->proved_at;
@@ -97,7 +97,7 @@
 }
 
 static void
-take_reply(struct brf_voucher *v, const struct brf_link_watch_reply *reply)
+take_reply(struct brf_witness *v, const struct brf_link_watch_reply *reply)
 {
 	struct brf_feed *f = v->query.data;
 	uint64_t newest = 0, proved_at = brf_relay_proved_at(f->owner, reply);
@@ -111,13 +111,13 @@
 		v->after = reply->event.revision;
 	if (proved_at > v->proved_at)
 		v->proved_at = proved_at;
-	if (proved_at + VOUCHED_US > f->vouched_until)
-		f->vouched_until = proved_at + VOUCHED_US;
+	if (proved_at + CONFIRMED_US > f->confirmed_until)
+		f->confirmed_until = proved_at + CONFIRMED_US;
 	learn_revision(f, newest);
 }
 
 static void
-try_another(struct brf_voucher *v)
+try_another(struct brf_witness *v)
 {
 	struct brf_feed *f = v->query.data;
 
@@ -130,8 +130,8 @@
 query_done(struct brf_query *query, enum brf_query_result result,
     const struct brf_link_watch_reply *reply)
 {
-	struct brf_voucher *v =
-	    brf_container_of(query, struct brf_voucher, query);
+	struct brf_witness *v =
+	    brf_container_of(query, struct brf_witness, query);
 
 	if (result == BRF_QUERY_FAILED) {
 		try_another(v);
@@ -145,7 +145,7 @@
 }
 
 static void
-open_voucher(struct brf_voucher *v, const struct brf_entry *entry)
+open_witness(struct brf_witness *v, const struct brf_entry *entry)
 {
 	struct brf_feed *f = v->query.data;
 
@@ -162,7 +162,7 @@
 }
 
 static void
-choose_voucher(struct brf_voucher *v, bool in_zone)
+choose_witness(struct brf_witness *v, bool in_zone)
 {
 	struct brf_feed *f = v->query.data;
 	const struct brf_entry *entry =
@@ -170,52 +170,52 @@
 		    : brf_relay_choose_outside(f->owner, v->turn);
 
 	if (entry != NULL)
-		open_voucher(v, entry);
+		open_witness(v, entry);
 	else
 		brf_query_close(&v->query);
 }
 
 void
-brf_relay_vouch_init(struct brf_feed *f)
+brf_relay_witness_init(struct brf_feed *f)
 {
 	size_t i;
 
 	f->recheck = (struct brf_timer){ .fire = recheck, .arg = f };
-	for (i = 0; i < BRF_RELAY_VOUCHERS; i++) {
-		brf_query_init(&f->vouchers[i].query, f->owner, query_done);
-		f->vouchers[i].query.avoids = false;
-		f->vouchers[i].query.data = f;
+	for (i = 0; i < BRF_RELAY_WITNESSES; i++) {
+		brf_query_init(&f->witnesses[i].query, f->owner, query_done);
+		f->witnesses[i].query.avoids = false;
+		f->witnesses[i].query.data = f;
 	}
 }
 
 void
-brf_relay_vouch_begin(struct brf_feed *f)
+brf_relay_witness_begin(struct brf_feed *f)
 {
-	f->vouched_until = brf_mesh_relay_now(f->owner);
+	f->confirmed_until = brf_mesh_relay_now(f->owner);
 	if (brf_relay_choose_partner(f->owner) != NULL ||
 	    brf_relay_choose_outside(f->owner, 0) != NULL)
-		f->vouched_until += START_US;
+		f->confirmed_until += START_US;
 }
 
 void
-brf_relay_vouch(struct brf_feed *f)
+brf_relay_ask_witnesses(struct brf_feed *f)
 {
 	if (!f->polling)
 		return;
-	choose_voucher(&f->vouchers[0], true);
+	choose_witness(&f->witnesses[0], true);
 	if (is_of_targets(f))
 		return;
-	choose_voucher(&f->vouchers[1], false);
-	if (f->inner.wait_us == 0 && !is_vouched(f))
+	choose_witness(&f->witnesses[1], false);
+	if (f->inner.wait_us == 0 && !is_confirmed(f))
 		brf_relay_repoll(f, "nobody confirms it");
 }
 
 void
-brf_relay_vouch_stop(struct brf_feed *f)
+brf_relay_witness_stop(struct brf_feed *f)
 {
 	size_t i;
 
 	brf_timer_stop(f->owner->config.timers, &f->recheck);
-	for (i = 0; i < BRF_RELAY_VOUCHERS; i++)
-		brf_query_close(&f->vouchers[i].query);
+	for (i = 0; i < BRF_RELAY_WITNESSES; i++)
+		brf_query_close(&f->witnesses[i].query);
 }
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -845,7 +845,7 @@
 	expect_in_force();
 }
 
-/* A change is told once by the store, not again for those who vouch. */
+/* A change is told once by the store, not again for the witnesses. */
 TEST_F(relays_silent, polls_that_hear_are_not_sent_again)
 {
 	start_zones(2);
