flow/target: a reset that a write meets cuts the answer, too

Callers saw: a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a whole 200, at the target's own node and at another.

Cause: a socket reports an error once, to whoever asks first. The end of the body is the end of the connection, and only an error tells a cut from it. When a write met the reset first, it took the error, the connection noted that the target reads no more, and the read that followed was an end without an error. brf_writer_full() flushes as well and dropped the error, so that the next flush saw EPIPE in its place.

Fix: the connection keeps its first error, of either direction, and an answer that lasts until the connection ends is complete only without one. The writer keeps its first error, and each later flush returns it. EPIPE does not count: the kernel reports it for a reset that follows the target's FIN, when all of the answer has arrived.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -37,7 +37,8 @@
  * @stop_sending: the target accepts no more of the request's body
  * @paused: reading from the socket is stopped
  * @peer_closed: reading has ended, by EOF or an error
- * @reset: reading has ended by an error
+ * @error: first error of the connection, a libuv code; 0 for none.  The socket
+ *	reports it only once, either to a read or to a write.
  */
 struct brf_flow_target_conn {
 	uv_tcp_t tcp;
@@ -64,8 +65,8 @@
 	bool stop_sending;
 	bool paused;
 	bool peer_closed;
-	bool reset;
 	bool closing;
+	int error;
 };
 
 struct brf_flow_target {
@@ -416,7 +417,8 @@
 static void
 handle_end(struct brf_flow_target_conn *c)
 {
-	bool complete = c->read_state == READ_CLOSE && !c->discard && !c->reset;
+	bool complete =
+	    c->read_state == READ_CLOSE && !c->discard && c->error == 0;
 
 	if (c->run != NULL && c->input.len != 0 &&
 	    brf_pipe_len(c->run->out) != 0)
@@ -475,17 +477,36 @@
 	commit_body(c, add_body(c));
 }
 
-/* A target may close its receiving side after an early answer, so a failed
- * write ends only the sending; the answer is still read. */
 static void
-flush(struct brf_flow_target_conn *c)
+note_error(struct brf_flow_target_conn *c, int error)
 {
-	if (c->stop_sending || brf_writer_flush(&c->writer) == 0)
-		return;
+	if (c->error == 0)
+		c->error = error;
+}
+
+/*
+ * A target may close the connection after an early answer, so a failed write
+ * ends only the sending; the answer is still read.  EPIPE is the error of a
+ * reset behind the end of the answer.
+ */
+static void
+stop_sending(struct brf_flow_target_conn *c, int error)
+{
+	if (error != UV_EPIPE)
+		note_error(c, error);
 	c->stop_sending = true;
 	brf_buf_free(&c->writer.out);
 }
 
+static void
+flush(struct brf_flow_target_conn *c)
+{
+	int error = c->stop_sending ? 0 : brf_writer_flush(&c->writer);
+
+	if (error != 0)
+		stop_sending(c, error);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
 
 static void
@@ -525,8 +546,10 @@
 /*
  * libuv reports EOF for a reset that arrives together with the last bytes; the
  * socket's pending error tells them apart.  Asking for it clears it.
+ *
+ * Return: a libuv code; 0 for none
  */
-static bool
+static int
 take_pending_error(const struct brf_flow_target_conn *c)
 {
 	socklen_t len = sizeof(int);
@@ -535,8 +558,8 @@
 
 	if (uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
 	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
-		return (true);
-	return (error != 0);
+		return (UV_UNKNOWN);
+	return (-error);
 }
 
 static void
@@ -551,7 +574,7 @@
 		set_reading(c); /* libuv may read again before the task runs */
 	} else {
 		c->peer_closed = true;
-		c->reset = n != UV_EOF || take_pending_error(c);
+		note_error(c, n != UV_EOF ? (int)n : take_pending_error(c));
 		uv_read_stop(stream);
 	}
 	brf_task_post(c->target->config.tasks, &c->work);
@@ -563,10 +586,8 @@
 	struct brf_flow_target_conn *c =
 	    brf_container_of(w, struct brf_flow_target_conn, writer);
 
-	if (status < 0) {
-		c->stop_sending = true;
-		brf_buf_free(&w->out);
-	}
+	if (status < 0)
+		stop_sending(c, status);
 	brf_task_post(c->target->config.tasks, &c->work);
 }
 
--- a/src/flow/writer.c
+++ b/src/flow/writer.c
@@ -25,6 +25,8 @@
 	if (uv_is_closing((uv_handle_t *)w->stream))
 		return;
 	w->busy = false;
+	if (status < 0)
+		w->error = status;
 	brf_buf_free(&w->writing);
 	w->drained(w, status);
 }
@@ -49,6 +51,8 @@
 	uv_buf_t buf;
 	int n;
 
+	if (w->error != 0)
+		return (w->error);
 	if (w->busy || w->out.len == 0)
 		return (0);
 	buf = uv_buf_init(w->out.data, (unsigned int)w->out.len);
@@ -56,11 +60,12 @@
 	if (n == UV_EAGAIN)
 		n = 0;
 	if (n < 0)
-		return (n);
-	if ((size_t)n < w->out.len)
-		return (write_rest(w, (size_t)n));
-	brf_buf_free(&w->out);
-	return (0);
+		w->error = n;
+	else if ((size_t)n < w->out.len)
+		w->error = write_rest(w, (size_t)n);
+	else
+		brf_buf_free(&w->out);
+	return (w->error);
 }
 
 size_t
--- a/src/flow/writer.h
+++ b/src/flow/writer.h
@@ -20,6 +20,8 @@
  *	brf_writer_flush()
  * @writing: buffer of the write that waits for the kernel
  * @busy: a write waits for the kernel
+ * @error: first error of a write, a libuv code; 0 for none.  The socket
+ *	reports it only once.
  * @drained: called when a write that had to wait has completed (@status 0) or
  *	failed (libuv code); not called once the stream is being closed
  */
@@ -29,6 +31,7 @@
 	struct brf_buf writing;
 	uv_write_t request;
 	bool busy;
+	int error;
 	void (*drained)(struct brf_writer *w, int status);
 };
 
@@ -43,7 +46,7 @@
 /**
  * brf_writer_flush() - pass @out to the kernel; queue what it doesn't accept.
  *
- * Return: 0, or a libuv error code when the stream has failed.
+ * Return: 0, or @error when the stream has failed, at this call or earlier.
  */
 int brf_writer_flush(struct brf_writer *w);
 
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -882,6 +882,165 @@
 	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN);
 }
 
+/* A target that answers before it has read the whole request. */
+class mesh_gate_upload : public mesh_gate_endless
+{
+      protected:
+	struct brf_pipe upload;
+
+	void
+	SetUp() override
+	{
+		mesh_gate_endless::SetUp();
+		brf_pipe_init(&upload, &bench.scheduler.tasks);
+	}
+
+	void
+	TearDown() override
+	{
+		mesh_gate_endless::TearDown();
+		brf_pipe_free(&upload);
+	}
+
+	/* Send a request whose body is not complete; return its connection. */
+	raw_peer *
+	begin(struct sender &s, enum brf_body_kind framing)
+	{
+		brf_pipe_free(&upload);
+		brf_pipe_init(&upload, &bench.scheduler.tasks);
+		brf_pipe_write(&upload, "part", 4);
+		s.hop.request_body = &upload;
+		s.hop.request.body = framing;
+		s.hop.request.length = 1 << 30;
+		send(s, "7", false);
+		return (arrived("7"));
+	}
+
+	/* Wait until the first @len bytes of the answer were received. */
+	void
+	until_received(const struct sender &s, size_t len)
+	{
+		until([&] { return (s.hop.answer_body.written >= len); });
+		ASSERT_EQ(s.hop.answer_body.written, len);
+	}
+
+	void
+	upload_more(size_t len)
+	{
+		std::string more(len, 'u');
+
+		brf_pipe_write(&upload, more.data(), more.size());
+	}
+};
+
+/*
+ * A socket reports an error once.  When a write has met the reset, reading ends
+ * like that of an answer which the target has completed.
+ */
+TEST_F(mesh_gate_upload, an_answer_cut_by_a_reset_that_a_write_meets_is_broken)
+{
+	const struct {
+		const char *name;
+		std::string head;
+		enum brf_body_kind framing;
+		size_t answer, more;
+	} cases[] = {
+		{ "long upload", ok + "\r\n", BRF_BODY_LENGTH, 100, 300000 },
+		{ "short part", ok + "\r\n", BRF_BODY_LENGTH, 100, 1 },
+		{ "no body yet", ok + "\r\n", BRF_BODY_LENGTH, 0, 1000 },
+		{ "chunked upload", ok + "\r\n", BRF_BODY_CHUNKED, 5000, 1000 },
+		{ "60 KB of answer", ok + "\r\n", BRF_BODY_LENGTH, 60000,
+		    1000 },
+		{ "HTTP/1.0", "HTTP/1.0 200 OK\r\nx-id: 7\r\nx-seal: s\r\n\r\n",
+		    BRF_BODY_LENGTH, 100, 1000 },
+		{ "500", "HTTP/1.1 500 X\r\nx-id: 7\r\nx-seal: s\r\n\r\n",
+		    BRF_BODY_LENGTH, 100, 1000 },
+		{ "length", ok + "content-length: 200\r\n\r\n", BRF_BODY_LENGTH,
+		    100, 1000 },
+		{ "in chunks", ok + "transfer-encoding: chunked\r\n\r\nc8\r\n",
+		    BRF_BODY_LENGTH, 100, 1000 },
+	};
+
+	for (const auto &c : cases) {
+		{
+			struct sender s;
+			raw_peer *p = begin(s, c.framing);
+
+			ASSERT_NE(p, nullptr) << c.name;
+			p->put(c.head + std::string(c.answer, 'x'));
+			until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+			until_received(s, c.answer);
+			reset_on_drop(*p);
+			p->drop();
+			upload_more(c.more);
+			EXPECT_TRUE(until([&] { return (is_over(s)); }));
+			EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN)
+			    << c.name;
+		}
+		forget_peers();
+	}
+}
+
+/* The write waits for the kernel, and reading for the reader of the answer. */
+TEST_F(mesh_gate_upload, a_reset_that_a_waiting_write_meets_is_remembered)
+{
+	const size_t answer = 300000;
+	struct sender s;
+	size_t got = 0;
+	std::string bytes = ok + "\r\n" + std::string(answer, 'x');
+	raw_peer *p = begin(s, BRF_BODY_LENGTH);
+
+	ASSERT_NE(p, nullptr);
+	for (int i = 0; i < 64; i++) {
+		upload_more(BRF_PIPE_HIGH_WATER * 4);
+		bench.turns(4);
+	}
+	ASSERT_NE(brf_pipe_len(&upload), 0u) << "the socket is full";
+	bench.until([&] {
+		bytes = p->put(bytes);
+		return (bytes.empty());
+	});
+	bench.turns(50);
+	ASSERT_EQ(s.hop.answer_body.state, BRF_PIPE_OPEN);
+	reset_on_drop(*p);
+	p->drop();
+	bench.turns(50);
+	bench.until([&] {
+		got += brf_pipe_len(&s.hop.answer_body);
+		brf_pipe_consume(
+		    &s.hop.answer_body, brf_pipe_len(&s.hop.answer_body));
+		return (is_over(s));
+	});
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN);
+	EXPECT_LE(got, answer);
+}
+
+/* A request before it on the connection was answered as it should be. */
+TEST_F(mesh_gate_upload, a_cut_answer_on_a_kept_connection_is_broken)
+{
+	struct sender first, s;
+	raw_peer *p;
+
+	send(first, "1");
+	until([&] { return (target.requests() == 1); });
+	p = target.peers[0];
+	p->put(complete_answer("1", "abc"));
+	until([&] { return (first.hop.state != BRF_HOP_OPEN); });
+	EXPECT_EQ(first.body(), "abc");
+	brf_hop_release(&first.hop);
+
+	p->got.clear();
+	ASSERT_EQ(begin(s, BRF_BODY_LENGTH), p);
+	p->put(ok + "\r\n" + std::string(100, 'x'));
+	until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+	until_received(s, 100);
+	reset_on_drop(*p);
+	p->drop();
+	upload_more(1000);
+	EXPECT_TRUE(until([&] { return (is_over(s)); }));
+	EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_BROKEN);
+}
+
 const std::vector<struct endless_case> endless_bodies = {
 	{ "until close", ok + "\r\n", "x" },
 	{ "in chunks", chunked, "4\r\nabcd\r\n" },
--- a/test/writer_test.cc
+++ b/test/writer_test.cc
@@ -5,6 +5,7 @@
 
 #include <string>
 
+#include "flow_fake.h"
 #include "flow/writer.h"
 
 namespace
@@ -102,4 +103,35 @@
 	EXPECT_NE(0, brf_writer_flush(&w));
 }
 
+/* The socket tells its error to the first write only. */
+TEST(writer, each_flush_after_a_failure_returns_the_first_error)
+{
+	struct flow_bench bench;
+	struct raw_listener listener;
+	struct raw_peer client;
+	struct brf_writer w;
+	uv_tcp_t tcp;
+	std::string bytes(2 * BRF_WRITER_HIGH_WATER, 'x');
+
+	client.connect_to(listener.port);
+	ASSERT_TRUE(bench.until([&] {
+		listener.serve();
+		return (!listener.peers.empty());
+	}));
+	uv_tcp_init(&bench.loop, &tcp);
+	ASSERT_EQ(uv_tcp_open(&tcp, client.fd), 0);
+	client.fd = -1;
+	brf_writer_init(&w, (uv_stream_t *)&tcp, nullptr);
+	reset_on_drop(*listener.peers[0]);
+	listener.peers[0]->drop();
+
+	brf_buf_add(&w.out, bytes.data(), bytes.size());
+	EXPECT_FALSE(brf_writer_full(&w));
+	EXPECT_EQ(brf_writer_flush(&w), UV_ECONNRESET);
+	EXPECT_EQ(brf_writer_flush(&w), UV_ECONNRESET);
+	uv_close((uv_handle_t *)&tcp, nullptr);
+	bench.turns(2);
+	brf_writer_free(&w);
+}
+
 } // namespace
