flow/target: a reset behind the end of an answer takes nothing from it

Callers saw: a target ended an answer without a length by its FIN and reset the connection behind it, while the upload was still being written. The whole answer was cut or became a 502 when the loop read the end after the reset had arrived, and was whole when a write met the reset first.

Cause: the read took each pending error of the socket for a cut. The kernel reports EPIPE, not ECONNRESET, for a reset that arrives after the FIN.

Fix: one place judges the connection's first error, whichever side met it, and EPIPE is no cut.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -413,12 +413,22 @@
 	return (false);
 }
 
+/*
+ * Whether the target's bytes broke off.  The kernel reports EPIPE for a reset
+ * that follows the target's FIN, and thus the end of the answer.
+ */
+static bool
+was_cut(const struct brf_flow_target_conn *c)
+{
+	return (c->error != 0 && c->error != UV_EPIPE);
+}
+
 /* The target has closed the connection and all input was read. */
 static void
 handle_end(struct brf_flow_target_conn *c)
 {
 	bool complete =
-	    c->read_state == READ_CLOSE && !c->discard && c->error == 0;
+	    c->read_state == READ_CLOSE && !c->discard && !was_cut(c);
 
 	if (c->run != NULL && c->input.len != 0 &&
 	    brf_pipe_len(c->run->out) != 0)
@@ -484,16 +494,12 @@
 		c->error = error;
 }
 
-/*
- * A target may close the connection after an early answer, so a failed write
- * ends only the sending; the answer is still read.  EPIPE is the error of a
- * reset behind the end of the answer.
- */
+/* A target may close the connection after an early answer, so a failed write
+ * ends only the sending; the answer is still read. */
 static void
 stop_sending(struct brf_flow_target_conn *c, int error)
 {
-	if (error != UV_EPIPE)
-		note_error(c, error);
+	note_error(c, error);
 	c->stop_sending = true;
 	brf_buf_free(&c->writer.out);
 }
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <signal.h>
 
 #include "flow_fake.h"
 #include "mesh/gate.h"
@@ -892,6 +893,7 @@
 	SetUp() override
 	{
 		mesh_gate_endless::SetUp();
+		signal(SIGPIPE, SIG_IGN);
 		brf_pipe_init(&upload, &bench.scheduler.tasks);
 	}
 
@@ -1015,6 +1017,32 @@
 	EXPECT_LE(got, answer);
 }
 
+/* A reset behind the end of what the target sends takes nothing from it. */
+TEST_F(mesh_gate_upload, an_answer_that_ends_before_the_reset_is_complete)
+{
+	for (bool write_first : { false, true }) {
+		{
+			struct sender s;
+			raw_peer *p = begin(s, BRF_BODY_LENGTH);
+
+			ASSERT_NE(p, nullptr);
+			p->put(ok + "\r\n" + std::string(100, 'x'));
+			until([&] { return (s.hop.state != BRF_HOP_OPEN); });
+			until_received(s, 100);
+			shutdown(p->fd, SHUT_WR);
+			reset_on_drop(*p);
+			p->drop();
+			if (write_first)
+				upload_more(1000);
+			EXPECT_TRUE(until([&] { return (is_over(s)); }));
+			EXPECT_EQ(s.hop.answer_body.state, BRF_PIPE_ENDED)
+			    << write_first;
+			EXPECT_EQ(s.body(), std::string(100, 'x'));
+		}
+		forget_peers();
+	}
+}
+
 /* A request before it on the connection was answered as it should be. */
 TEST_F(mesh_gate_upload, a_cut_answer_on_a_kept_connection_is_broken)
 {
