Tests: broken statuses and field names are no answer

Two reports from other systems: an answer whose status is 000, and one whose head has a field name with a blank or a control byte. Both programs refuse them already, by picohttpparser and the bounds of 100 to 599; nothing of the product changes. The tests have 13 statuses and 8 bytes before, in and behind the names of three fields, also in an interim answer.

--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -1064,6 +1064,62 @@
 	}
 }
 
+/* An answer must end its run as broken. */
+class broken_target : public target
+{
+      protected:
+	void
+	expect_broken(const std::string &bytes)
+	{
+		struct raw_target t;
+		struct run_recorder r;
+		struct brf_target *tg =
+		    brf_http_target_new(test_loop.hl, t.port, 2);
+
+		prepare(r);
+		brf_target_run(tg, &r.run);
+		ASSERT_TRUE(receives_request(t)) << bytes;
+		t.peer.put(bytes);
+		EXPECT_TRUE(
+		    test_loop.run_loop_until([&] { return (r.ends != 0); }));
+		EXPECT_EQ(r.end, BRF_RUN_BROKEN) << bytes;
+		brf_http_target_free(tg);
+	}
+};
+
+TEST_F(broken_target, a_status_that_is_none)
+{
+	for (const char *status : { "000", "001", "010", "099", "600", "999",
+		 "2000", "0200", "-20", "+20", "20", "2x0", "" })
+		expect_broken(std::string("HTTP/1.1 ") + status +
+			      " OK\r\ncontent-length: 2\r\n\r\nab");
+}
+
+TEST_F(broken_target, a_field_whose_name_holds_a_blank_or_control_byte)
+{
+	const std::string fields[][2] = {
+		{ "x-other: v", "content-length: 2\r\n\r\nab" },
+		{ "content-length: 2", "\r\nab" },
+		{ "transfer-encoding: chunked", "\r\n2\r\nab\r\n0\r\n\r\n" },
+	};
+	const std::string whole = ok + "content-length: 2\r\n\r\nab";
+
+	for (char bad :
+	    { ' ', '\t', '\0', '\x01', '\x1f', '\x7f', '\x80', '\r' }) {
+		for (const auto &f : fields) {
+			for (size_t at :
+			    { (size_t)0, (size_t)3, f[0].find(':') }) {
+				std::string line = f[0];
+
+				line.insert(at, 1, bad);
+				expect_broken(ok + line + "\r\n" + f[1]);
+				expect_broken("HTTP/1.1 103 Early\r\n" + line +
+					      "\r\n\r\n" + whole);
+			}
+		}
+	}
+}
+
 TEST_F(target, no_prefix_of_an_answer_is_complete)
 {
 	const std::string answers[] = {
