http/chunks: check the framing that the parser is lax about

Callers saw, of both programs: an answer in chunks whose size line was "0x8" as a whole 200 with an empty body, though its target sent eight bytes, and answers with the sizes "8x", "8 1", or 8 and a NUL as if they were sound. The same decoder reads requests and the store's answers: a POST in chunks with the size "0x40" was run with an empty body, and the bytes behind that line as a request of its own (here and from outside); the store's configuration was taken with such sizes (from outside).

Cause: picohttpparser takes any byte behind the digits for the start of an extension, and a bare LF for the end of a line, behind the data and the trailer, too.

Fix: brf_chunks_decode(), which all three readers call, checks sizes, blanks, extensions and line ends by RFC 9112, section 7.1, before it decodes, and a body is complete only if the parser sees its end at the same byte. "8;a=b" is read as before. Fields of a trailer are left out as before, whatever their names are. Stricter than before, too: a blank between a size and CRLF, and a bare LF behind a size, a chunk's data or the whole.

--- a/src/http/chunks.h
+++ b/src/http/chunks.h
@@ -18,14 +18,42 @@
 
 #define BRF_CHUNKS_METADATA_MAX 65536u /* bytes between two bytes of a body */
 
+/**
+ * enum brf_chunk_part - what the next byte of a chunked body belongs to (RFC
+ * 9112, section 7.1).
+ * @BRF_CHUNK_SIZE: digits of a size
+ * @BRF_CHUNK_BLANK: blanks before an extension
+ * @BRF_CHUNK_SIZE_LF: end of the line of a size
+ * @BRF_CHUNK_DATA_CR: end of a chunk's data
+ * @BRF_CHUNK_TRAILER_LINE: start of a line behind the last chunk
+ * @BRF_CHUNK_LAST_LF: LF of the empty line that ends the body, if it is one
+ */
+enum brf_chunk_part {
+	BRF_CHUNK_SIZE,
+	BRF_CHUNK_BLANK,
+	BRF_CHUNK_EXTENSION,
+	BRF_CHUNK_SIZE_LF,
+	BRF_CHUNK_DATA,
+	BRF_CHUNK_DATA_CR,
+	BRF_CHUNK_DATA_LF,
+	BRF_CHUNK_TRAILER_LINE,
+	BRF_CHUNK_TRAILER,
+	BRF_CHUNK_LAST_LF,
+	BRF_CHUNK_END
+};
+
 /**
  * struct brf_chunks - decoder of one chunked body; start with
  * brf_chunks_init().
+ * @part: of the framing that is checked before @decoder reads it
+ * @left: bytes of the chunk's data that are still to come
  * @metadata: bytes of sizes, extensions and the trailer read since the last
  *	part that held a byte of the body
  */
 struct brf_chunks {
 	struct phr_chunked_decoder decoder;
+	enum brf_chunk_part part;
+	uint64_t left;
 	size_t metadata;
 };
 
@@ -39,6 +67,9 @@
  * @used: filled with the number of bytes to consume from @input, decoded ones
  *	included; bytes after the end of the body follow them
  *
+ * A line ends with CRLF; only fields of the trailer, which are left out, may
+ *end with LF alone (RFC 9112, section 2.2).
+ *
  * Return: BRF_CHUNKS_INVALID also when parts without a byte of the body add up
  * to more than BRF_CHUNKS_METADATA_MAX bytes of metadata.
  */
--- a/test/flow_server_test.cc
+++ b/test/flow_server_test.cc
@@ -1,3 +1,4 @@
+#include "chunks_fake.h"
 #include "flow_fake.h"
 
 namespace
@@ -331,6 +332,30 @@
 	}
 }
 
+/* What follows is no request: another recipient may take it for the body. */
+TEST_F(flow_server, a_body_with_bad_chunks_is_refused_with_what_follows)
+{
+	for (const auto &chunks : bad_chunks()) {
+		raw_peer p;
+
+		p.connect_to(port);
+		talk(p,
+		    "POST / HTTP/1.1\r\nHost: h\r\n"
+		    "Transfer-Encoding: chunked\r\n\r\n" +
+			chunks + get("/next"),
+		    [&] { return (p.ended); });
+		EXPECT_EQ(p.got.substr(0, 13), "HTTP/1.1 400 ") << chunks;
+		EXPECT_EQ(count(p.got, "HTTP/1.1 "), 1u) << chunks;
+		EXPECT_EQ(manual_handler.ends,
+		    std::vector<enum brf_flow_end>{ BRF_FLOW_REFUSED })
+		    << chunks;
+		EXPECT_EQ(manual_handler.paths, std::vector<std::string>{ "/" })
+		    << chunks;
+		manual_handler.ends.clear();
+		manual_handler.paths.clear();
+	}
+}
+
 TEST_F(flow_server, chunk_metadata_without_end_is_refused)
 {
 	const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n"
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -2,6 +2,7 @@
 #include <malloc.h>
 
 #include "bulrushford.h"
+#include "chunks_fake.h"
 #include "http_fake.h"
 
 namespace
@@ -1120,6 +1121,12 @@
 	}
 }
 
+TEST_F(broken_target, chunks_that_are_not_framed_as_they_should_be)
+{
+	for (const auto &chunks : bad_chunks())
+		expect_broken(ok + te + "\r\n" + chunks);
+}
+
 TEST_F(target, no_prefix_of_an_answer_is_complete)
 {
 	const std::string answers[] = {
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <signal.h>
 
+#include "chunks_fake.h"
 #include "flow_fake.h"
 #include "mesh/gate.h"
 
@@ -806,6 +807,12 @@
 		expect_broken_at_once(c);
 }
 
+TEST_F(mesh_gate_endless, badly_framed_chunks_end_the_request)
+{
+	for (const auto &chunks : bad_chunks())
+		expect_broken_at_once({ chunks.c_str(), chunked + chunks, "" });
+}
+
 /* Five of six bytes are metadata, but each chunk has little of it. */
 /* The body of a refusal is not read. */
 TEST_F(mesh_gate_endless, a_refusal_whose_body_does_not_end_is_one)
