http/server: nothing behind a chunked request is read as one

Seen by a test, of bulrushfordd: a POST in chunks whose first size was "0x8" was run with an empty body, and the bytes behind that line as a request of its own. Whoever shares a connection to bulrushfordd with others, behind a proxy that reads the size as RFC 9112 says, could have a request run that the proxy has not passed on.

Cause: the requests of bulrushfordd are decoded by libh2o, which has the laxness mended in http/chunks, and decodes in place before it shows a request.

Fix: the connection of a request in chunks is closed behind its answer, with "connection: close" in it, so that what follows is never a request, whatever the framing was. HTTP/2 and requests with a length keep their connections.

--- a/src/http/request.c
+++ b/src/http/request.c
@@ -293,9 +293,25 @@
 	return (hosts <= 1 && lengths <= 1);
 }
 
+/*
+ * h2o decodes chunks as laxly as its parser does (see chunks.c), and leaves no
+ * way to check them.  So nothing behind them is read as a request.
+ */
+static void
+close_behind_chunks(
+    h2o_req_t *req, const struct phr_header *fields, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (brf_http_field_is(&fields[i], "transfer-encoding"))
+			req->http1_is_persistent = 0;
+	}
+}
+
 static bool
-copy_fields(struct brf_message *m, const h2o_req_t *req,
-    const h2o_socket_t *sock, struct brf_error *err)
+copy_fields(struct brf_message *m, h2o_req_t *req, const h2o_socket_t *sock,
+    struct brf_error *err)
 {
 	struct phr_header fields[FIELDS_MAX];
 	size_t i, count = FIELDS_MAX;
@@ -303,6 +319,7 @@
 	if (req->version < 0x200) {
 		if (!read_http1_fields(sock, fields, &count))
 			return (brf_error_set(err, BRF_E_HEADERS, 0, "head"));
+		close_behind_chunks(req, fields, count);
 		return (brf_http_fields_copy(m, fields, count, err));
 	}
 	count = req->headers.size;
@@ -322,7 +339,7 @@
 /* Return: 0, or the HTTP status of a refusal with *reason set. */
 static int
 read_request(
-    struct brf_http_request *r, const h2o_req_t *req, enum brf_reason *reason)
+    struct brf_http_request *r, h2o_req_t *req, enum brf_reason *reason)
 {
 	struct brf_message *m = r->message;
 	h2o_iovec_t authority, path, method = req->input.method;
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -235,6 +235,44 @@
 	    "414", "too_large", nullptr },
 };
 
+/* Another recipient may take what follows for the body. */
+TEST_F(server, nothing_behind_a_chunked_body_is_a_request)
+{
+	for (const auto &list : { bad_chunks(), sound_chunks() }) {
+		for (const auto &chunks : list) {
+			struct raw_peer p;
+
+			rec.fields.clear();
+			p.connect_to(port);
+			exchange(p,
+			    "POST / HTTP/1.1\r\n" + host + te + "\r\n" +
+				chunks + "GET /next HTTP/1.1\r\n" + host +
+				"x-next: 1\r\n\r\n",
+			    "\r\n\r\n");
+			test_loop.run_iterations(20);
+			EXPECT_EQ(rec.fields.find("x-next"), std::string::npos)
+			    << chunks;
+			EXPECT_EQ(
+			    p.got.find("x-path: /next"), std::string::npos)
+			    << chunks;
+		}
+	}
+}
+
+TEST_F(server, a_body_with_bad_chunks_is_refused)
+{
+	for (const auto &chunks : bad_chunks()) {
+		struct raw_peer p;
+		int handled = rec.handled;
+
+		p.connect_to(port);
+		exchange(p, "POST / HTTP/1.1\r\n" + host + te + "\r\n" + chunks,
+		    "\r\n\r\n");
+		EXPECT_EQ(p.got.substr(0, 13), "HTTP/1.1 400 ") << chunks;
+		EXPECT_EQ(rec.handled, handled) << chunks;
+	}
+}
+
 TEST_F(server, accepts_or_refuses_each_request_form)
 {
 	for (auto &c : request_cases) {
