--- a/standin/brf-load/conn.c
+++ b/standin/brf-load/conn.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <strings.h>
 
+#include "http/chunks.h"
+#include "http/framing.h"
 #include "load.h"
 
 #define FIELDS_MAX 100
@@ -32,7 +34,7 @@
 	size_t len;
 	size_t parsed;
 	uint64_t missing;
-	struct phr_chunked_decoder decoder;
+	struct brf_chunks chunks;
 	struct load_answer answer;
 	bool keep;
 	bool writing;
@@ -136,7 +138,7 @@
 	c->len = 0;
 	c->parsed = 0;
 	c->answer = (struct load_answer){ .status = 0 };
-	c->decoder = (struct phr_chunked_decoder){ .consume_trailer = 1 };
+	brf_chunks_init(&c->chunks);
 	if (c->connected)
 		write_request(c);
 }
@@ -204,17 +206,11 @@
 }
 
 static void
-take_field(struct load_conn *c, const struct phr_header *h, bool *framed)
+take_field(struct load_conn *c, const struct phr_header *h)
 {
 	struct load_answer *a = &c->answer;
 
-	if (field_is(h, "content-length")) {
-		c->missing = number_of(h);
-		*framed = true;
-	} else if (field_is(h, "transfer-encoding")) {
-		c->kind = BODY_CHUNKED;
-		*framed = true;
-	} else if (field_is(h, "connection")) {
+	if (field_is(h, "connection")) {
 		c->keep = c->keep && !value_is(h, "close");
 	} else if (field_is(h, "retry-after")) {
 		a->retry_after_s = (uint32_t)number_of(h);
@@ -240,8 +236,8 @@
 {
 	struct phr_header fields[FIELDS_MAX];
 	size_t i, n = FIELDS_MAX, msg_len;
+	struct brf_http_framing framing;
 	const char *msg;
-	bool framed = false;
 	int minor, used;
 
 	used = phr_parse_response(c->data, c->len, &minor, &c->answer.status,
@@ -249,17 +245,17 @@
 	c->parsed = c->len;
 	if (used < 0)
 		return (used);
+	if (c->answer.status < 200 || c->answer.status > 599 ||
+	    !brf_http_framing_parse(&framing, fields, n))
+		return (-1);
 	c->keep = minor >= 1;
-	c->kind = BODY_LENGTH;
-	c->missing = 0;
 	for (i = 0; i < n; i++)
-		take_field(c, &fields[i], &framed);
-	if (has_no_body(c)) {
-		c->kind = BODY_LENGTH;
-		c->missing = 0;
-	} else if (!framed) {
+		take_field(c, &fields[i]);
+	if (!has_no_body(c) && !framing.chunked && !framing.has_length)
 		return (-1); /* its end would prove nothing */
-	}
+	c->kind =
+	    framing.chunked && !has_no_body(c) ? BODY_CHUNKED : BODY_LENGTH;
+	c->missing = has_no_body(c) ? 0 : framing.length;
 	return (used);
 }
 
@@ -267,8 +263,9 @@
 static int
 read_body(struct load_conn *c)
 {
-	size_t len = c->len;
-	ssize_t rest;
+	struct brf_buf input = { .data = c->data, .len = c->len };
+	size_t len = c->len, decoded, used;
+	enum brf_chunks_result result;
 
 	c->len = 0;
 	if (c->kind == BODY_LENGTH) {
@@ -277,10 +274,10 @@
 		c->missing -= len;
 		return (c->missing == 0);
 	}
-	rest = phr_decode_chunked(&c->decoder, c->data, &len);
-	if (rest == -2)
+	result = brf_chunks_decode(&c->chunks, &input, len, &decoded, &used);
+	if (result == BRF_CHUNKS_INCOMPLETE)
 		return (0);
-	return (rest == 0 ? 1 : -1);
+	return (result == BRF_CHUNKS_COMPLETE && used == len ? 1 : -1);
 }
 
 static void
--- a/test/load_test.cc
+++ b/test/load_test.cc
@@ -193,6 +193,18 @@
 	{ "cut between chunks",
 	    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
 	    true, "none", "none", "client_torn_answer", false },
+	{ "bad chunk size",
+	    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+	    "0x2\r\nok\r\n0\r\n\r\n",
+	    true, "none", "none", "client_torn_answer", false },
+	{ "status 000", "HTTP/1.1 000 No\r\ncontent-length: 2\r\n\r\nok", true,
+	    "none", "none", "client_torn_answer", false },
+	{ "bad length", "HTTP/1.1 200 OK\r\ncontent-length: 2x\r\n\r\nok", true,
+	    "none", "none", "client_torn_answer", false },
+	{ "another coding",
+	    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n"
+	    "2\r\nok\r\n0\r\n\r\n",
+	    true, "none", "none", "client_torn_answer", false },
 	{ "no framing", "HTTP/1.1 200 OK\r\n\r\nok", true, "none", "none",
 	    "client_torn_answer", false },
 	{ "closed", "", true, "none", "none", "client_connection_lost", false },
