--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -1126,7 +1126,7 @@
 	}
 };
 
-TEST_F(broken_target, a_status_that_is_none)
+TEST_F(broken_target, an_invalid_status)
 {
 	for (const char *status : { "000", "001", "010", "099", "600", "999",
 		 "2000", "0200", "-20", "+20", "20", "2x0", "" })
@@ -1159,7 +1159,7 @@
 	}
 }
 
-TEST_F(broken_target, chunks_that_are_not_framed_as_they_should_be)
+TEST_F(broken_target, chunks_with_invalid_framing)
 {
 	for (const auto &chunks : bad_chunks())
 		expect_broken(ok + te + "\r\n" + chunks);
