--- a/src/http/chunks.c
+++ b/src/http/chunks.c
@@ -1,5 +1,6 @@
 #include <ctype.h>
 
+#include "base/hex.h"
 #include "http/chunks.h"
 
 /**
@@ -15,23 +16,15 @@
 	chunks->decoder.consume_trailer = 1;
 }
 
-static uint64_t
-digit_value(unsigned char c)
-{
-	return ((uint64_t)(isdigit(c) ? c - '0' : tolower(c) - 'a' + 10));
-}
-
 /* The decoder checks the number of digits. */
 static bool
 check_size(struct brf_chunks *chunks, unsigned char c)
 {
-	if (isxdigit(c)) {
-		if (chunks->part != BRF_CHUNK_SIZE)
-			return (false);
-		chunks->left = chunks->left * 16 + digit_value(c);
-		return (true);
-	}
-	if (c == ' ' || c == '\t')
+	int digit = brf_hex_digit((char)tolower(c));
+
+	if (digit >= 0 && chunks->part == BRF_CHUNK_SIZE)
+		chunks->left = chunks->left * 16 + (uint64_t)digit;
+	else if (c == ' ' || c == '\t')
 		chunks->part = BRF_CHUNK_BLANK;
 	else if (c == ';')
 		chunks->part = BRF_CHUNK_EXTENSION;
--- a/src/http/chunks.h
+++ b/src/http/chunks.h
@@ -23,10 +23,15 @@
  * 9112, section 7.1).
  * @BRF_CHUNK_SIZE: digits of a size
  * @BRF_CHUNK_BLANK: blanks before an extension
+ * @BRF_CHUNK_EXTENSION: an extension, which is ignored
  * @BRF_CHUNK_SIZE_LF: end of the line of a size
- * @BRF_CHUNK_DATA_CR: end of a chunk's data
+ * @BRF_CHUNK_DATA: data of a chunk
+ * @BRF_CHUNK_DATA_CR: CR behind the data
+ * @BRF_CHUNK_DATA_LF: LF behind the data
  * @BRF_CHUNK_TRAILER_LINE: start of a line behind the last chunk
+ * @BRF_CHUNK_TRAILER: rest of such a line, which is ignored
  * @BRF_CHUNK_LAST_LF: LF of the empty line that ends the body, if it is one
+ * @BRF_CHUNK_END: nothing; the body has ended
  */
 enum brf_chunk_part {
 	BRF_CHUNK_SIZE,
