--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,8 @@
-"""LOST: an upstream crashes while it sends long answers; requests to another
-service behind them on their connections have run, and are not answered."""
+"""REFUSED: an upstream fails part of its requests after it has run them; the
+client is told 503, which promises that they have not run, and lodges again."""
 
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -9,74 +10,69 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "kit-3"))
 import kit
 
-CLIENTS = 8
-ALLOWED = 3  # "more than three times"
+CLIENTS = 4
 
 
 def case(folder):
     with kit.Site(folder) as site:
-        site.configure([
-            kit.route("r-decl", "/decl/", "declarations"),
-            kit.route("r-status", "/status/", "tracker"),
-        ], ["factors", "declarations", "tracker"])
+        site.configure([kit.route("r-lodge", "/lodge/", "lodgement",
+                                  "unsafe")], ["factors", "lodgement"])
         front = site.add("factors")
-        crashing = site.add("declarations")
-        site.add("declarations", "perth-b")
-        sound = site.add("tracker")
+        grey = site.add("lodgement")
+        site.add("lodgement", "perth-b")
         site.start()
-        time.sleep(4)  # contactS, in calm
-
-        pairs, lock = [], threading.Lock()
+        time.sleep(3)
+        if kit.TROUBLE:
+            grey.upstream.send_signal(signal.SIGUSR1)
+            site.record("grey", id=grey.ident)
+        lodgements, stopped = [], threading.Event()
 
-        def client():
-            with front.connect() as sock:
-                answers = kit.Answers(sock)
-                # A kept connection: one request before.
-                first = kit.new_id()
-                site.record("sent", id=first, path="/status/x")
-                sock.sendall(kit.request("/status/x", first))
-                assert answers.read()[0] == 200
-                long, behind = kit.new_id(), kit.new_id()
-                decl = "/decl/x?size=300000&first=150000&pause=1500"
-                status = "/status/y?ms=600"
-                site.record("sent", id=long, path=decl)
-                site.record("sent", id=behind, path=status)
-                sock.sendall(kit.request(decl, long) +
-                             kit.request(status, behind))
-                results = []
-                for ident in (long, behind):
-                    code, _, body, complete = answers.read()
-                    site.record("answered", id=ident, status=code,
-                                bytes=len(body), complete=complete)
-                    results.append((ident, code, complete))
-                    if not complete:
+        def client(number):
+            """Lodges, and once more after a promise."""
+            count = 0
+            while not stopped.is_set():
+                count += 1
+                body = f"levy-{number}-{count}".encode()
+                tries = []
+                for _ in range(2):
+                    ident, status, fields, _ = kit.call(
+                        front, "/lodge/x?ms=50", "POST", body=body)
+                    tries.append((ident, status))
+                    if status not in (429, 503):
                         break
-                with lock:
-                    pairs.append((long, behind, results))
+                    time.sleep(min(float(fields.get("retry-after", 0.2)), 1.6))
+                lodgements.append(tries)
+                time.sleep(0.1)
 
-        threads = [threading.Thread(target=client) for _ in range(CLIENTS)]
+        threads = [threading.Thread(target=client, args=(i,))
+                   for i in range(CLIENTS)]
         for t in threads:
             t.start()
-        time.sleep(1.0)
-        if kit.TROUBLE:
-            crashing.kill_upstream()
+        time.sleep(8)
+        stopped.set()
         for t in threads:
             t.join()
-
-        if len(pairs) != CLIENTS or not site.nodes_are_up():
-            raise kit.CannotRun("a client failed")
-        ran = {r["id"] for r in sound.runs() if r["event"] == "run"}
-        done = {r["id"] for r in sound.runs() if r["event"] == "answered"}
-        lost = [behind for _, behind, results in pairs
-                if behind in ran and behind not in
-                {i for i, code, _ in results if code is not None}]
-        for ident in lost:
-            site.record("lost", id=ident, ran_at=sound.ident,
-                        upstream_answered=ident in done)
-        site.record("result", pairs=len(pairs), lost=len(lost))
-        print(f"pairs: {len(pairs)}; requests that a sound upstream ran, on "
-              f"connections closed without their answer: {len(lost)}")
-        return len(lost) > ALLOWED
+        if not site.nodes_are_up():
+            raise kit.CannotRun("a node has ended")
+        ran = {r["id"] for m in site.machines for r in m.runs()
+               if r["event"] == "run"}
+        attempts = [a for tries in lodgements for a in tries]
+        if len(attempts) < 50:
+            raise kit.CannotRun("too few requests were sent")
+        broken = [i for i, status in attempts
+                  if status in (408, 421, 429, 503) and i in ran]
+        twice = [tries for tries in lodgements
+                 if sum(i in ran for i, _ in tries) > 1]
+        for i in broken:
+            site.record("refused_and_ran", id=i)
+        for tries in twice:
+            site.record("lodged_twice", ids=",".join(i for i, _ in tries))
+        site.record("result", attempts=len(attempts), refused=len(broken),
+                    twice=len(twice))
+        print(f"attempts: {len(attempts)}; answered with a promise although "
+              f"they had run: {len(broken)}; lodgements that so ran twice: "
+              f"{len(twice)}")
+        return broken
 
 
 kit.main(case)
