--- a/review/11/case.py
+++ b/review/11/case.py
@@ -48,7 +48,7 @@
         at = time.time()
         _, status, fields, _ = kit.call(
             self.machine, "/lodge/x?ms=20", "POST", body=b"levy")
-        served = status == 200 and "upstream-seal" in fields
+        served = status == 200 and kit.N.H_SEAL in fields
         self.results.append((at, status if served or status != 200 else 0))
         return status, fields
 
--- a/review/kit-3/kit.py
+++ b/review/kit-3/kit.py
@@ -25,13 +25,15 @@
 import tomllib
 import urllib.parse
 
+from names import N
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HERE = pathlib.Path(__file__).resolve().parent
 HOST = "app.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BEAT_S = 1.5
-BOUNDS = {"graceS": 6, "drainS": 2, "retryBudgetRatio": 0.2,
-          "retryWindowS": 10}
+GRACE_S, DRAIN_S = 6, 2  # the site's bounds, as the next two
+RETRY_RATIO, RETRY_WINDOW_S = 0.2, 10
 
 
 class CannotRun(Exception):
@@ -164,14 +166,14 @@
     def do_kv_key(self, s, parts, query, body):
         item = s.items.get(query["key"])
         if item is None:
-            return 404, {"asOf": s.revision}
-        return 200, {**item, "asOf": s.revision}
+            return 404, {N.STORE_REVISION: s.revision}
+        return 200, {**item, N.STORE_REVISION: s.revision}
 
     def do_kv_range(self, s, parts, query, body):
         keys = sorted(k for k in s.items if k.startswith(query["prefix"])
                       and k > query.get("after", ""))
         return 200, {"items": [s.items[k] for k in keys[:500]],
-                     "hasMore": len(keys) > 500, "asOf": s.revision}
+                     N.HAS_MORE: len(keys) > 500, N.STORE_REVISION: s.revision}
 
     def do_kv_watch(self, s, parts, query, body):
         after = int(query["after"])
@@ -183,7 +185,7 @@
                      and e["key"].startswith(query["prefix"])]
             left = end - time.monotonic()
             if found or left <= 0:
-                return 200, {"events": found, "asOf": s.revision}
+                return 200, {"events": found, N.STORE_REVISION: s.revision}
             s.lock.wait(left)
 
     def do_kv_txn(self, s, parts, query, body):
@@ -194,7 +196,7 @@
                     s.items[r["key"]] for r in body["precondition"]
                     if r["key"] in s.items]}
         for put in body.get("puts", []):
-            if put["key"].startswith(("op/", "servers/")):
+            if put["key"].startswith((N.CONFIG_PREFIX, "servers/")):
                 return 403, {}
             if put.get("lease") and put["lease"] not in s.leases:
                 return 404, {}
@@ -207,31 +209,29 @@
 
     def do_kv_lease(self, s, parts, query, body):
         s.lease += 1
-        ttl = min(max(body["ttlS"], 1), 600)
+        ttl = min(max(body[N.TTL], 1), 600)
         s.leases[s.lease] = [ttl, time.monotonic() + ttl]
-        return 200, {"lease": s.lease, "ttlS": ttl}
+        return 200, {"lease": s.lease, N.TTL: ttl}
 
     def do_kv_keep(self, s, parts, query, body):
         lease = s.leases.get(int(parts[3]))
         if lease is None:
             return 404, {}
         lease[1] = time.monotonic() + lease[0]
-        return 200, {"ttlS": lease[0]}
+        return 200, {N.TTL: lease[0]}
 
     def do_kv_lease_end(self, s, parts, query, body):
         s.end_lease(int(parts[3]))
         return 200, {}
 
 
-def render(template, fields):
-    """Fill in the placeholders of the template: {{a}} and {{a.b}}."""
-    def value(match):
-        found = fields
-        for name in match.group(1).split("."):
-            found = found[int(name)] if isinstance(found, list) \
-                else found[name]
-        return str(found)
-    return re.sub(r"\{\{([\w.]+)\}\}", value, template)
+def render(template, values):
+    """Fill in the template of settings: each line is NAME={{...}}."""
+    lines = []
+    for line in template.splitlines():
+        name, filled, text = line.partition("=")
+        lines.append(f"{name}={values[name]}" if "{{" in text else line)
+    return "\n".join(lines) + "\n"
 
 
 class Machine:
@@ -261,19 +261,21 @@
 
     def write_settings(self):
         site = self.site
-        fields = {
-            "nodeId": self.name, "zone": self.zone, "region": "perth",
-            "service": self.service, "ip": self.ip,
-            "listenAddrs": {n: f"{self.ip}:{self.port(n)}" for n in
-                            ("inbound", "outbound", "ready", "admin")},
-            "internalPorts": [self.port("internal"),
-                              self.port("internal") + 15],
-            "appAddr": f"{self.ip}:{self.port('app')}",
-            "platform": {"address": site.store_address}, "bounds": BOUNDS,
+        values = {
+            "BRF_NODE": self.name, "BRF_ZONE": self.zone,
+            "BRF_REGION": "perth", "BRF_SERVICE": self.service,
+            "BRF_CALLERS": f"{self.ip}:{self.port('outbound')}",
+            "BRF_READY": f"{self.ip}:{self.port('ready')}",
+            "BRF_ADMIN": f"{self.ip}:{self.port('admin')}",
+            "BRF_PEERS": f"{self.ip}:{self.port('internal')}",
+            "BRF_TARGET": f"{self.ip}:{self.port('app')}",
+            "BRF_STORE": site.store_address, "BRF_GRACE_S": GRACE_S,
+            "BRF_DRAIN_S": DRAIN_S, "BRF_RETRY_RATIO": RETRY_RATIO,
+            "BRF_RETRY_WINDOW_S": RETRY_WINDOW_S,
         }
         fresh = self.settings_path.with_suffix(".new")
         fresh.write_text(render(
-            (ROOT / "deploy" / "settings.env").read_text(), fields))
+            (ROOT / "deploy" / "settings.env").read_text(), values))
         fresh.rename(self.settings_path)
 
     def start_node(self):
@@ -283,7 +285,7 @@
         with open(self.out, "ab") as out:
             self.node = subprocess.Popen(
                 self.site.command, cwd=ROOT, stdout=out, stderr=out,
-                env={**env, "BULRUSHFORD_SETTINGS": str(self.settings_path)})
+                env={**env, N.SETTINGS_ENV: str(self.settings_path)})
         self.site.record("node_started", machine=self.name)
 
     def start_upstream(self, ident=None, born=None, slots=50):
@@ -312,13 +314,7 @@
             return False
         self.sequence += 1
         state = self.state
-        body = json.dumps({
-            "address": f"{self.ip}:{self.port('app')}", "born": self.born,
-            "info": {"service": self.service, "version": "v1",
-                     "zone": self.zone, "slots": self.slots},
-            "status": {"state": state, "sequence": self.sequence,
-                       "warmupLeftS": 0}})
-        status = self.admin_call("PUT", body)
+        status = self.admin_call("PUT", self.heartbeat(state))
         self.site.record("heartbeat", id=self.ident, state=state,
                          sequence=self.sequence, born=self.born,
                          status=status)
@@ -327,11 +323,21 @@
             return True
         return False
 
+    def heartbeat(self, state):
+        """The body of a heartbeat."""
+        return json.dumps({
+            N.ADDRESS: f"{self.ip}:{self.port('app')}",
+            N.START_TIME: self.born,
+            N.INFO: {N.SERVICE: self.service, N.SOFTWARE_VERSION: "v1",
+                     N.ZONE: self.zone, N.SLOTS: self.slots},
+            N.STATUS: {N.STATE: state, N.SEQUENCE: self.sequence,
+                       N.WARMUP_LEFT: 0}})
+
     def admin_call(self, method, body=None):
         try:
             c = http.client.HTTPConnection(self.ip, self.port("admin"),
                                            timeout=1)
-            c.request(method, f"/bulrushford/instances/{self.ident}", body,
+            c.request(method, N.INSTANCES_PATH + self.ident, body,
                       {"Content-Type": "application/json"})
             status = c.getresponse().status
             c.close()
@@ -353,7 +359,7 @@
         try:
             c = http.client.HTTPConnection(self.ip, self.port("ready"),
                                            timeout=1)
-            c.request("GET", "/bulrushford/ready")
+            c.request("GET", N.READY_PATH)
             status = c.getresponse().status
             c.close()
             return status == 200
@@ -405,7 +411,8 @@
 
 def request(path, ident, method="GET", timeout_ms=5000, body=None, more=""):
     text = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"Attempt-Id: {ident}\r\nTimeout-Ms: {timeout_ms}\r\n{more}")
+            f"{N.H_REQUEST_ID}: {ident}\r\n"
+            f"{N.H_TIMEOUT_MS}: {timeout_ms}\r\n{more}")
     if body is not None:
         text += f"Content-Length: {len(body)}\r\n"
     return (text + "\r\n").encode() + (body or b"")
@@ -498,8 +505,8 @@
         self.ports = self.choose_ports()
         self.store_address = f"127.0.0.2:{self.ports['store']}"
         self.store = Store("127.0.0.2", self.ports["store"])
-        self.limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
-                       "headerTimeoutS": 3, "idleTimeoutS": 15}
+        self.limits = {N.MAX_HEADER_BYTES: 16384, N.MAX_BODY_BYTES: 67108864,
+                       N.HEADER_TIMEOUT: 3, N.IDLE_TIMEOUT: 15}
 
     def choose_ports(self):
         """Ports that are free on all addresses."""
@@ -540,12 +547,11 @@
 
     def configure(self, routes, services):
         self.version += 3
-        self.store.write("op/config", json.dumps({
-            "version": self.version, "routes": routes,
-            "services": [{"name": s, "healthCheckPath": "/healthz",
-                          "maxConnections": 400, "protocol": "h1",
-                          "tls": False} for s in services],
-            "limits": self.limits}))
+        self.store.write(N.CONFIG_KEY, json.dumps({
+            N.CONFIG_VERSION: self.version, N.ROUTES: routes,
+            N.SERVICES: [{N.NAME: s, N.MAX_CONNECTIONS: 400}
+                         for s in services],
+            N.LIMITS: self.limits}))
         self.record("configured", version=self.version)
 
     def add(self, service, zone="perth-a"):
@@ -571,9 +577,9 @@
 
 
 def route(name, prefix, service, kind="safe", **more):
-    return {"name": name, "host": HOST, "prefix": prefix, "routeType": kind,
-            "timeoutS": 5, "targetLatencyS": 1.5, "priority": 1,
-            "maxAttempts": 2, "service": service, **more}
+    return {N.NAME: name, N.HOST: HOST, N.PREFIX: prefix, N.ROUTE_TYPE: kind,
+            N.TIMEOUT: 5, N.LATENCY_OBJECTIVE: 1.5, N.PRIORITY: 1,
+            N.MAX_ATTEMPTS: 2, N.SERVICE: service, **more}
 
 
 def main(case):
--- a/review/kit-3/upstream.py
+++ b/review/kit-3/upstream.py
@@ -11,7 +11,7 @@
     close=1   the answer has no length and ends with the connection
 
 After SIGUSR1 it is grey: it fails two of each five requests after their work,
-with status 503, its seal and no Not-Executed.
+with status 503, its seal, and no field that says that it has not run.
 
 LOG gets a JSON line for each request that begins to run ("run"), that is
 answered ("answered") or dropped because its connection closed ("dropped").
@@ -27,6 +27,8 @@
 import time
 import urllib.parse
 
+from names import N
+
 ADDRESS, PORT, IDENT, LOG = sys.argv[1], int(sys.argv[2]), sys.argv[3], sys.argv[4]
 SLOTS = int(sys.argv[5]) if len(sys.argv) > 5 else 50
 QUEUE = 50
@@ -79,7 +81,7 @@
         return True
 
     def head(self, status, ident, length, more=""):
-        text = f"HTTP/1.1 {status} OK\r\nAttempt-Id: {ident}\r\n"
+        text = f"HTTP/1.1 {status} OK\r\n{N.H_REQUEST_ID}: {ident}\r\n"
         if length is not None:
             text += f"Content-Length: {length}\r\n"
         return (text + more + "\r\n").encode()
@@ -95,28 +97,28 @@
             name, value = text.split(":", 1)
             fields[name.lower()] = value.strip()
         body = self.read_body(fields)
-        ident = fields.get("attempt-id", "")
+        ident = fields.get(N.H_REQUEST_ID, "")
         url = urllib.parse.urlsplit(path)
         query = dict(urllib.parse.parse_qsl(url.query))
         if url.path == "/healthz":
             self.connection.sendall(self.head(
-                200, ident, 0, f"Upstream-Instance: {IDENT}\r\n"))
+                200, ident, 0, f"{N.H_INSTANCE}: {IDENT}\r\n"))
             return True
-        if "target-instance" in fields and fields["target-instance"] != IDENT:
+        if fields.get(N.H_TARGET, IDENT) != IDENT:
             self.connection.sendall(self.head(421, ident, 0,
-                                              "Not-Executed: 1\r\n"))
+                                              f"{N.H_NOT_EXECUTED}: 1\r\n"))
             return True
         with lock:
             full = held >= SLOTS + QUEUE
             held += not full
         if full:
             self.connection.sendall(self.head(503, ident, 0,
-                                              "Not-Executed: 1\r\n"))
+                                              f"{N.H_NOT_EXECUTED}: 1\r\n"))
             return True
         try:
             with slots:
                 log(event="run", id=ident, path=path, method=method,
-                    caller=fields.get("caller-service"), body=len(body))
+                    caller=fields.get(N.H_CALLER), body=len(body))
                 return self.answer(ident, query)
         finally:
             with lock:
@@ -129,12 +131,12 @@
         if grey and next(turns) % 5 < 2:
             log(event="failed", id=ident, status=503)
             self.connection.sendall(self.head(
-                503, ident, 5, f"Upstream-Seal: seal-{IDENT}-{ident}\r\n") +
+                503, ident, 5, f"{N.H_SEAL}: seal-{IDENT}-{ident}\r\n") +
                 b"later")
             return True
         body = b"b" * int(query.get("size", 10))
         first = int(query.get("first", len(body)))
-        more = f"Upstream-Seal: seal-{IDENT}-{ident}\r\n"
+        more = f"{N.H_SEAL}: seal-{IDENT}-{ident}\r\n"
         length = None if "close" in query else len(body)
         if length is None:
             more += "Connection: close\r\n"
