--- a/review/kit-3/upstream.py
+++ b/review/kit-3/upstream.py
@@ -10,16 +10,11 @@
     pause=N   milliseconds
     close=1   the answer has no length and ends with the connection
 
-After SIGUSR1 it is grey: it fails two of each five requests after their work,
-with status 503, its seal, and no field that says that it has not run.
-
 LOG gets a JSON line for each request that begins to run ("run"), that is
 answered ("answered") or dropped because its connection closed ("dropped").
 """
 
-import itertools
 import json
-import signal
 import socket
 import socketserver
 import sys
@@ -37,16 +32,6 @@
 log_file = open(LOG, "a", buffering=1)
 slots = threading.Semaphore(SLOTS)
 held = 0
-grey = False
-turns = itertools.count()
-
-
-def turn_grey(number, frame):
-    global grey
-    grey = True
-
-
-signal.signal(signal.SIGUSR1, turn_grey)
 
 
 def log(**line):
@@ -128,12 +113,6 @@
         if not self.wait(int(query.get("ms", 0)) / 1000):
             log(event="dropped", id=ident)
             return False
-        if grey and next(turns) % 5 < 2:
-            log(event="failed", id=ident, status=503)
-            self.connection.sendall(self.head(
-                503, ident, 5, f"{N.H_SEAL}: seal-{IDENT}-{ident}\r\n") +
-                b"later")
-            return True
         body = b"b" * int(query.get("size", 10))
         first = int(query.get("first", len(body)))
         more = f"{N.H_SEAL}: seal-{IDENT}-{ident}\r\n"
