--- a/review/kit-3/kit.py
+++ b/review/kit-3/kit.py
@@ -589,8 +589,9 @@
     # ends its processes also when it is ended itself
     signal.signal(signal.SIGTERM, lambda *args: sys.exit(2))
     try:
-        broken = case(folder)
-    except Exception as e:
+        code = 1 if case(folder) else 0
+    except (Exception, SystemExit) as e:
         print(f"could not run: {type(e).__name__}: {e}")
-        sys.exit(2)
-    sys.exit(1 if broken else 0)
+        code = 2
+    sys.stdout.flush()
+    os._exit(code)  # clients' threads may be at work
