policy/balancer: an ejection ends for every kind of request

Cause: an ejected target was probed by repeatable requests alone, and only a response ends an ejection. Hops that reached no target (no node, or one that has not heard from its target yet) ejected it too, and the failures of an incarnation counted against the next.

Why it works: each ejection has an end in time after which any request may be the probe, one at a time. Where no hop may have reached the target it has nothing to lose, and probes like any other; there, the entry written again ends the ejection, and the success rate stays. Another incarnation begins as a new target, and what is left of the hops of an earlier one does not count.

The feedback UNREACHABLE meant both "no response" and "no connection"; the first is now LOST.

--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -261,7 +261,7 @@
 	call->hop_open = false;
 	peer = call->peers[call->hop_count - 1];
 	end_trace_hop(call);
-	brf_mesh_peer_ended(peer, end,
+	brf_mesh_peer_ended(peer, call->hop.request.born, end,
 	    call->hop.has_load ? &call->hop.load : NULL, now(call->calls));
 	brf_hop_release(&call->hop);
 }
@@ -741,7 +741,7 @@
 	call->failure_reason = call->hop.reason;
 	call->marked = call->marked || call->hop.marked;
 	call->targets_reached++;
-	release_hop(call, BRF_FEEDBACK_UNREACHABLE);
+	release_hop(call, BRF_FEEDBACK_LOST);
 	if (!call->route->repeatable ||
 	    call->targets_reached >= call->route->attempts ||
 	    call->replay_overflow || is_isolated(call) ||
@@ -841,7 +841,7 @@
 	call->answered = true;
 	keep_deadline(call);
 	end_trace_hop(call);
-	brf_mesh_peer_ended(peer, BRF_FEEDBACK_ANSWERED,
+	brf_mesh_peer_ended(peer, call->hop.request.born, BRF_FEEDBACK_ANSWERED,
 	    call->hop.has_load ? &call->hop.load : NULL, t);
 	learn_nesting(call);
 	call->marked = call->marked || call->hop.marked;
--- a/src/mesh/gauges.c
+++ b/src/mesh/gauges.c
@@ -37,6 +37,8 @@
 	    brf_metrics_gauge(m, targets, targets_help, "state=\"listed\"");
 	g->lapsed =
 	    brf_metrics_gauge(m, targets, targets_help, "state=\"lapsed\"");
+	g->ejected = brf_metrics_gauge(m, "brf_targets_ejected",
+	    "Targets that get few requests after failures in a row.", "");
 	g->paced = brf_metrics_gauge(m, "brf_paced_routes",
 	    "Routes of which not all requests begin.", "");
 	g->min_share = brf_metrics_gauge(m, "brf_pace_share_least",
@@ -153,6 +155,8 @@
 	g->proof_age[1]->value = proof_age(node, BRF_ENTRY_PREFIX);
 	brf_directory_count(
 	    node->directory, &g->targets->value, &g->lapsed->value);
+	g->ejected->value =
+	    (double)brf_mesh_services_count_ejected(&node->services);
 	update_throttles(g, tables);
 	update_gate(g, node->gate);
 	update_log(g);
--- a/src/mesh/gauges.h
+++ b/src/mesh/gauges.h
@@ -21,6 +21,7 @@
  *	were known to be received; -1 while they are not watched
  * @targets: targets whose entries are in the store
  * @lapsed: targets whose entries have lapsed
+ * @ejected: targets that are ejected
  * @paced: routes that admit less than all of their requests
  * @min_share: smallest share of its requests that any route admits
  * @running: requests that hold a slot of this VM's target
@@ -38,6 +39,7 @@
 	struct brf_metric *proof_age[2];
 	struct brf_metric *targets;
 	struct brf_metric *lapsed;
+	struct brf_metric *ejected;
 	struct brf_metric *paced;
 	struct brf_metric *min_share;
 	struct brf_metric *running;
--- a/src/mesh/services.c
+++ b/src/mesh/services.c
@@ -149,6 +149,13 @@
 	    &peer->report, now_of(peer->services));
 }
 
+static void
+log_readmitted(const struct brf_mesh_peer *peer, const char *why)
+{
+	brf_log(BRF_LOG_INFO, "target_readmitted", BRF_LS("target", peer->id),
+	    BRF_LS("why", why));
+}
+
 /* Begin with what is remembered of this incarnation. */
 static void
 begin_incarnation(struct brf_mesh_peer *peer, uint64_t born)
@@ -164,6 +171,22 @@
 	set_report(peer, &report, t);
 }
 
+/* An entry tells of another incarnation, or that the target's node is there. */
+static void
+update_ejection(
+    struct brf_mesh_peer *peer, const struct brf_directory_target *t)
+{
+	bool was_ejected = brf_balancer_is_ejected(&peer->balancer);
+	bool is_other = peer->born != t->entry.born;
+
+	if (is_other)
+		brf_balancer_new_incarnation(&peer->balancer);
+	else if (!t->lapsed)
+		brf_balancer_announced(&peer->balancer);
+	if (was_ejected && !brf_balancer_is_ejected(&peer->balancer))
+		log_readmitted(peer, is_other ? "incarnation" : "entry");
+}
+
 static void
 update_peer(struct brf_mesh_peer *peer, const struct brf_directory_target *t)
 {
@@ -178,6 +201,7 @@
 	peer->balancer.warmup_end = t->received_at + e->warmup_us;
 	peer->balancer.draining = e->state != BRF_TARGET_READY;
 	peer->balancer.drain_backoff_until = 0;
+	update_ejection(peer, t);
 	if (peer->born != e->born) {
 		remember_report(peer);
 		begin_incarnation(peer, e->born);
@@ -326,6 +350,22 @@
 	    c.targets, service->count, request, except, now));
 }
 
+size_t
+brf_mesh_services_count_ejected(const struct brf_mesh_services *s)
+{
+	const struct brf_mesh_service *service;
+	struct brf_list *l;
+	size_t i, count = 0;
+
+	brf_list_foreach (l, &s->list) {
+		service = brf_list_entry(l, struct brf_mesh_service, link);
+		for (i = 0; i < service->count; i++)
+			count += brf_balancer_is_ejected(
+			    &service->peers[i]->balancer);
+	}
+	return (count);
+}
+
 size_t
 brf_mesh_service_sound_targets(const struct brf_mesh_service *service)
 {
@@ -381,12 +421,16 @@
 }
 
 void
-brf_mesh_peer_ended(struct brf_mesh_peer *peer, enum brf_balancer_feedback end,
-    const struct brf_gate_load *load, uint64_t now)
+brf_mesh_peer_ended(struct brf_mesh_peer *peer, uint64_t born,
+    enum brf_balancer_feedback end, const struct brf_gate_load *load,
+    uint64_t now)
 {
 	uint64_t previous_until = peer->balancer.ejected_until;
-	bool was_ejected = previous_until != 0;
 
+	if (born != peer->born) {
+		end = BRF_FEEDBACK_NONE;
+		load = NULL;
+	}
 	brf_balancer_hop_ended(&peer->balancer, end, load, now);
 	/* hops that were open at the ejection may prolong it; log it once */
 	if (peer->balancer.ejected_until > now && previous_until <= now)
@@ -394,12 +438,12 @@
 		    BRF_LS("target", peer->id),
 		    BRF_LU(
 			"lost_in_a_row", peer->balancer.consecutive_failures),
+		    BRF_LU("unanswered", peer->balancer.unanswered),
 		    BRF_LD("good", peer->balancer.success_rate),
 		    BRF_LU("for_ms",
 			(peer->balancer.ejected_until - now) / BRF_US_PER_MS));
-	else if (was_ejected && peer->balancer.ejected_until == 0)
-		brf_log(BRF_LOG_INFO, "target_readmitted",
-		    BRF_LS("target", peer->id));
+	else if (previous_until != 0 && peer->balancer.ejected_until == 0)
+		log_readmitted(peer, "response");
 }
 
 /*
--- a/src/mesh/services.h
+++ b/src/mesh/services.h
@@ -140,10 +140,12 @@
 /**
  * brf_mesh_peer_ended() - record how a hop to @peer ended, and log when that
  * ejects or readmits the target; see brf_balancer_hop_ended().
+ * @born: incarnation that the hop was sent to.  What an earlier one did says
+ *	nothing of this one.
  * @load: load that the gate reported; NULL when it reported none
  * @now: clock time
  */
-void brf_mesh_peer_ended(struct brf_mesh_peer *peer,
+void brf_mesh_peer_ended(struct brf_mesh_peer *peer, uint64_t born,
     enum brf_balancer_feedback end, const struct brf_gate_load *load,
     uint64_t now);
 
@@ -163,6 +165,9 @@
     struct brf_balancer_request *request, struct brf_mesh_peer *const *tried,
     size_t tried_count, const struct brf_mesh_peer *peer, uint64_t now);
 
+/* Return: number of targets that are ejected. */
+size_t brf_mesh_services_count_ejected(const struct brf_mesh_services *s);
+
 /* Return: number of targets that are in reach and don't leave. */
 size_t brf_mesh_service_sound_targets(const struct brf_mesh_service *service);
 
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -65,6 +65,36 @@
 	t->assumed_ms = SERVICE_MS;
 }
 
+static void
+clear_failures(struct brf_balancer_target *t)
+{
+	t->consecutive_failures = 0;
+	t->unanswered = false;
+	t->ejected_until = 0;
+}
+
+void
+brf_balancer_new_incarnation(struct brf_balancer_target *t)
+{
+	clear_failures(t);
+	t->probing = false;
+	t->success_rate = 1;
+	t->load_at = 0;
+}
+
+void
+brf_balancer_announced(struct brf_balancer_target *t)
+{
+	if (!t->unanswered)
+		clear_failures(t);
+}
+
+bool
+brf_balancer_is_ejected(const struct brf_balancer_target *t)
+{
+	return (t->consecutive_failures >= FAILURES_MAX);
+}
+
 /*
  * Requests running or waiting at the target: as last reported, plus the hops
  * sent since; without a recent report, the hops in flight from this node.
@@ -132,9 +162,24 @@
 };
 
 /*
- * An ejected target gets one repeatable request at a time as a probe: once its
- * ejection time is over, or earlier when no other candidate is left.
+ * An ejected target gets one request at a time as a probe: once its ejection
+ * time is over, or earlier when no other candidate is left.  A request that
+ * must not be repeated may be lost at a target that has not answered: it waits
+ * for the ejection time without another candidate, else as long again.
  */
+static bool
+may_probe(const struct brf_balancer_target *t,
+    const struct brf_balancer_request *request, enum stage stage, uint64_t now)
+{
+	if (t->probing)
+		return (false);
+	if (request->repeatable || !t->unanswered)
+		return (stage == STAGE_EJECTED || t->ejected_until <= now);
+	return (
+	    t->ejected_until + (stage == STAGE_EJECTED ? 0 : t->ejected_us) <=
+	    now);
+}
+
 static bool
 is_eligible(const struct brf_balancer_target *t,
     const struct brf_balancer_request *request, enum stage stage, uint64_t now)
@@ -143,10 +188,8 @@
 
 	if (!accepts_work(t, now) || permit_wait_us(t, now) > max_wait)
 		return (false);
-	if (t->consecutive_failures < FAILURES_MAX)
-		return (true);
-	return (!t->probing && request->repeatable &&
-		(stage == STAGE_EJECTED || t->ejected_until <= now));
+	return (
+	    !brf_balancer_is_ejected(t) || may_probe(t, request, stage, now));
 }
 
 static double
@@ -255,7 +298,7 @@
 		t = targets[i];
 		if (request->tried[i] && t->locality != BRF_LOCALITY_FAR &&
 		    accepts_work(t, now) && permit_wait_us(t, now) == 0 &&
-		    t->consecutive_failures < FAILURES_MAX)
+		    !brf_balancer_is_ejected(t))
 			return (true);
 	}
 	return (false);
@@ -315,7 +358,7 @@
 		t->permit_at = now + permit_wait_us(t, now) +
 			       (uint64_t)(BRF_US_PER_S / t->rate_limit);
 	t->in_flight++;
-	if (t->consecutive_failures >= FAILURES_MAX)
+	if (brf_balancer_is_ejected(t))
 		t->probing = true;
 }
 
@@ -325,21 +368,22 @@
 	uint32_t times = t->consecutive_failures - FAILURES_MAX;
 	uint64_t wait = EJECT_FIRST_US << (times < 4 ? times : 4);
 
-	t->ejected_until = now + (wait < EJECT_MAX_US ? wait : EJECT_MAX_US);
+	t->ejected_us = wait < EJECT_MAX_US ? wait : EJECT_MAX_US;
+	t->ejected_until = now + t->ejected_us;
 }
 
 static void
-update_success_rate(struct brf_balancer_target *t, double success_rate)
+add_failure(struct brf_balancer_target *t, uint64_t now)
 {
-	t->success_rate += SUCCESS_WEIGHT * (success_rate - t->success_rate);
+	t->consecutive_failures++;
+	if (brf_balancer_is_ejected(t))
+		eject(t, now);
 }
 
-/* The gate or the target has responded. */
 static void
-clear_failures(struct brf_balancer_target *t)
+update_success_rate(struct brf_balancer_target *t, double success_rate)
 {
-	t->consecutive_failures = 0;
-	t->ejected_until = 0;
+	t->success_rate += SUCCESS_WEIGHT * (success_rate - t->success_rate);
 }
 
 void
@@ -372,9 +416,12 @@
 		update_success_rate(t, 0);
 		break;
 	case BRF_FEEDBACK_UNREACHABLE:
+		add_failure(t, now);
+		break;
+	case BRF_FEEDBACK_LOST:
+		t->unanswered = true;
 		update_success_rate(t, 0);
-		if (++t->consecutive_failures >= FAILURES_MAX)
-			eject(t, now);
+		add_failure(t, now);
 		break;
 	case BRF_FEEDBACK_NONE:
 		break;
--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -25,6 +25,12 @@
  * A target is known only by the answers of its hops: one that has just joined
  * would get none while a faster one has free slots.  So a share of the hops
  * goes to a target of this zone that has never reported.
+ *
+ * A target whose hops fail in a row is ejected.  What ends this must not depend
+ * on the kind of requests that its service gets: after some time any request
+ * may be the probe.  A request that is not idempotent is lost with a target
+ * that takes it and does not answer, so it waits longer where other targets or
+ * idempotent requests can spare it that.
  */
 
 /**
@@ -54,9 +60,11 @@
  * @in_flight_at_load: @in_flight at @load_at
  * @success_rate: exponentially weighted moving average over hops, 0 to 1
  * @consecutive_failures: hops in a row that ended with
- *	BRF_FEEDBACK_UNREACHABLE
+ *	BRF_FEEDBACK_UNREACHABLE or BRF_FEEDBACK_LOST
+ * @unanswered: one of these ended with BRF_FEEDBACK_LOST
  * @ejected_until: clock time before which an ejected target is used only when
  *	no other candidate is left; 0 when it is not ejected
+ * @ejected_us: duration of this ejection, microseconds
  * @drain_backoff_until: clock time before which it gets no hops, since its gate
  *	refused one as draining
  * @probing: the one hop that tests an ejected target is in flight
@@ -79,7 +87,9 @@
 	uint32_t in_flight_at_load;
 	double success_rate;
 	uint32_t consecutive_failures;
+	bool unanswered;
 	uint64_t ejected_until;
+	uint64_t ejected_us;
 	uint64_t drain_backoff_until;
 	double rate_limit;
 	uint64_t permit_at;
@@ -116,6 +126,18 @@
 void brf_balancer_target_init(
     struct brf_balancer_target *t, enum brf_locality locality, uint32_t slots);
 
+/* Forget what an earlier incarnation of @t did, except for open hops. */
+void brf_balancer_new_incarnation(struct brf_balancer_target *t);
+
+/**
+ * brf_balancer_announced() - the node of @t has announced it again, which ends
+ * an ejection that began because nothing reached the target.
+ */
+void brf_balancer_announced(struct brf_balancer_target *t);
+
+/* Whether hops to @t have failed in a row. */
+bool brf_balancer_is_ejected(const struct brf_balancer_target *t);
+
 /**
  * brf_balancer_choose() - choose a target for the next hop of @request.
  * @targets: @count candidates, at most BRF_BALANCER_TARGETS_MAX
@@ -151,7 +173,9 @@
  *	which is no fault of it
  * @BRF_FEEDBACK_DRAINING: refused because the target accepts no new work
  * @BRF_FEEDBACK_TARGET_FAILED: the target itself refused or failed the request
- * @BRF_FEEDBACK_UNREACHABLE: no response, or no connection to the target
+ * @BRF_FEEDBACK_UNREACHABLE: nothing reached the target, which says nothing of
+ *	how it serves
+ * @BRF_FEEDBACK_LOST: no response of a target that may have run the request
  * @BRF_FEEDBACK_NONE: nothing, since the sender cancelled the hop
  */
 enum brf_balancer_feedback {
@@ -161,6 +185,7 @@
 	BRF_FEEDBACK_DRAINING,
 	BRF_FEEDBACK_TARGET_FAILED,
 	BRF_FEEDBACK_UNREACHABLE,
+	BRF_FEEDBACK_LOST,
 	BRF_FEEDBACK_NONE
 };
 
