fleet: a recorded departure hangs on no lease

The leases of the store had run out, in an outage or without one, its node or all nodes were killed, and a heartbeat from before the leave arrived.

Cause: the entry of a target that drains or has left was written under a lease of 120 s, and a lease may end at any moment. The next process's first write then met nothing.

Why it works: the store loses nothing that it has acknowledged, but for leases. The lease for departures goes, with its calls. Stores get an operation to delete a key.

--- a/src/config/store.h
+++ b/src/config/store.h
@@ -50,6 +50,7 @@
 enum brf_store_op {
 	BRF_STORE_GET,
 	BRF_STORE_PUT,
+	BRF_STORE_DELETE, /* always with @compare */
 	BRF_STORE_LEASE_GRANT,
 	BRF_STORE_LEASE_KEEPALIVE,
 	BRF_STORE_LEASE_REVOKE /* deletes the keys attached to the lease */
@@ -74,12 +75,12 @@
 
 /**
  * struct brf_store_request - operation and arguments of a call.
- * @key: key to get or put
+ * @key: key to get, put or delete
  * @prefix: get all keys that begin with @key
  * @latest_only: with @prefix, get only the key changed last, without its value
  * @at_revision: get the key as of this store revision; 0 for the current one
  * @value: value to put, @len bytes
- * @compare: put only if the key is at @expect; otherwise the
+ * @compare: put or delete only if the key is at @expect; otherwise the
  *	outcome is BRF_STORE_CONFLICT and the response holds the current key
  * @expect: required current revision of the key; 0 if it must not exist
  * @lease: id of the lease to attach, keep alive or revoke; 0 for none
--- a/src/config/store_codec.c
+++ b/src/config/store_codec.c
@@ -89,13 +89,15 @@
 static json_t *
 encode_txn(const struct brf_store_request *r)
 {
-	const struct brf_store_request get = { .key = r->key };
+	const struct brf_store_request key = { .key = r->key };
+	bool deletes = r->op == BRF_STORE_DELETE;
 
 	return (json_pack("{s:[{s:o, s:s, s:s, s:o}], s:[{s:o}], s:[{s:o}]}",
 	    "compare", "key", base64(r->key, strlen(r->key)), "target", "MOD",
 	    "result", "EQUAL", "mod_revision", integer(r->expect), "success",
-	    "request_put", encode_put(r), "failure", "request_range",
-	    encode_get(&get)));
+	    deletes ? "request_delete_range" : "request_put",
+	    deletes ? encode_get(&key) : encode_put(r), "failure",
+	    "request_range", encode_get(&key)));
 }
 
 const char *
@@ -113,6 +115,10 @@
 		path = r->compare ? "/v3/kv/txn" : "/v3/kv/put";
 		root = r->compare ? encode_txn(r) : encode_put(r);
 		break;
+	case BRF_STORE_DELETE:
+		path = "/v3/kv/txn";
+		root = encode_txn(r);
+		break;
 	case BRF_STORE_LEASE_GRANT:
 		path = "/v3/lease/grant";
 		root = json_pack("{s:o}", "TTL", integer(r->ttl_s));
@@ -273,6 +279,8 @@
 		return (read_kvs(root, out));
 	case BRF_STORE_PUT:
 		return (!r->compare || read_txn(root, out));
+	case BRF_STORE_DELETE:
+		return (read_txn(root, out));
 	case BRF_STORE_LEASE_GRANT:
 		return (read_lease(root, out) && out->lease != 0);
 	case BRF_STORE_LEASE_KEEPALIVE:
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "fleet/crash_record.h"
 #include "fleet/directory.h"
+#include "fleet/sweeper.h"
 
 /*
  * Pause after a change, so that many nodes that start or stop at once are
@@ -32,6 +33,7 @@
 /**
  * struct brf_directory - see directory.h.
  * @records: receives records; NULL for nobody
+ * @sweeper: deletes the entries of departed targets; NULL for nobody
  * @record_at: clock time at which the last record arrived; 0 for none
  * @targets: list of struct brf_directory_target, @count of them
  * @departed: list of struct departed, oldest first, @departed_count of them
@@ -41,6 +43,7 @@
 	struct brf_timers *timers;
 	struct brf_directory_watcher *watcher;
 	struct brf_directory_records *records;
+	struct brf_sweeper *sweeper;
 	uint64_t record_at;
 	struct brf_store_mirror *follow;
 	struct brf_list targets;
@@ -138,6 +141,14 @@
 	return (false);
 }
 
+static void
+set_count(struct brf_directory *d, size_t count)
+{
+	d->count = count;
+	if (d->sweeper != NULL)
+		brf_sweeper_set_fleet(d->sweeper, count);
+}
+
 static void
 remove_target(struct brf_directory_target *t, const char *reason)
 {
@@ -149,7 +160,7 @@
 	remember_departed(d, &t->entry);
 	brf_list_remove(&t->link);
 	brf_timer_stop(d->timers, &t->lapse_timer);
-	d->count--;
+	set_count(d, d->count - 1);
 	d->watcher->removed(d->watcher, t);
 	free(t);
 }
@@ -183,7 +194,7 @@
 	t->lapse_timer.fire = on_lapse_timer;
 	t->lapse_timer.arg = t;
 	brf_list_append(&d->targets, &t->link);
-	d->count++;
+	set_count(d, d->count + 1);
 	return (t);
 }
 
@@ -290,6 +301,18 @@
 	brf_store_mirror_bound_pause(d->follow, PAUSE_MAX_US);
 }
 
+static void
+tell_sweeper(struct brf_directory *d, const struct brf_store_kv *kv,
+    const struct brf_entry *entry)
+{
+	if (d->sweeper == NULL)
+		return;
+	if (entry->announced == BRF_TARGET_READY)
+		brf_sweeper_forget(d->sweeper, kv->key);
+	else
+		brf_sweeper_add(d->sweeper, kv->key, kv->revision);
+}
+
 static void
 on_set(void *arg, const struct brf_store_kv *kv)
 {
@@ -309,6 +332,7 @@
 		    BRF_LU("revision", kv->revision));
 		return;
 	}
+	tell_sweeper(d, kv, &entry);
 	if (is_of_earlier_epoch(d, &entry)) {
 		set_unconfirmed(d, &entry, kv->revision);
 		return;
@@ -345,6 +369,8 @@
 
 	if (is_record(d, key))
 		d->records->vt->deleted(d->records, key);
+	if (d->sweeper != NULL)
+		brf_sweeper_forget(d->sweeper, key);
 	if (t == NULL)
 		return;
 	if (!t->lapsed)
@@ -412,6 +438,12 @@
 	d->records = records;
 }
 
+void
+brf_directory_sweep(struct brf_directory *d, struct brf_sweeper *sweeper)
+{
+	d->sweeper = sweeper;
+}
+
 bool
 brf_directory_synced(const struct brf_directory *d)
 {
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -63,6 +63,7 @@
 };
 
 struct brf_directory_records;
+struct brf_sweeper;
 
 /**
  * struct brf_directory_records_vt - functions of a receiver of records; see
@@ -104,6 +105,10 @@
 void brf_directory_receive_records(
     struct brf_directory *d, struct brf_directory_records *records);
 
+/* Tell @sweeper, which outlives the directory, of entries of targets that drain
+ * or have left. */
+void brf_directory_sweep(struct brf_directory *d, struct brf_sweeper *sweeper);
+
 /* Calls removed() for each target that is left. */
 void brf_directory_free(struct brf_directory *d);
 
--- a/src/fleet/register.c
+++ b/src/fleet/register.c
@@ -7,8 +7,6 @@
 
 /* A lease is renewed three times within its time to live. */
 #define RENEW_US (BRF_REGISTRATION_TTL_S * BRF_US_PER_S / 3)
-/* How long a departure lease is used for further entries. */
-#define DEPARTURE_REUSE_US (BRF_REGISTRATION_DEPARTURE_TTL_S * BRF_US_PER_S / 4)
 #define BACKOFF_FIRST_US (50 * BRF_US_PER_MS)
 #define BACKOFF_MOST_US (800 * BRF_US_PER_MS)
 
@@ -38,8 +36,6 @@
  * @sent_is_last: @current was not set again since it was sent
  * @key: key that it reads or writes
  * @lease: 0 for none
- * @departure_lease: of entries of targets that drain or have left; 0 for none
- * @departure_granted: clock time at which it was asked for
  * @sent_at: clock time at which the last call was started
  * @renewed: clock time at which the lease was asked for or last renewed
  * @probing: see brf_registration_probe()
@@ -60,8 +56,6 @@
 	bool sent_is_last;
 	char key[BRF_ENTRY_KEY_MAX];
 	uint64_t lease;
-	uint64_t departure_lease;
-	uint64_t departure_granted;
 	uint64_t sent_at;
 	uint64_t renewed;
 	bool probing;
@@ -121,7 +115,7 @@
 	r->backoff.failures = 0;
 }
 
-/* Whether the entry has to outlive this process. */
+/* Whether the entry has to outlive this process and all leases. */
 static bool
 is_departure(const struct record *rec)
 {
@@ -131,7 +125,7 @@
 static uint64_t
 lease_of(const struct brf_registration *r, const struct record *rec)
 {
-	return (is_departure(rec) ? r->departure_lease : r->lease);
+	return (is_departure(rec) ? 0 : r->lease);
 }
 
 static void
@@ -191,22 +185,6 @@
 	start_next_call(r);
 }
 
-static void
-departure_lease_granted(
-    struct brf_store_call *call, const struct brf_store_response *answer)
-{
-	struct brf_registration *r = call_ended(call);
-
-	if (answer->outcome != BRF_STORE_DONE) {
-		back_off(r, &answer->err);
-		return;
-	}
-	reset_backoff(r);
-	r->departure_lease = answer->lease;
-	r->departure_granted = r->sent_at;
-	start_next_call(r);
-}
-
 static void
 renewed(struct brf_store_call *call, const struct brf_store_response *answer)
 {
@@ -293,10 +271,7 @@
     struct brf_registration *r, const struct brf_store_response *answer)
 {
 	if (answer->err.code == BRF_E_NOT_FOUND) {
-		if (is_departure(r->current))
-			r->departure_lease = 0;
-		else
-			lose_lease(r);
+		lose_lease(r);
 		start_next_call(r);
 		return;
 	}
@@ -384,27 +359,6 @@
 	    r->renewed + (r->probing ? BRF_REGISTRATION_PROBE_US : RENEW_US));
 }
 
-static void
-grant_lease(struct brf_registration *r, uint32_t ttl_s,
-    void (*done)(
-	struct brf_store_call *call, const struct brf_store_response *answer))
-{
-	r->call.request = (struct brf_store_request){
-		.op = BRF_STORE_LEASE_GRANT,
-		.ttl_s = ttl_s,
-	};
-	start_call(r, NULL, done);
-}
-
-static bool
-needs_departure_lease(
-    const struct brf_registration *r, const struct record *rec)
-{
-	return (rec != NULL && is_departure(rec) &&
-		(r->departure_lease == 0 ||
-		    now(r) - r->departure_granted > DEPARTURE_REUSE_US));
-}
-
 static bool
 needs_lease(const struct brf_registration *r, const struct record *rec)
 {
@@ -420,11 +374,11 @@
 
 	if (r->busy || r->ending)
 		return;
-	if (needs_departure_lease(r, rec)) {
-		grant_lease(r, BRF_REGISTRATION_DEPARTURE_TTL_S,
-		    departure_lease_granted);
-	} else if (needs_lease(r, rec)) {
-		grant_lease(r, BRF_REGISTRATION_TTL_S, lease_granted);
+	if (needs_lease(r, rec)) {
+		r->call.request =
+		    (struct brf_store_request){ .op = BRF_STORE_LEASE_GRANT,
+			    .ttl_s = BRF_REGISTRATION_TTL_S };
+		start_call(r, NULL, lease_granted);
 	} else if (rec != NULL) {
 		write_record(r, rec);
 	} else if (r->lease != 0 && now(r) >= renewal_due_at(r)) {
@@ -462,7 +416,6 @@
 		brf_store_cancel(r->store, &r->call);
 	r->busy = false;
 	lose_lease(r);
-	r->departure_lease = 0;
 	brf_list_foreach (l, &r->records) {
 		rec = brf_list_entry(l, struct record, link);
 		rec->written = false;
--- a/src/fleet/register.h
+++ b/src/fleet/register.h
@@ -16,8 +16,9 @@
  * older copy, a new lease is granted and all entries are written again, each
  * with the epoch in which it was written.
  *
- * That a target drains or has left must outlive this process.  Such an entry is
- * written under a longer lease that is neither renewed nor revoked.  An entry
+ * That a target drains or has left must outlive this process, and a store that
+ * ends leases early.  Such an entry is written without a lease, and deleted by
+ * fleet/sweeper.h.  An entry
  * that is found in the store is read before it is replaced: when it tells more
  * of the incarnation than the one to be written, the listener is told.
  */
@@ -28,9 +29,6 @@
 /* Time between renewals while probing. */
 #define BRF_REGISTRATION_PROBE_US BRF_US_PER_S
 
-/* Time to live of the entry of a target that drains or has left. */
-#define BRF_REGISTRATION_DEPARTURE_TTL_S 120u
-
 struct brf_registration;
 
 /**
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -682,6 +682,9 @@
 	node->directory = brf_directory_new(brf_mesh_relay_store(node->relay),
 	    node->scheduler.timers, node->random, &node->services.watcher);
 	brf_directory_receive_records(node->directory, &node->crashes->records);
+	node->sweeper =
+	    brf_sweeper_new(node->store, node->scheduler.timers, node->random);
+	brf_directory_sweep(node->directory, node->sweeper);
 	node->hints.directory = node->directory;
 	brf_mesh_relay_connect(node->relay, node->links, node->directory);
 	brf_mesh_departures_connect(
@@ -815,6 +818,7 @@
 	node->hints.directory = NULL;
 	brf_mesh_relay_connect(node->relay, node->links, NULL);
 	brf_directory_free(node->directory);
+	brf_sweeper_free(node->sweeper);
 	brf_registration_free(node->registration);
 	brf_mesh_services_finish(&node->services);
 	brf_mesh_relay_free(node->relay);
--- a/src/mesh/node.h
+++ b/src/mesh/node.h
@@ -16,6 +16,7 @@
 #include "mesh/settings.h"
 #include "policy/stop.h"
 #include "fleet/register.h"
+#include "fleet/sweeper.h"
 
 /**
  * DOC: The components of bulrushford-node, all on one loop.
@@ -44,6 +45,7 @@
  * @gate: admission to this VM's target
  * @relay: watches of @store, possibly by way of another node
  * @directory: targets of the whole fleet
+ * @sweeper: deletes the entries of departed ones
  * @registration: the entry of this VM's target in the store
  * @table_follow: watch of the routing table in the store
  * @local: last announcement of this VM's target
@@ -86,6 +88,7 @@
 	struct brf_mesh_departures *departures;
 	struct brf_mesh_services services;
 	struct brf_directory *directory;
+	struct brf_sweeper *sweeper;
 	struct brf_registration *registration;
 	struct brf_store_mirror *table_follow;
 	struct brf_local_target local;
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -7,6 +7,7 @@
 #include "fleet/follow.h"
 #include "fleet/local.h"
 #include "fleet/register.h"
+#include "fleet/sweeper.h"
 #include "store_fake.h"
 
 namespace
@@ -526,6 +527,27 @@
 	}
 }
 
+/* The store may end leases early: a late announcement was believed then. */
+TEST(registration, a_departure_outlives_all_leases)
+{
+	for (auto state : { BRF_TARGET_DRAINING, BRF_TARGET_LEFT }) {
+		struct fleet_fixture b;
+		struct brf_registration *r = brf_registration_new(
+		    &b.store.store, b.timers, &b.random.random);
+		struct brf_entry ready = announced(BRF_TARGET_READY);
+		struct brf_entry gone = announced(state);
+
+		brf_registration_set(r, &ready);
+		b.settle();
+		brf_registration_set(r, &gone);
+		b.settle();
+		brf_registration_free(r);
+		while (!b.store.leases.empty())
+			b.store.lapse(b.store.leases.back());
+		EXPECT_EQ(b.store.value(key), text(gone));
+	}
+}
+
 /* A late announcement must not replace what was acknowledged before. */
 TEST(registration, an_entry_of_an_earlier_process_is_read_before_it_is_replaced)
 {
@@ -797,6 +819,33 @@
 	brf_directory_free(d);
 }
 
+/* Such entries hang on no lease, and would be there for good. */
+TEST(directory, has_the_entries_of_departed_targets_deleted)
+{
+	const std::string prefix = BRF_ENTRY_PREFIX;
+	struct fleet_fixture b;
+	struct recorder s = { { recorder::changed, recorder::gone }, {} };
+	struct brf_directory *d =
+	    brf_directory_new(&b.store.store, b.timers, &b.random.random, &s.w);
+	struct brf_sweeper *sweeper =
+	    brf_sweeper_new(&b.store.store, b.timers, &b.random.random);
+	struct brf_entry stopping = entry("t-4", BRF_TARGET_DRAINING);
+
+	brf_directory_sweep(d, sweeper);
+	b.store.put(key, text(announced(BRF_TARGET_LEFT)));
+	b.store.put(prefix + "t-2", text(announced(BRF_TARGET_DRAINING)));
+	b.store.put(prefix + "t-3", text(entry("t-3")));
+	b.store.put(prefix + "t-4", text(stopping));
+	for (int i = 0; i < 25; i++)
+		b.settle();
+	EXPECT_EQ(b.store.value(key), "");
+	EXPECT_EQ(b.store.value(prefix + "t-2"), "");
+	EXPECT_NE(b.store.value(prefix + "t-3"), "");
+	EXPECT_NE(b.store.value(prefix + "t-4"), "") << "its node stops";
+	brf_directory_free(d);
+	brf_sweeper_free(sweeper);
+}
+
 /* Records beside the targets' entries, as they were received. */
 struct record_receiver {
 	struct brf_directory_records records;
--- a/test/store_fake.h
+++ b/test/store_fake.h
@@ -202,8 +202,15 @@
 		break_watches(BRF_E_STORE_RESTORED);
 	}
 
-	/* Executes a put.  Return: false if the key is at another revision or
-	 * the lease does not exist. */
+	static bool
+	is_change(const job &j)
+	{
+		return (j.request.op == BRF_STORE_PUT ||
+			j.request.op == BRF_STORE_DELETE);
+	}
+
+	/* Executes a put or a deletion.  Return: false if the key is at another
+	 * revision or the lease does not exist. */
 	bool
 	apply(const job &j)
 	{
@@ -216,16 +223,19 @@
 			return (false);
 		if (j.request.lease != 0 && !has_lease(j.request.lease))
 			return (false);
-		put(j.key, j.value, j.request.lease);
+		if (j.request.op == BRF_STORE_DELETE)
+			remove(j.key);
+		else
+			put(j.key, j.value, j.request.lease);
 		return (true);
 	}
 
-	/* Executes the delayed puts. */
+	/* Executes the delayed puts and deletions. */
 	void
 	run_late()
 	{
 		for (const job &j : late) {
-			if (j.request.op == BRF_STORE_PUT)
+			if (is_change(j))
 				apply(j);
 		}
 		late.clear();
@@ -300,7 +310,7 @@
 			return;
 		}
 		if (j.epoch != 0 && j.epoch < epoch) {
-			if (j.request.op == BRF_STORE_PUT)
+			if (is_change(j))
 				apply(j);
 			fail(j,
 			    j.request.op == BRF_STORE_GET ? BRF_STORE_REFUSED
@@ -317,7 +327,7 @@
 			leases.push_back(++granted);
 		if (j.request.op == BRF_STORE_LEASE_REVOKE)
 			lapse(j.request.lease);
-		if (j.request.op == BRF_STORE_PUT) {
+		if (is_change(j)) {
 			bool ok = apply(j);
 
 			respond(j, ok ? BRF_STORE_DONE : BRF_STORE_CONFLICT);
@@ -345,7 +355,7 @@
 		waiting.pop_front();
 		if (delivery == DELAY)
 			late.push_back(j);
-		if (delivery == LOSE_RESPONSE && j.request.op == BRF_STORE_PUT)
+		if (delivery == LOSE_RESPONSE && is_change(j))
 			apply(j);
 		if (delivery == DELIVER)
 			deliver(j);
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -12,6 +12,7 @@
 #include "config/edit.h"
 #include "config/envelope.h"
 #include "config/store_client.h"
+#include "config/store_codec.h"
 #include "http_fake.h"
 
 extern char **environ;
@@ -474,6 +475,31 @@
 	}
 }
 
+TEST(store, a_deletion_is_encoded_with_its_condition)
+{
+	struct brf_store_request r = {};
+	struct brf_store_response got = {};
+	struct brf_buf body = {};
+	const std::string conflict =
+	    "{\"header\":{\"revision\":\"9\"},\"responses\":"
+	    "[{\"response_range\":{\"kvs\":[{\"key\":\"aw==\"}]}}]}";
+
+	r.op = BRF_STORE_DELETE;
+	r.key = "k";
+	r.compare = true;
+	r.expect = 7;
+	EXPECT_STREQ(brf_store_encode(&r, &body), "/v3/kv/txn");
+	EXPECT_EQ(std::string(body.data, body.len),
+	    "{\"compare\":[{\"key\":\"aw==\",\"target\":\"MOD\","
+	    "\"result\":\"EQUAL\",\"mod_revision\":\"7\"}],"
+	    "\"success\":[{\"request_delete_range\":{\"key\":\"aw==\"}}],"
+	    "\"failure\":[{\"request_range\":{\"key\":\"aw==\"}}]}");
+	brf_buf_free(&body);
+	brf_store_decode(&r, 200, conflict.data(), conflict.size(), &got);
+	EXPECT_EQ(got.outcome, BRF_STORE_CONFLICT);
+	brf_store_response_free(&got);
+}
+
 /* The response to the write is lost: the edit must end as DONE with one write.
  */
 TEST(store, an_edit_whose_response_is_lost_is_read_back)
