link: a silent connection is closed though no hop is open

A node whose connection is dead was passed over, though a new connection to it would work, until the other targets of a service were full.

Cause: a connection on which nothing was received while hops were open counts as silent, which costs its targets a second in each choice.

Why it works: a connection that counts as silent is checked until something is received or it is closed.

--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -433,7 +433,8 @@
 		close_conn(lc, "connecting timed out");
 		return;
 	}
-	if (lc->open_streams == 0) {
+	/* to a silent node nothing may be sent that would show its end */
+	if (lc->open_streams == 0 && !lc->silent) {
 		if (lc->link != NULL)
 			brf_link_end_if_unused(lc->link);
 		return;
--- a/src/link/impl.h
+++ b/src/link/impl.h
@@ -52,7 +52,7 @@
  * @received_at: on a dialed connection, clock time of the last message from
  * the other end, or of the first send after a time without streams
  * @pinged_at: clock time of a ping without a reply; 0 for none
- * @silent: streams are open and nothing was received for BRF_LINK_SILENT_US
+ * @silent: streams were open and nothing was received for BRF_LINK_SILENT_US
  * @logged_up: a first message was received and link_up was logged
  * @table_requested: BRF_LINK_TABLE was sent and has no reply yet
  * @targets_requested: BRF_LINK_TARGETS was sent and has no reply yet
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -24,7 +24,7 @@
  * end as BRF_HOP_REFUSED, the others as BRF_HOP_FAILED.  While hops are open,
  * a connection on which nothing was received for BRF_LINK_PING_US is pinged,
  * is reported as silent after BRF_LINK_SILENT_US, and is closed after
- * BRF_LINK_DEAD_US.
+ * BRF_LINK_DEAD_US, then also when all hops have ended meanwhile.
  *
  * Each side sends the revision of its routing table when a connection opens
  * and whenever the table changes, and sends the text of the table on request.
@@ -44,7 +44,7 @@
  * enum brf_link_health - state of the connection to a node.
  * @BRF_LINK_IDLE: not connected; the next hop opens a connection
  * @BRF_LINK_UP: connected or connecting
- * @BRF_LINK_SILENT: connected, but hops are open and nothing was received for
+ * @BRF_LINK_SILENT: connected, but hops were open and nothing was received for
  * BRF_LINK_SILENT_US
  * @BRF_LINK_DOWN: the last connection failed; until the backoff has passed,
  * hops are refused
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -414,6 +414,31 @@
 	close();
 }
 
+/* A node that counts as silent is passed over, so that nothing would be sent
+ * there that could end it. */
+TEST_F(two_nodes, a_silent_connection_is_closed_without_a_hop_on_it)
+{
+	{
+		struct raw_listener mute;
+		struct sockaddr_in addr = loopback(mute.port);
+		struct brf_link *link = brf_links_get(a.links, &addr);
+
+		{
+			struct outgoing_hop s(bench);
+
+			brf_hop_send(brf_link_backend(link), &s.hop);
+			EXPECT_TRUE(bench.until([&] {
+				return (
+				    brf_link_health(link) == BRF_LINK_SILENT);
+			}));
+		}
+		EXPECT_TRUE(bench.until([&] {
+			return (brf_link_health(link) != BRF_LINK_SILENT);
+		}));
+	}
+	close();
+}
+
 namespace
 {
 
