mesh/call: an upload that its caller stalls is no failure of the target

Cause: the gate ends such a hop at its deadline as a time-out, which counted as a request that the target left unanswered.

Evidence: mesh_call_upload.that_stalls_does_not_eject_its_target failed before (ejected after the third of six) and passes now, three runs of three; that_is_whole_and_has_no_answer_ejects_its_target passes on both.

Why it works: a time-out says nothing of a target where the body is incomplete and all that there is of it has been passed on. With the whole body, or with bytes that the target does not take, it counts as before.

--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -729,6 +729,18 @@
 		try_again(call);
 }
 
+/* Whether the hop has passed on what there is of a body that is not complete,
+ * so that its target could not answer in time. */
+static bool
+awaits_caller(const struct call *call)
+{
+	const struct brf_pipe *body = &call->request_body;
+
+	return (call->hop.reason == BRF_R_TIMEOUT &&
+		call->hop.request_body != NULL &&
+		body->state == BRF_PIPE_OPEN && brf_pipe_len(body) == 0);
+}
+
 /* The target may have run the request. */
 static void
 hop_failed(struct call *call)
@@ -741,7 +753,8 @@
 	call->failure_reason = call->hop.reason;
 	call->marked = call->marked || call->hop.marked;
 	call->targets_reached++;
-	release_hop(call, BRF_FEEDBACK_LOST);
+	release_hop(
+	    call, awaits_caller(call) ? BRF_FEEDBACK_NONE : BRF_FEEDBACK_LOST);
 	if (!call->route->repeatable ||
 	    call->targets_reached >= call->route->attempts ||
 	    call->replay_overflow || is_isolated(call) ||
--- a/test/mesh_call_test.cc
+++ b/test/mesh_call_test.cc
@@ -479,6 +479,56 @@
 	EXPECT_EQ(answers("504"), 1u);
 }
 
+/* Uploads whose targets' gate gives up at the deadline. */
+class mesh_call_upload : public mesh_call
+{
+      protected:
+	static const int tries = 6; /* twice what ejects a target */
+	int count = 0;
+
+	void
+	upload(const std::string &length)
+	{
+		const std::string id = "id-" + std::to_string(++count);
+		struct moved_clock clock(bench);
+		raw_peer caller;
+
+		caller.connect_to(port);
+		caller.put("POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: " + id +
+			   "\r\nX-Timeout: 2000\r\nContent-Length: " + length +
+			   "\r\n\r\nabc");
+		ASSERT_NE(arrived(id), nullptr);
+		clock.move(2 * BRF_US_PER_S);
+		until([&] {
+			caller.get();
+			return (caller.got.find("HTTP/1.1 504") == 0);
+		});
+		EXPECT_EQ(caller.got.find("HTTP/1.1 504"), 0u);
+	}
+
+	size_t
+	ejected()
+	{
+		return (brf_mesh_services_count_ejected(&services));
+	}
+};
+
+/* One caller must not take a sound target from all others. */
+TEST_F(mesh_call_upload, that_stalls_does_not_eject_its_target)
+{
+	while (count < tries)
+		upload("9");
+	EXPECT_EQ(ejected(), 0u);
+}
+
+TEST_F(mesh_call_upload, that_is_whole_and_has_no_answer_ejects_its_target)
+{
+	/* a slow test may be answered by the sender's own timer at times */
+	while (count < tries * 3 && ejected() == 0)
+		upload("3");
+	EXPECT_EQ(ejected(), 1u);
+}
+
 TEST_F(mesh_call, a_long_answer_is_passed_on)
 {
 	std::string rest = head("1", 300000) + std::string(300000, 'x');
