mesh, link: a waiting request keeps the caller that it began with

Cause: a hop referred to the name where the connection, or the settings of the node, keeps the present one, and the gate reads it when the hop gets its slot.

Why it works: a hop from another node, and a request at the node where it began, have a copy of the name.

--- a/src/link/serve.c
+++ b/src/link/serve.c
@@ -104,9 +104,11 @@
 	return (b->data + offset);
 }
 
+/* @caller is copied, since a waiting request keeps the one that it began with
+ * while the peer may announce another. */
 static void
-fill_request(
-    struct served_hop *sv, const struct brf_link_send *send, uint64_t now)
+fill_request(struct served_hop *sv, const struct brf_link_send *send,
+    const char *caller, uint64_t now)
 {
 	struct brf_hop_request *rq = &sv->hop.request;
 	struct brf_buf *b = &sv->text;
@@ -114,13 +116,15 @@
 	/* one reservation: the texts must not move while they are added */
 	brf_buf_reserve(b, send->id.len + send->target.len + send->method.len +
 			       send->path.len + send->host.len +
-			       send->fields.len + 6);
+			       send->fields.len + strlen(caller) + 7);
 	rq->id = copy_text(b, &send->id);
 	rq->target = copy_text(b, &send->target);
 	rq->method = copy_text(b, &send->method);
 	rq->path = copy_text(b, &send->path);
 	rq->host = copy_text(b, &send->host);
 	rq->fields = copy_text(b, &send->fields);
+	rq->caller = b->data + b->len;
+	brf_buf_add(b, caller, strlen(caller) + 1);
 	rq->fields_len = send->fields.len;
 	rq->deadline = now + send->timeout_us;
 	rq->max_wait_us = send->max_wait_us;
@@ -153,8 +157,7 @@
 	links->served++;
 	links->hops_received->value++;
 	brf_task_init(&sv->s.work, stream_work);
-	fill_request(sv, &send, brf_links_now(links));
-	sv->hop.request.caller = caller;
+	fill_request(sv, &send, caller, brf_links_now(links));
 	sv->hop.owner = &sv->s.work;
 	brf_pipe_init(&sv->request_body, links->config.tasks);
 	sv->s.in.pipe = &sv->request_body;
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -46,6 +46,7 @@
  * @watch: of a forwarded answer, from its deadline on
  * @overdue: the forwarded answer was ended for its deadline
  * @peers: targets to which the request was sent; @hop_count of them
+ * @caller: service of this VM as the request began
  * @parent: request of this VM's target that makes the call, if @has_parent
  * @full_gates: gates that refused the request for lack of capacity
  * @targets_reached: targets that received the request
@@ -85,6 +86,7 @@
 	struct brf_timer timer;
 	struct brf_answer_watch watch;
 	struct brf_mesh_peer *peers[HOPS_MAX];
+	char caller[BRF_NAME_MAX + 1];
 	struct brf_mesh_parent parent;
 	uint32_t hop_count;
 	uint32_t full_gates;
@@ -493,7 +495,7 @@
 	hop->request = (struct brf_hop_request){
 		.id = head->id,
 		.target = peer->id,
-		.caller = calls->service,
+		.caller = call->caller,
 		.method = head->method,
 		.path = head->path.data,
 		.host = head->host,
@@ -563,7 +565,7 @@
 	if (calls->crashes == NULL || !identify(call))
 		return (false);
 	suspect =
-	    brf_crash_log_find(calls->crashes->log, calls->service, &call->key);
+	    brf_crash_log_find(calls->crashes->log, call->caller, &call->key);
 	return (suspect != NULL && suspect->weight >= BRF_CRASH_ISOLATE);
 }
 
@@ -574,7 +576,7 @@
 	const struct brf_mesh_calls *calls = call->calls;
 
 	if (calls->crashes != NULL && identify(call))
-		brf_mesh_crashes_hop_lost(calls->crashes, calls->service,
+		brf_mesh_crashes_hop_lost(calls->crashes, call->caller,
 		    &call->key, peer->id, peer->born);
 }
 
@@ -586,7 +588,7 @@
 
 	if (calls->crashes != NULL && identify(call))
 		brf_mesh_crashes_answered(
-		    calls->crashes, calls->service, &call->key);
+		    calls->crashes, call->caller, &call->key);
 }
 
 static void start_timer(struct call *call);
@@ -1022,7 +1024,7 @@
 	call->key.head =
 	    brf_request_head_hash(head->method, head->host, head->path.data);
 	if (!brf_crash_log_needs_body(
-		calls->crashes->log, calls->service, call->key.head) ||
+		calls->crashes->log, call->caller, call->key.head) ||
 	    identify(call))
 		return (false);
 	call->awaits_body = true;
@@ -1037,7 +1039,7 @@
 {
 	const struct brf_mesh_calls *calls = call->calls;
 	const struct brf_crash_suspect *suspect =
-	    brf_crash_log_find(calls->crashes->log, calls->service, &call->key);
+	    brf_crash_log_find(calls->crashes->log, call->caller, &call->key);
 
 	return (suspect->last_at + LAST_TARGET_US > now(calls) &&
 		brf_mesh_service_sound_targets(call->service) < 2);
@@ -1052,7 +1054,7 @@
 
 	if (calls->crashes == NULL || !identify(call))
 		return (false);
-	call->verdict = brf_crash_log_judge(calls->crashes->log, calls->service,
+	call->verdict = brf_crash_log_judge(calls->crashes->log, call->caller,
 	    &call->key, now(calls), &call->not_before_us);
 	if (call->verdict >= BRF_CRASH_ISOLATED && call->not_before_us == 0 &&
 	    spares_last_target(call))
@@ -1073,6 +1075,7 @@
 	call->rq = rq;
 	rq->data = call;
 	call->arrived_at = rq->arrived;
+	brf_copy_name(call->caller, sizeof(call->caller), calls->service);
 	brf_task_init(&call->work, work);
 	call->timer.fire = deadline_passed;
 	call->timer.arg = call;
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -119,6 +119,32 @@
 	close();
 }
 
+/* It runs as a request of the service that it began at. */
+TEST_F(two_nodes, a_waiting_hop_keeps_its_caller_when_the_service_changes)
+{
+	{
+		struct outgoing_hop waiting(bench), later(bench);
+		struct brf_hop *first;
+
+		send(waiting);
+		first = arrived();
+		brf_copy_name(a.service, sizeof(a.service), "renamed");
+		brf_links_announce_service(a.links);
+		send(later);
+		EXPECT_TRUE(
+		    bench.until([&] { return (b.gate.open.size() == 2); }));
+		EXPECT_STREQ(b.gate.open.back()->request.caller, "renamed");
+		EXPECT_STREQ(first->request.caller, "service-a");
+		b.gate.refuse(b.gate.open.back(), BRF_R_OVERLOAD);
+		b.gate.refuse(first, BRF_R_OVERLOAD);
+		EXPECT_TRUE(bench.until([&] {
+			return (waiting.hop.state == BRF_HOP_REFUSED &&
+				later.hop.state == BRF_HOP_REFUSED);
+		}));
+	}
+	close();
+}
+
 TEST_F(two_nodes, a_changed_service_name_is_announced)
 {
 	{
--- a/test/mesh_call_test.cc
+++ b/test/mesh_call_test.cc
@@ -97,13 +97,19 @@
 			&bench.scheduler.tasks, bench.scheduler.timers,
 			bench.metrics, &random.random, &test_names, &tables,
 			&services, loopback(target.port) };
+		gate = brf_mesh_gate_new(&config);
+		set_slots(20, true);
+	}
+
+	void
+	set_slots(uint32_t slots, bool is_new)
+	{
 		struct brf_target_announcement notice = {};
 
-		gate = brf_mesh_gate_new(&config);
 		brf_copy_name(notice.id, sizeof(notice.id), "t-1");
 		brf_copy_name(notice.service, sizeof(notice.service), "s");
-		notice.slots = 20;
-		brf_mesh_gate_update_target(gate, &notice, true);
+		notice.slots = slots;
+		brf_mesh_gate_update_target(gate, &notice, is_new);
 	}
 
 	/* Its address is that of the node, so that it is reached directly. */
@@ -479,6 +485,37 @@
 	EXPECT_EQ(answers("504"), 1u);
 }
 
+/* A request that waits for a slot beside the node that it began at. */
+TEST_F(mesh_call, a_waiting_request_keeps_its_caller_when_the_service_changes)
+{
+	char service[] = "before";
+	raw_peer waiting;
+
+	set_slots(1, true);
+	calls.service = service;
+	client.put(get("/a/1", "1"));
+	first = arrived("1");
+	ASSERT_NE(first, nullptr);
+	waiting.connect_to(port);
+	waiting.put(get("/a/2", "2"));
+	until([&] { return (calls.open_count == 2); });
+	for (int i = 0; i < 20; i++) {
+		bench.turns(1);
+		target.serve();
+	}
+	ASSERT_EQ(target.with("X-Id: 2\r\n"), nullptr) << "it waits";
+	memcpy(service, "after!", sizeof(service));
+	first->put(head("1", 1) + "x");
+	second = arrived("2");
+	ASSERT_NE(second, nullptr);
+	EXPECT_EQ(second->got.find(service), std::string::npos) << second->got;
+	second->put(head("2", 1) + "x");
+	until([&] {
+		waiting.get();
+		return (calls.open_count == 0);
+	});
+}
+
 /* Uploads whose targets' gate gives up at the deadline. */
 class mesh_call_upload : public mesh_call
 {
