--- a/src/link/dial.c
+++ b/src/link/dial.c
@@ -433,7 +433,7 @@
 		close_conn(lc, "connecting timed out");
 		return;
 	}
-	/* to a silent node nothing may be sent that would show its end */
+	/* hops avoid a silent node, so that none would detect its end */
 	if (lc->open_streams == 0 && !lc->silent) {
 		if (lc->link != NULL)
 			brf_link_end_if_unused(lc->link);
