policy/balancer: targets without a report compete on equal terms

Callers saw 503 no_target though sound targets were known, after several targets had crashed and were back under other ids.

Cause: another incarnation of a target discards the load that the earlier one reported. When no target of the service had a report left, set_assumed_ms() returned early, and each target kept what it had been assumed to need: 1 ms for those that were there when a report was known, 50 ms for those that had joined since. So a request went to all stale entries first; the sixth refusal is the last hop of a request. The same happened where the only target with a report had gone.

Evidence: the trace of a failing run has six hops with estimate_ms 1, each refused by a node that has another target now, and none to the six that had joined. balancer.targets_without_a_report_are_assumed_to_be_alike failed before (1000 and 50000 us).

All targets without a report now get the same assumption, whether there is a mean or not.

--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -206,11 +206,12 @@
 	return (c * (1 + 0.05 * brf_random_unit(random)));
 }
 
-/* Assume the mean service time for targets that have not reported theirs. */
+/* Assume the mean service time for targets that have not reported theirs, so
+ * that they compete on equal terms. */
 static void
 set_assumed_ms(struct brf_balancer_target *const *targets, size_t count)
 {
-	double sum = 0, mean;
+	double sum = 0, mean = SERVICE_MS;
 	size_t i, reporting = 0;
 
 	for (i = 0; i < count; i++) {
@@ -219,9 +220,10 @@
 		sum += targets[i]->load.service_ms;
 		reporting++;
 	}
-	if (reporting == 0 || reporting == count)
+	if (reporting == count)
 		return;
-	mean = sum / (double)reporting;
+	if (reporting != 0)
+		mean = sum / (double)reporting;
 	if (mean < 1)
 		mean = 1;
 	for (i = 0; i < count; i++)
--- a/test/balancer_test.cc
+++ b/test/balancer_test.cc
@@ -298,6 +298,23 @@
 	EXPECT_LT(chosen, 80u);
 }
 
+/* Where the only target that had reported started again, one that had just
+ * joined was assumed to be slower than those that were there before. */
+TEST_F(balancer, targets_without_a_report_are_assumed_to_be_alike)
+{
+	size_t reporting = add(BRF_LOCALITY_ZONE);
+	size_t silent = add(BRF_LOCALITY_ZONE);
+
+	report(reporting, 0, 1);
+	choose();
+	brf_balancer_new_incarnation(&targets[reporting]);
+	size_t joined = add(BRF_LOCALITY_ZONE);
+	choose();
+	for (size_t i : { reporting, silent })
+		EXPECT_EQ(brf_balancer_estimate_us(&targets[i], now),
+		    brf_balancer_estimate_us(&targets[joined], now));
+}
+
 TEST_F(balancer, the_other_region_is_used_without_a_target_in_this_one)
 {
 	size_t far = add(BRF_LOCALITY_FAR), near = add(BRF_LOCALITY_REGION);
