fleet/local: a target is heard though the clock has jumped back

Cause: incarnations are ordered by the start times that they state. One with a lower start time than the current one, as after the clock has jumped back, was taken for one whose announcements are late, for good. Its drain was dropped too, and acknowledged, as nothing of it was waiting for the store.

Evidence: announcement_stale for each announcement since the restart, no entry.

What is late ends, and a target that runs announces itself. So an earlier incarnation replaces the current one after three announcements over 3 s, when the current one is silent meanwhile, and gets a place behind it in the order that all nodes go by. Until then its drain is answered with 503. What has left stays gone. brf_local_target_announce() takes the time; the expectations of its other tests are as before.

--- a/src/mesh/admin.c
+++ b/src/mesh/admin.c
@@ -68,8 +68,10 @@
 acknowledge(struct brf_mesh_node *node, struct brf_http_request *http,
     const struct brf_target_announcement *notice)
 {
-	if (notice->state != BRF_TARGET_READY &&
-	    brf_registration_is_pending(node->registration, notice->id))
+	if (!brf_local_target_heeds(&node->local, notice))
+		brf_respond_status(http, 503);
+	else if (notice->state != BRF_TARGET_READY &&
+		 brf_registration_is_pending(node->registration, notice->id))
 		brf_mesh_acks_add(&node->acks, http, notice->id);
 	else
 		brf_mesh_acknowledge(http);
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -293,7 +293,8 @@
 	struct brf_target_announcement previous = node->local.current;
 	bool is_first = !node->local.known;
 	enum brf_announce_result result =
-	    brf_local_target_announce(&node->local, notice);
+	    brf_local_target_announce(&node->local, notice,
+		brf_now(brf_timers_clock(node->scheduler.timers)));
 
 	if (result == BRF_ANNOUNCE_STALE) {
 		log_announcement(notice, "announcement_stale");
--- a/test/fleet_test.cc
+++ b/test/fleet_test.cc
@@ -683,7 +683,7 @@
 	struct brf_local_target l = {};
 
 	for (const auto &c : cases)
-		EXPECT_EQ(brf_local_target_announce(&l, &c.n), c.want)
+		EXPECT_EQ(brf_local_target_announce(&l, &c.n, 0), c.want)
 		    << c.what;
 	EXPECT_STREQ(l.current.id, "b");
 }
@@ -699,16 +699,16 @@
 
 		EXPECT_FALSE(brf_local_target_adopt(&l, &first, state));
 		l = {};
-		brf_local_target_announce(&l, &n);
+		brf_local_target_announce(&l, &n, 0);
 		EXPECT_TRUE(brf_local_target_adopt(&l, &first, state));
 		EXPECT_EQ(l.current.state, state);
 		EXPECT_FALSE(brf_local_target_adopt(&l, &first, state));
 		n = announcement("a", 10, 6);
-		brf_local_target_announce(&l, &n);
+		brf_local_target_announce(&l, &n, 0);
 		EXPECT_EQ(l.current.state, state);
 		n = announcement("a", 11, 1);
-		EXPECT_EQ(
-		    brf_local_target_announce(&l, &n), BRF_ANNOUNCE_REPLACED);
+		EXPECT_EQ(brf_local_target_announce(&l, &n, 0),
+		    BRF_ANNOUNCE_REPLACED);
 		EXPECT_EQ(l.current.state, BRF_TARGET_READY);
 		EXPECT_FALSE(brf_local_target_adopt(&l, &first, state));
 	}
@@ -723,14 +723,14 @@
 	struct brf_local_target l = {};
 
 	brf_local_target_adopt(&l, &first, BRF_TARGET_DRAINING);
-	brf_local_target_announce(&l, &n);
+	brf_local_target_announce(&l, &n, 0);
 	EXPECT_EQ(l.current.state, BRF_TARGET_DRAINING);
 	l = {};
 	brf_local_target_adopt(&l, &first, BRF_TARGET_DRAINING);
 	brf_local_target_adopt(&l, &first, BRF_TARGET_LEFT);
-	EXPECT_EQ(brf_local_target_announce(&l, &n), BRF_ANNOUNCE_STALE);
+	EXPECT_EQ(brf_local_target_announce(&l, &n, 0), BRF_ANNOUNCE_STALE);
 	n = announcement("a", 11, 1);
-	EXPECT_EQ(brf_local_target_announce(&l, &n), BRF_ANNOUNCE_REPLACED);
+	EXPECT_EQ(brf_local_target_announce(&l, &n, 0), BRF_ANNOUNCE_REPLACED);
 	EXPECT_EQ(l.current.state, BRF_TARGET_READY);
 }
 
@@ -741,9 +741,9 @@
 	struct brf_target_announcement n = announcement("x", 10, 5);
 
 	brf_local_target_leave(&l, "x", 1000);
-	EXPECT_EQ(brf_local_target_announce(&l, &n), BRF_ANNOUNCE_STALE);
+	EXPECT_EQ(brf_local_target_announce(&l, &n, 0), BRF_ANNOUNCE_STALE);
 	n = announcement("x", 1001, 1);
-	EXPECT_EQ(brf_local_target_announce(&l, &n), BRF_ANNOUNCE_REPLACED);
+	EXPECT_EQ(brf_local_target_announce(&l, &n, 0), BRF_ANNOUNCE_REPLACED);
 }
 
 TEST(local_target, a_left_incarnation_stays_gone_and_a_new_one_replaces_it)
@@ -751,14 +751,80 @@
 	struct brf_local_target l = {};
 	struct brf_target_announcement n = announcement("a", 10, 5);
 
-	brf_local_target_announce(&l, &n);
+	brf_local_target_announce(&l, &n, 0);
 	EXPECT_EQ(brf_local_target_leave(&l, "x", 1000)->born, 1000u);
 	EXPECT_EQ(brf_local_target_leave(&l, "a", 1000)->born, 10u);
 	EXPECT_EQ(l.current.state, BRF_TARGET_LEFT);
 	n = announcement("a", 10, 6);
-	EXPECT_EQ(brf_local_target_announce(&l, &n), BRF_ANNOUNCE_STALE);
+	EXPECT_EQ(brf_local_target_announce(&l, &n, 0), BRF_ANNOUNCE_STALE);
 	n = announcement("a", 11, 1);
-	EXPECT_EQ(brf_local_target_announce(&l, &n), BRF_ANNOUNCE_REPLACED);
+	EXPECT_EQ(brf_local_target_announce(&l, &n, 0), BRF_ANNOUNCE_REPLACED);
+}
+
+/* An upstream that the clock of its start puts before the one that crashed was
+ * never heard, and its drain was acknowledged and not heeded. */
+TEST(local_target, an_earlier_start_time_replaces_one_that_is_silent)
+{
+	struct brf_local_target l = {};
+	auto announce = [&l](uint64_t born, uint64_t sequence, uint64_t at,
+			    enum brf_target_state state = BRF_TARGET_READY,
+			    const char *id = "a") {
+		struct brf_target_announcement n =
+		    announcement(id, born, sequence, state);
+		auto result = brf_local_target_announce(&l, &n, at * 1000);
+
+		EXPECT_TRUE(result == BRF_ANNOUNCE_STALE ||
+			    brf_local_target_heeds(&l, &n));
+		return (result);
+	};
+	struct brf_target_announcement drain =
+	    announcement("a", 10, 9, BRF_TARGET_DRAINING);
+
+	announce(20, 7, 0);
+	EXPECT_EQ(announce(10, 1, 200), BRF_ANNOUNCE_STALE);
+	EXPECT_EQ(announce(10, 2, 1700), BRF_ANNOUNCE_STALE);
+	EXPECT_FALSE(brf_local_target_heeds(&l, &drain));
+	EXPECT_EQ(announce(10, 2, 3300), BRF_ANNOUNCE_STALE); /* again */
+	EXPECT_EQ(announce(10, 3, 3300), BRF_ANNOUNCE_REPLACED);
+	EXPECT_EQ(l.current.born, 21u);
+	EXPECT_EQ(announce(10, 4, 4700), BRF_ANNOUNCE_UPDATED);
+	EXPECT_EQ(announce(20, 8, 4800), BRF_ANNOUNCE_STALE); /* late */
+	EXPECT_EQ(
+	    announce(10, 5, 6000, BRF_TARGET_DRAINING), BRF_ANNOUNCE_UPDATED);
+	EXPECT_EQ(announce(10, 6, 7500), BRF_ANNOUNCE_UPDATED);
+	EXPECT_EQ(l.current.state, BRF_TARGET_DRAINING);
+	EXPECT_EQ(announce(30, 1, 8000), BRF_ANNOUNCE_REPLACED);
+
+	/* displaced by an announcement that no target sent */
+	EXPECT_EQ(announce(99, 1, 9000, BRF_TARGET_READY, "foreign"),
+	    BRF_ANNOUNCE_REPLACED);
+	for (uint64_t i = 2; i <= 3; i++)
+		EXPECT_EQ(announce(30, i, 9000 + i * 500), BRF_ANNOUNCE_STALE);
+	EXPECT_EQ(announce(30, 4, 13000), BRF_ANNOUNCE_REPLACED);
+}
+
+/* What is late must not replace a target that runs, nor bring back one that
+ * has left. */
+TEST(local_target, late_announcements_replace_no_other)
+{
+	for (bool has_left : { false, true }) {
+		struct brf_local_target l = {};
+		struct brf_target_announcement n = announcement("a", 10, 1);
+
+		brf_local_target_announce(&l, &n, 0);
+		if (has_left)
+			brf_local_target_leave(&l, "a", 1000);
+		for (uint64_t i = 1; i < 20; i++) {
+			n = announcement("a", 20, i);
+			if (!has_left)
+				brf_local_target_announce(
+				    &l, &n, i * BRF_US_PER_S);
+			n = announcement("a", 10, i + 1);
+			EXPECT_EQ(
+			    brf_local_target_announce(&l, &n, i * BRF_US_PER_S),
+			    BRF_ANNOUNCE_STALE);
+		}
+	}
 }
 
 /* Records which targets the directory has and whether they have lapsed. */
