flow/target: an idle connection is read though its reading was paused

Cause: work() returned before set_reading() once no run was open. When one read filled the input, reading paused; when the same step consumed it to the end of the answer, the connection became idle, and nothing resumed reading: neither the next answer nor the target's close was seen.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -541,12 +541,14 @@
 		;
 	if (!c->closing && c->peer_closed)
 		handle_end(c);
-	if (c->closing || c->run == NULL)
+	if (c->closing)
 		return;
-	if (c->run->body != NULL)
-		send_body(c);
-	flush(c);
-	set_reading(c);
+	if (c->run != NULL) {
+		if (c->run->body != NULL)
+			send_body(c);
+		flush(c);
+	}
+	set_reading(c); /* idle connections are read, too */
 }
 
 /*
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -513,6 +513,41 @@
 	}
 }
 
+/* A connection whose reading was paused as its answer ended was not read again:
+ * the next request on it ended with its deadline. */
+TEST_F(mesh_gate, a_connection_is_read_after_an_answer_that_filled_its_input)
+{
+	const size_t head =
+	    complete_answer("0", std::string(50000, 'x')).find("\r\n\r\n") + 4;
+
+	for (size_t total : { 65535, 65536, 65537 }) {
+		struct sender first, next;
+
+		send(first, "0");
+		until([&] { return (target.with("x-id: 0\r\n") != nullptr); });
+		ASSERT_EQ(target.peers.size(), 1u);
+		target.peers[0]->put(
+		    complete_answer("0", std::string(total - head, 'x')));
+		EXPECT_TRUE(until([&] {
+			return (first.hop.answer_body.state == BRF_PIPE_ENDED);
+		})) << total;
+		EXPECT_EQ(first.body().size(), total - head);
+		brf_hop_release(&first.hop);
+
+		target.peers[0]->got.clear();
+		send(next, "1");
+		until([&] { return (target.with("x-id: 1\r\n") != nullptr); });
+		ASSERT_EQ(target.peers.size(), 1u) << total;
+		target.peers[0]->put(complete_answer("1", "y"));
+		EXPECT_TRUE(until([&] {
+			return (next.hop.state == BRF_HOP_ANSWERED);
+		})) << total;
+		EXPECT_EQ(next.body(), "y");
+		brf_hop_release(&next.hop);
+		target.peers[0]->got.clear();
+	}
+}
+
 /* A request body is lost when the idle connection chosen first was reset. */
 TEST_F(mesh_gate, a_body_outlives_a_reset_idle_connection)
 {
