mesh/call: a long answer is held whole while requests behind it run

Cause: an incomplete answer is held so that it can be replaced when it breaks off, but only until its pipe was full. Then its head was sent, and a break could only be told by closing the connection.

The pipe now counts retained bytes as read, so that the writer goes on, in this process or over a link.

--- a/src/flow/pipe.c
+++ b/src/flow/pipe.c
@@ -14,6 +14,7 @@
 {
 	brf_buf_free(&p->buf);
 	p->pos = 0;
+	p->retained = 0;
 	p->reader = NULL;
 	p->writer = NULL;
 }
@@ -26,7 +27,7 @@
 	brf_buf_add(&p->buf, data, len);
 	p->written += len;
 	/* a writer that has just filled the pipe may not ask for space */
-	if (brf_pipe_len(p) >= BRF_PIPE_HIGH_WATER)
+	if (brf_pipe_backlog(p) >= BRF_PIPE_HIGH_WATER)
 		p->writer_waiting = true;
 	brf_task_post(p->tasks, p->reader);
 }
@@ -55,18 +56,35 @@
 size_t
 brf_pipe_space(struct brf_pipe *p)
 {
-	size_t len = brf_pipe_len(p);
+	size_t backlog = brf_pipe_backlog(p);
 
-	if (len < BRF_PIPE_HIGH_WATER)
-		return (BRF_PIPE_HIGH_WATER - len);
+	if (backlog < BRF_PIPE_HIGH_WATER)
+		return (BRF_PIPE_HIGH_WATER - backlog);
 	p->writer_waiting = true;
 	return (0);
 }
 
+static void
+wake_writer(struct brf_pipe *p)
+{
+	if (p->writer_waiting && brf_pipe_backlog(p) < BRF_PIPE_LOW_WATER) {
+		p->writer_waiting = false;
+		brf_task_post(p->tasks, p->writer);
+	}
+}
+
+void
+brf_pipe_retain(struct brf_pipe *p)
+{
+	p->retained = brf_pipe_len(p);
+	wake_writer(p);
+}
+
 void
 brf_pipe_consume(struct brf_pipe *p, size_t n)
 {
 	p->pos += n;
+	p->retained -= n < p->retained ? n : p->retained;
 	if (p->pos == p->buf.len) {
 		brf_buf_free(&p->buf);
 		p->pos = 0;
@@ -74,8 +92,5 @@
 		brf_buf_consume(&p->buf, p->pos);
 		p->pos = 0;
 	}
-	if (p->writer_waiting && brf_pipe_len(p) < BRF_PIPE_LOW_WATER) {
-		p->writer_waiting = false;
-		brf_task_post(p->tasks, p->writer);
-	}
+	wake_writer(p);
 }
--- a/src/flow/pipe.h
+++ b/src/flow/pipe.h
@@ -32,6 +32,7 @@
  * @reader: posted after a write and when @state has changed; may be NULL
  * @writer: posted when the pipe has space again; may be NULL
  * @buf: bytes before @pos were consumed
+ * @retained: bytes at the front that count as consumed for the writer
  * @written: total bytes written
  * @writer_waiting: post @writer when the pipe falls below BRF_PIPE_LOW_WATER
  */
@@ -41,6 +42,7 @@
 	struct brf_task *writer;
 	struct brf_buf buf;
 	size_t pos;
+	size_t retained;
 	uint64_t written;
 	enum brf_pipe_state state;
 	bool writer_waiting;
@@ -83,6 +85,20 @@
 	return (p->buf.len - p->pos);
 }
 
+/* Return: bytes that count towards the water marks. */
+static inline size_t
+brf_pipe_backlog(const struct brf_pipe *p)
+{
+	return (brf_pipe_len(p) - p->retained);
+}
+
+/**
+ * brf_pipe_retain() - have the writer go on, though nothing is consumed.
+ *
+ * The bytes in the pipe stay there; the reader has to bound them.
+ */
+void brf_pipe_retain(struct brf_pipe *p);
+
 /* Return: total bytes consumed. */
 static inline uint64_t
 brf_pipe_read(const struct brf_pipe *p)
--- a/src/link/body.c
+++ b/src/link/body.c
@@ -72,7 +72,7 @@
 
 	if (s->in.done || s->lc == NULL || s->lc->conn.closing)
 		return;
-	allowed = pipe->written - brf_pipe_len(pipe) + BRF_LINK_WINDOW;
+	allowed = pipe->written - brf_pipe_backlog(pipe) + BRF_LINK_WINDOW;
 	if (allowed < s->in.granted + BRF_LINK_WINDOW / 2)
 		return;
 	window.bytes = (uint32_t)(allowed - s->in.granted);
--- a/src/mesh/call.c
+++ b/src/mesh/call.c
@@ -10,7 +10,9 @@
 
 #define REPLAY_MAX 65536u /* bytes of a body that are kept for another hop */
 /* Most bytes of an incomplete answer that are held for the requests behind. */
-#define HELD_ANSWER_MAX_BYTES BRF_PIPE_HIGH_WATER
+/* Bytes of incomplete answers held beyond a full pipe: of one, and of all. */
+#define RETAINED_MAX_BYTES (1u << 20)
+#define RETAINED_TOTAL_MAX_BYTES (8u << 20)
 #define HOPS_MAX BRF_TRACE_HOPS_MAX
 #define TIMEOUT_DEFAULT_MS 60000u /* for requests without a timeout */
 
@@ -47,6 +49,7 @@
  * @overdue: the forwarded answer was ended for its deadline
  * @peers: targets to which the request was sent; @hop_count of them
  * @caller: service of this VM as the request began
+ * @retained: bytes of the answer held beyond a full pipe
  * @parent: request of this VM's target that makes the call, if @has_parent
  * @full_gates: gates that refused the request for lack of capacity
  * @targets_reached: targets that received the request
@@ -87,6 +90,7 @@
 	struct brf_answer_watch watch;
 	struct brf_mesh_peer *peers[HOPS_MAX];
 	char caller[BRF_NAME_MAX + 1];
+	size_t retained;
 	struct brf_mesh_parent parent;
 	uint32_t hop_count;
 	uint32_t full_gates;
@@ -252,6 +256,13 @@
 	th->reported = hop->load;
 }
 
+static void
+forget_retained(struct call *call)
+{
+	call->calls->retained -= call->retained;
+	call->retained = 0;
+}
+
 /* End the open hop, if any, without an answer. */
 static void
 release_hop(struct call *call, enum brf_balancer_feedback end)
@@ -266,6 +277,7 @@
 	brf_mesh_peer_ended(peer, call->hop.request.born, end,
 	    call->hop.has_load ? &call->hop.load : NULL, now(call->calls));
 	brf_hop_release(&call->hop);
+	forget_retained(call);
 }
 
 static void
@@ -276,6 +288,7 @@
 	release_hop(call, BRF_FEEDBACK_NONE);
 	count_request(call);
 	brf_hop_release(&call->hop);
+	forget_retained(call);
 	for (i = 0; i < call->hop_count; i++)
 		brf_mesh_peer_unref(call->peers[i]);
 	brf_task_cancel(&call->work);
@@ -378,7 +391,9 @@
 
 	(void)timer;
 	if (call->hop_open && call->hop.state == BRF_HOP_ANSWERED &&
-	    call->hop.answer_body.state == BRF_PIPE_ENDED) {
+	    (call->hop.answer_body.state == BRF_PIPE_ENDED ||
+		(call->hop.answer_body.state == BRF_PIPE_OPEN &&
+		    call->retained != 0))) {
 		hop_answered(call);
 		return;
 	}
@@ -868,6 +883,22 @@
 	    a->body, a->length, &call->hop.answer_body);
 }
 
+/* Return: whether more of the answer can be held than a full pipe. */
+static bool
+retain_answer(struct call *call)
+{
+	struct brf_mesh_calls *calls = call->calls;
+	size_t more = brf_pipe_backlog(&call->hop.answer_body);
+
+	if (call->retained + more > RETAINED_MAX_BYTES ||
+	    calls->retained + more > RETAINED_TOTAL_MAX_BYTES)
+		return (false);
+	call->retained += more;
+	calls->retained += more;
+	brf_pipe_retain(&call->hop.answer_body);
+	return (true);
+}
+
 /*
  * Hold an incomplete answer while requests behind it run, so that it can still
  * be replaced if it breaks off.
@@ -884,8 +915,9 @@
 			hop->reason = BRF_R_BROKEN_ANSWER;
 		hop_failed(call);
 	} else if (body->state == BRF_PIPE_ENDED ||
-		   brf_pipe_len(body) >= HELD_ANSWER_MAX_BYTES ||
-		   !brf_flow_is_followed(call->rq))
+		   !brf_flow_is_followed(call->rq) ||
+		   (brf_pipe_backlog(body) >= BRF_PIPE_HIGH_WATER &&
+		       !retain_answer(call)))
 		hop_answered(call);
 }
 
--- a/src/mesh/call.h
+++ b/src/mesh/call.h
@@ -37,6 +37,7 @@
  * @refuse_long_from: clock time from which requests that might outlast the
  *	process are refused; earlier, clients may not have learned yet that
  *	this node is not ready
+ * @retained: bytes of incomplete answers held beyond a full pipe
  * @open: calls that have not ended; @open_count of them
  * @unrouted_metrics: requests for which no service was found
  * @failure_log: failed requests that were not logged one by one
@@ -55,6 +56,7 @@
 	uint64_t exit_at;
 	uint64_t work_ends_at;
 	uint64_t refuse_long_from;
+	size_t retained;
 	struct brf_list open;
 	size_t open_count;
 	struct brf_request_metrics unrouted_metrics;
--- a/test/link_test.cc
+++ b/test/link_test.cc
@@ -252,6 +252,35 @@
 	close();
 }
 
+TEST_F(two_nodes, an_answer_whose_start_is_retained_goes_on)
+{
+	const size_t length = 300000;
+	{
+		struct outgoing_hop s(bench);
+		struct brf_hop *hop;
+		size_t written = 0;
+
+		s.reads = false;
+		send(s);
+		hop = arrived();
+		b.gate.answer(hop, 200, "");
+		EXPECT_TRUE(bench.until([&] {
+			std::string part(1000, 'x');
+
+			if (written < length &&
+			    brf_pipe_space(&hop->answer_body) != 0) {
+				brf_pipe_write(&hop->answer_body, part.data(),
+				    part.size());
+				written += part.size();
+			}
+			if (brf_pipe_backlog(&s.hop.answer_body) > 50000)
+				brf_pipe_retain(&s.hop.answer_body);
+			return (brf_pipe_len(&s.hop.answer_body) == length);
+		}));
+	}
+	close();
+}
+
 TEST_F(two_nodes, a_cancelled_hop_is_cancelled_at_its_gate)
 {
 	{
--- a/test/mesh_call_test.cc
+++ b/test/mesh_call_test.cc
@@ -580,6 +580,62 @@
 	EXPECT_GT(client.got.size(), 300000u);
 }
 
+/* Requests behind a long answer that broke off had run, and got no answer. */
+TEST_F(mesh_call, a_long_answer_that_breaks_off_ends_only_itself)
+{
+	std::string rest = head("1", 300000) + std::string(250000, 'x');
+
+	send_two(get("/a/1", "1") + get("/a/2", "2"));
+	until([&] {
+		rest = first->put(rest);
+		return (rest.empty() && calls.retained >= 150000);
+	});
+	EXPECT_EQ(client.got, "");
+	first->drop();
+	until([&] { return (calls.retained == 0); });
+	EXPECT_EQ(calls.retained, 0u);
+	answer_second();
+	EXPECT_EQ(answers("502"), 1u);
+	EXPECT_EQ(answers("200"), 1u);
+	EXPECT_FALSE(client.ended);
+}
+
+/* Sends part of an answer of 4,000,000 bytes. */
+class mesh_call_long : public mesh_call
+{
+      protected:
+	void
+	check_passed_on(const char *timeout_ms, size_t sent)
+	{
+		std::string rest = head("1", 4000000) + std::string(sent, 'x');
+
+		send_two("GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
+			 "X-Timeout: " +
+			 std::string(timeout_ms) + "\r\n\r\n" +
+			 get("/a/2", "2"));
+		until([&] {
+			rest = first->put(rest);
+			EXPECT_LE(calls.retained, 1u << 20);
+			return (client.got.size() > sent);
+		});
+		EXPECT_GT(client.got.size(), sent);
+		EXPECT_EQ(answers("200"), 1u);
+		client.drop();
+		until([&] { return (calls.open_count == 0); });
+		EXPECT_EQ(calls.retained, 0u);
+	}
+};
+
+TEST_F(mesh_call_long, an_answer_that_is_too_long_to_hold_is_passed_on)
+{
+	check_passed_on("50000", 3000000);
+}
+
+TEST_F(mesh_call_long, an_incomplete_answer_is_passed_on_at_its_deadline)
+{
+	check_passed_on("300", 200000);
+}
+
 TEST_F(mesh_call, a_long_chunked_answer_is_passed_on)
 {
 	std::string rest = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n"
--- a/test/pipe_test.cc
+++ b/test/pipe_test.cc
@@ -99,3 +99,17 @@
 	EXPECT_EQ(reader.runs, 1);
 	EXPECT_TRUE(brf_pipe_finished(&p));
 }
+
+TEST_F(a_pipe, wakes_a_writer_when_its_reader_retains_what_there_is)
+{
+	write(BRF_PIPE_HIGH_WATER);
+	EXPECT_EQ(brf_pipe_space(&p), 0u);
+	brf_pipe_retain(&p);
+	brf_tasks_run(&tasks);
+	EXPECT_EQ(writer.runs, 1);
+	EXPECT_EQ(brf_pipe_space(&p), BRF_PIPE_HIGH_WATER);
+	write(10);
+	brf_pipe_consume(&p, BRF_PIPE_HIGH_WATER + 5);
+	EXPECT_EQ(brf_pipe_backlog(&p), 5u);
+	EXPECT_EQ(brf_pipe_len(&p), 5u);
+}
