mesh/gate: a stopping gate takes no unsafe request that it may cut

Evidence: test_late_requests.*_go_elsewhere failed on; mesh_gate.a_stopping_gate_takes_nothing_unsafe_* asks for the rule.

From the signal on the gate refuses what can't be repeated and may end after all work has to. That has not run, and the sender sends it to another gate.

--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -6,6 +6,7 @@
 #include "mesh/trace.h"
 #include "policy/answer_watch.h"
 #include "policy/slot_queues.h"
+#include "policy/stop.h"
 #include "policy/throttle.h"
 
 #define CONNECTIONS_DEFAULT 1024u /* until a routing table sets it */
@@ -86,6 +87,7 @@
  * @hops: open hops; @open_count of them
  * @serial: serial number of the latest hop
  * @refusal_reason: why all hops are refused; BRF_R_NONE when they are not
+ * @work_ends_at: see brf_mesh_gate_stop(); 0 unless the process stops
  * @incarnation: counts the incarnations of the target
  * @report: what the present incarnation says of itself
  * @marker: decides which hops get a congestion mark for their wait
@@ -103,6 +105,7 @@
 	size_t open_count;
 	uint64_t serial;
 	enum brf_reason refusal_reason;
+	uint64_t work_ends_at;
 	uint64_t incarnation;
 	struct brf_self_report report;
 	struct brf_mesh_gate_counts counts;
@@ -763,6 +766,21 @@
 	return (gh);
 }
 
+/* Whether a hop that can't be repeated might run when the process ends. */
+static bool
+may_be_cut(const struct brf_mesh_gate *gate, const struct brf_hop_request *rq)
+{
+	uint64_t at = now(gate);
+	struct brf_stop_request request = {
+		.until_end_us =
+		    gate->work_ends_at > at ? gate->work_ends_at - at : 0,
+		.until_deadline_us = rq->deadline > at ? rq->deadline - at : 0,
+	};
+
+	return (gate->work_ends_at != 0 && !rq->repeatable &&
+		brf_stop_judge(&request) == BRF_STOP_KEEP);
+}
+
 /* Reason to refuse a new hop at once, or BRF_R_NONE. */
 static enum brf_reason
 refusal_for(const struct brf_mesh_gate *gate, const struct brf_hop_request *rq)
@@ -773,6 +791,8 @@
 		return (BRF_R_NO_TARGET);
 	if (rq->deadline <= now(gate))
 		return (BRF_R_EXPIRED);
+	if (may_be_cut(gate, rq))
+		return (BRF_R_DEADLINE);
 	return (BRF_R_NONE);
 }
 
@@ -942,6 +962,12 @@
 	brf_slot_queues_drain(gate->queues, reason);
 }
 
+void
+brf_mesh_gate_stop(struct brf_mesh_gate *gate, uint64_t work_ends_at)
+{
+	gate->work_ends_at = work_ends_at;
+}
+
 /* A new incarnation states its own limit, and does not leave. */
 static void
 forget_incarnation(struct brf_mesh_gate *gate)
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -92,6 +92,13 @@
  */
 void brf_mesh_gate_refuse(struct brf_mesh_gate *gate, enum brf_reason reason);
 
+/**
+ * brf_mesh_gate_stop() - the process stops: refuse new hops that
+ * brf_stop_judge() would keep, since they might be cut, until all are refused.
+ * @work_ends_at: clock time by which requests have to have ended
+ */
+void brf_mesh_gate_stop(struct brf_mesh_gate *gate, uint64_t work_ends_at);
+
 /**
  * brf_mesh_gate_count_deadlines() - count running requests whose deadline is
  * close to that of a request that was received from a caller here.
--- a/src/mesh/node.c
+++ b/src/mesh/node.c
@@ -506,6 +506,7 @@
 	node->callers.work_ends_at = node->stopping_since + node->stop.work_us;
 	node->callers.refuse_long_from =
 	    node->stopping_since + node->stop.min_us;
+	brf_mesh_gate_stop(node->gate, node->callers.work_ends_at);
 	brf_flow_drain(node->entry);
 	brf_timer_start(node->scheduler.timers, &node->stop_poll, STOP_POLL_US);
 }
--- a/test/mesh_gate_test.cc
+++ b/test/mesh_gate_test.cc
@@ -428,6 +428,25 @@
 	EXPECT_EQ(running.hop.state, BRF_HOP_ANSWERED);
 }
 
+/* Requests that can't be repeated were taken and cut at the exit, while their
+ * sender, which stops too, could have sent them elsewhere. */
+TEST_F(mesh_gate, a_stopping_gate_takes_nothing_unsafe_that_may_be_cut)
+{
+	const uint64_t left = 5 * BRF_US_PER_S;
+	struct sender outlives, ends, repeatable;
+
+	brf_mesh_gate_stop(gate, brf_now(&bench.scheduler.clock) + left);
+	send(outlives, "1", false, 2 * left);
+	EXPECT_EQ(outlives.hop.state, BRF_HOP_REFUSED);
+	EXPECT_EQ(outlives.hop.reason, BRF_R_DEADLINE);
+	send(ends, "2", false, left - BRF_US_PER_S);
+	send(repeatable, "3", true, 2 * left);
+	until([&] { return (target.requests() == 2); });
+	EXPECT_EQ(target.requests(), 2u);
+	EXPECT_EQ(ends.hop.state, BRF_HOP_OPEN);
+	EXPECT_EQ(repeatable.hop.state, BRF_HOP_OPEN);
+}
+
 TEST_F(mesh_gate, hop_for_another_incarnation_is_refused)
 {
 	struct sender other;
