mesh/call: a gate that refuses for a deadline is not a full one

Callers got 503 for unsafe requests though a sound target had room, while two nodes beside other targets of the service were being stopped.

A request ends with the second full gate.

Such a refusal says nothing of the target's load, so it counts neither for the request nor for the balancer. No other refusal of a gate of bulrushford-node has this reason.

--- a/src/policy/balancer.h
+++ b/src/policy/balancer.h
@@ -176,7 +176,8 @@
  * @BRF_FEEDBACK_UNREACHABLE: nothing reached the target, which says nothing of
  *	how it serves
  * @BRF_FEEDBACK_LOST: no response of a target that may have run the request
- * @BRF_FEEDBACK_NONE: nothing, since the sender cancelled the hop
+ * @BRF_FEEDBACK_NONE: nothing, since the sender cancelled the hop, or the gate
+ *	refused it for its deadline alone
  */
 enum brf_balancer_feedback {
 	BRF_FEEDBACK_ANSWERED,
