--- a/src/fleet/local.c
+++ b/src/fleet/local.c
@@ -44,9 +44,11 @@
 	return (l->known && strcmp(l->current.id, id) == 0);
 }
 
-/* Note an announcement of an earlier incarnation.
+/*
+ * Note an announcement of an earlier incarnation.
  *
- * Return: whether that one is to replace the current one. */
+ * Return: whether that one is to replace the current one.
+ */
 static bool
 rival_replaces(struct brf_local_target *l,
     const struct brf_target_announcement *n, uint64_t now)
